--- /dev/null
+++ b/crates/godwitstep-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/godwitstep-core/src/prelude.rs
@@ -0,0 +1,11 @@
+//! Types that most users of the crate need.
+
+pub use crate::authority::{Evidence, Standing};
+pub use crate::clock::Clock;
+pub use crate::id::{
+    Accelerators, Attempt, DomainId, EntryId, Epoch, Incarnation, JobId, Key, KindId, Name, Offset,
+    RackId, RegionId, ServiceId, TargetId, Version, WorkerId, WorkspaceId,
+};
+pub use crate::reason::Reason;
+pub use crate::resource::{Adjacency, Guarantee, Job, Kind, Priority, Shape, Workspace};
+pub use std::time::Duration;
