feat(wire): link authentication, compact hot types and hostile-input tests

Cause: the handshake had no MAC, and every request, reply and heartbeat carried the names of its fields. A frame of 2 KiB could make the decoder reserve hundreds of MiB: the buffers of internally tagged enums reserve up to 1 MiB for each nested array on the word of its header.

Ruled out: the same encoding for Request and Reply as a whole; their remaining names are small beside the body.

--- a/crates/godwitstep-wire/src/frame.rs
+++ b/crates/godwitstep-wire/src/frame.rs
@@ -18,6 +18,11 @@
 pub const MAX_BODY: usize = 1024 * 1024;
 /// Greatest size of an encoded frame. Unit: bytes.
 pub const MAX_FRAME: usize = MAX_BODY + 16 * 1024;
+/// Greatest nesting of arrays and maps in a frame. Frames use less than half of it.
+///
+/// Each open array may reserve up to 1 MiB on the word of its header alone, so this bounds what
+/// a hostile frame of a few bytes can reserve.
+const MAX_NESTING: usize = 16;
 
 /// Why bytes are not a frame.
 #[derive(Debug, thiserror::Error)]
@@ -62,7 +67,7 @@
 }
 
 /// Identity of a request on the links.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RequestId {
     /// Life of the entry that took the request.
     pub incarnation: Incarnation,
@@ -84,7 +89,7 @@
 }
 
 /// Requests that a target runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Load {
     /// Of all entries.
     pub busy: u32,
@@ -106,7 +111,7 @@
 }
 
 /// Sent every 500 ms in both directions.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Heartbeat {
     /// Counts the heartbeats of this link.
     pub sequence: u64,
@@ -334,7 +339,7 @@
         if bytes.len() > MAX_FRAME {
             return Err(Error::TooLarge { size: bytes.len() });
         }
-        let frame = ciborium::from_reader(&mut bytes)
+        let frame = ciborium::de::from_reader_with_recursion_limit(&mut bytes, MAX_NESTING)
             .map_err(|error| Error::Malformed(error.to_string()))?;
         match bytes.len() {
             0 => Ok(frame),
--- a/crates/godwitstep-wire/src/lib.rs
+++ b/crates/godwitstep-wire/src/lib.rs
@@ -8,6 +8,8 @@
 //! # Ok::<(), godwitstep_wire::Error>(())
 //! ```
 
+pub mod auth;
+mod compact;
 mod frame;
 
 pub use frame::{
--- /dev/null
+++ b/crates/godwitstep-wire/tests/hostile.rs
@@ -0,0 +1,158 @@
+//! Frames from a peer that means harm or has a fault.
+
+use bytes::Bytes;
+use godwitstep_core::authority::Standing;
+use godwitstep_core::reason::Reason;
+use godwitstep_wire::{
+    Announce, Error, Frame, Heartbeat, Load, MAX_BODY, MAX_FRAME, Outcome, Part, Records, Reply,
+    Request, RequestId, Rules,
+};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn id() -> RequestId {
+    RequestId {
+        incarnation: 1_764_817_200_000_000,
+        sequence: 3,
+    }
+}
+
+fn samples() -> Vec<Frame> {
+    let part = Part {
+        epoch: 4,
+        job: "nest-1".into(),
+        attempt: 2,
+        tasks: 4,
+        accelerators: 8,
+        run: Some(Duration::from_secs(60)),
+    };
+    vec![
+        Frame::Goodbye,
+        Frame::Cancel { id: id() },
+        Frame::Announce(Announce {
+            target: None,
+            worker: None,
+            inventory: Vec::new(),
+            leaving: true,
+        }),
+        Frame::Heartbeat(Heartbeat {
+            sequence: 9,
+            load: Some(Load { busy: 2, ours: 1 }),
+            busy_accelerators: Some(3),
+            rules: Some(Rules {
+                standing: Standing::Coasting,
+                version: 12,
+                out: vec!["dk-vest-a".into()],
+                epoch: 4,
+            }),
+            targets: Vec::new(),
+        }),
+        Frame::Request(Request {
+            id: id(),
+            service: "stitchwatch".into(),
+            key: "council/1".into(),
+            idempotent: false,
+            age: Duration::from_millis(1),
+            left: Duration::from_secs(2),
+            body: Bytes::from_static(b"body"),
+        }),
+        Frame::Reply(Reply {
+            id: id(),
+            outcome: Outcome::NotStarted {
+                reason: Reason::DomainOut {
+                    domain: "dk-vest-a".into(),
+                },
+            },
+            served: Duration::ZERO,
+        }),
+        Frame::Denied {
+            part,
+            reason: Reason::WaitingForCapacity { needed: 4, free: 1 },
+        },
+        Frame::Records(Records {
+            stream: "config".into(),
+            tail: 4,
+            age: Duration::ZERO,
+            next: 4,
+            records: vec![(3, "{}".into())],
+        }),
+    ]
+}
+
+/// Guards against a frame that is read back as something else.
+#[test]
+fn frames_survive_the_round_trip() {
+    for frame in samples() {
+        assert_eq!(Frame::decode(&frame.encode()).expect("decodes"), frame);
+    }
+}
+
+/// Guards against frames that are cut short, continued or oversized and still accepted.
+#[test]
+fn incomplete_and_continued_frames_are_refused() {
+    for frame in samples() {
+        let bytes = frame.encode();
+        for end in 0..bytes.len() {
+            assert!(Frame::decode(&bytes[..end]).is_err(), "cut at {end}");
+        }
+        let mut longer = bytes.to_vec();
+        longer.push(0);
+        assert!(matches!(Frame::decode(&longer), Err(Error::Trailing(1))));
+    }
+    let huge = vec![0; MAX_FRAME + 1];
+    assert!(matches!(Frame::decode(&huge), Err(Error::TooLarge { .. })));
+}
+
+/// Guards against a limit that leaves no room for the fields around the largest body.
+#[test]
+fn largest_body_fits() {
+    let frame = Frame::Reply(Reply {
+        id: id(),
+        outcome: Outcome::Answered {
+            body: vec![7; MAX_BODY].into(),
+        },
+        served: Duration::from_secs(1),
+    });
+    assert_eq!(Frame::decode(&frame.encode()).expect("decodes"), frame);
+}
+
+/// Guards against arrays of the compact types that carry too few or too many elements.
+#[test]
+fn compact_arrays_have_exact_lengths() {
+    let cancel = |array: &[u8]| {
+        let mut bytes = vec![0xa1, 0x66];
+        bytes.extend_from_slice(b"cancel");
+        bytes.extend_from_slice(&[0xa1, 0x62]);
+        bytes.extend_from_slice(b"id");
+        bytes.extend_from_slice(array);
+        Frame::decode(&bytes)
+    };
+    assert!(cancel(&[0x82, 1, 2]).is_ok());
+    assert!(cancel(&[0x81, 1]).is_err());
+    assert!(cancel(&[0x83, 1, 2, 3]).is_err());
+    assert!(cancel(&[0x9f, 1, 2, 3, 0xff]).is_err());
+}
+
+proptest! {
+    /// Guards against a panic on bytes that are no frame.
+    #[test]
+    fn random_bytes_do_no_harm(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        let _ = Frame::decode(&bytes);
+    }
+
+    /// Guards against a panic on frames with changed bytes.
+    #[test]
+    fn mutated_frames_do_no_harm(
+        sample in 0..samples().len(),
+        changes in proptest::collection::vec((any::<proptest::sample::Index>(), any::<u8>()), 1..6),
+    ) {
+        let mut bytes = samples()[sample].encode().to_vec();
+        for (index, value) in changes {
+            let index = index.index(bytes.len());
+            bytes[index] = value;
+        }
+        if let Ok(frame) = Frame::decode(&bytes) {
+            prop_assert_eq!(Frame::decode(&frame.encode()).expect("decodes"), frame);
+        }
+    }
+}
