feat(link): authenticated WebSocket links with replacement and reconnect

Cause: the processes had no connection between them.

Change: link::listen and link::dial run handshake, silence limit, bounded outgoing queue and reconnect over smol sockets, and deliver events in the order up, frames, down; a replacing link comes up after the down of the replaced one. Before the proof of the key, messages are limited to 2 KiB.

Ruled out: a source of randomness as a further dependency for nonces; the keys of the standard library's hasher come from the operating system. A task per link on the owner's executor; each future runs its own, so that dropping it closes its links.

Conclusion: links are usable by entry and agent.

--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod link;
--- /dev/null
+++ b/crates/godwitstep/src/link/dial.rs
@@ -0,0 +1,87 @@
+//! Links that this process opens.
+
+use super::drive::drive;
+use super::error::{Cause, Error, Step};
+use super::handle::{Event, Link};
+use super::handshake::{Socket, initiate};
+use super::{HANDSHAKE_LIMIT, MAX_BACKOFF, MIN_BACKOFF};
+use godwitstep_wire::Peer;
+use godwitstep_wire::auth::Key;
+use smol::channel::Sender;
+use smol::net::TcpStream;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Life of a link after which the next attempt is made at once. A shorter one counts as a failed
+/// attempt, so that a peer that drops every link is not dialled in a busy loop.
+const STABLE: Duration = Duration::from_secs(1);
+
+/// Keeps a link to `address`: dials again at once after a link was lost, then with a delay that
+/// doubles from [`MIN_BACKOFF`] to [`MAX_BACKOFF`], jittered between half and the whole of it.
+///
+/// Returns when nobody receives `events` any more.
+pub async fn dial(address: SocketAddr, identity: Peer, key: Key, events: Sender<Event>) {
+    let mut failures = 0;
+    let mut last = String::new();
+    while !events.is_closed() {
+        match connect(address, &identity, &key).await {
+            Ok(socket) => {
+                let since = Instant::now();
+                let (link, woken) = Link::new(socket.peer.clone());
+                drive(socket, link, woken, &events).await;
+                last.clear();
+                if since.elapsed() >= STABLE {
+                    failures = 0;
+                    continue;
+                }
+            }
+            Err(error) => report(&error, &mut last),
+        }
+        smol::Timer::after(delay(failures)).await;
+        failures += 1;
+    }
+}
+
+/// Logs an error as a warning if it differs from the last one. An unreachable entry would
+/// otherwise fill the log with one line a second.
+fn report(error: &Error, last: &mut String) {
+    let text = error.to_string();
+    if text == *last {
+        tracing::debug!(error = text, "link failed again");
+    } else {
+        tracing::warn!(error = text, "link failed");
+        *last = text;
+    }
+}
+
+/// Returns the jittered delay after a number of earlier failures.
+fn delay(failures: u32) -> Duration {
+    let full = MIN_BACKOFF
+        .saturating_mul(1 << failures.min(10))
+        .min(MAX_BACKOFF);
+    full.mul_f64(0.5 + fastrand::f64() / 2.0)
+}
+
+/// Makes one attempt to open and authenticate a connection.
+///
+/// # Errors
+///
+/// Returns an error that names the step and the address if the peer can't be reached, speaks
+/// another protocol version, does not know the key, or is too slow.
+pub async fn connect(address: SocketAddr, identity: &Peer, key: &Key) -> Result<Socket, Error> {
+    let failed = |cause| Error {
+        step: Step::Connect,
+        peer: address.to_string(),
+        cause,
+    };
+    let late = async {
+        smol::Timer::after(HANDSHAKE_LIMIT).await;
+        Err(failed(Cause::TimedOut(HANDSHAKE_LIMIT)))
+    };
+    let open = async {
+        let tcp = TcpStream::connect(address).await;
+        tcp.map_err(|error| failed(error.into()))
+    };
+    let tcp = smol::future::or(open, late).await?;
+    initiate(tcp, &address.to_string(), identity, key).await
+}
