--- /dev/null
+++ b/crates/godwitstep/src/http/server.rs
@@ -0,0 +1,203 @@
+//! Server helper: accept loop, limits, shutdown that lets requests in progress end.
+
+use super::body::{Body, full};
+use futures_util::future::{Either, select};
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use smol::Timer;
+use smol::channel::{self, Receiver, Sender};
+use smol::future::FutureExt;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Delay after a failed accept. Without it, a process that has run out of file descriptors would
+/// spin on the error.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Connections beyond the limit that are told so; further ones wait in the accept queue.
+const MAX_REFUSED: usize = 64;
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Greatest number of connections that are served; others are answered 503 and closed.
+    pub connections: usize,
+    /// Greatest number of header fields of a request.
+    pub fields: usize,
+    /// Greatest size of a request's head. Unit: bytes.
+    pub head: usize,
+    /// Longest wait for a request's head, from the accept or from the previous answer.
+    pub head_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            fields: 64,
+            head: 16 * 1024,
+            head_time: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Starts the shutdown of the servers that hold its [`Signal`]. Dropping it does the same.
+#[derive(Debug)]
+pub struct Shutdown {
+    sender: Sender<Infallible>,
+}
+
+/// Tells a server when to shut down.
+#[derive(Debug, Clone)]
+pub struct Signal {
+    receiver: Receiver<Infallible>,
+}
+
+impl Shutdown {
+    /// Returns both ends.
+    #[must_use]
+    #[allow(clippy::new_ret_no_self)]
+    pub fn new() -> (Self, Signal) {
+        let (sender, receiver) = channel::bounded(1);
+        (Self { sender }, Signal { receiver })
+    }
+
+    /// Starts the shutdown.
+    pub fn start(&self) {
+        self.sender.close();
+    }
+}
+
+impl Signal {
+    /// Waits for the start of the shutdown.
+    pub async fn wait(&self) {
+        let Err(channel::RecvError) = self.receiver.recv().await;
+    }
+}
+
+/// Serves connections until the signal comes and the requests in progress have been answered.
+///
+/// Dropping the returned future cuts all connections off. A handler is dropped when its caller
+/// closes the connection.
+pub async fn serve<H>(listener: TcpListener, limits: Limits, signal: Signal, handler: H)
+where
+    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
+{
+    let handler = Rc::new(handler);
+    let mut connections = FuturesUnordered::new();
+    let (mut served, mut refused) = (0, 0);
+    let mut stopped = pin!(signal.wait());
+    loop {
+        let accepting = refused < MAX_REFUSED;
+        let event = {
+            let stop = async {
+                stopped.as_mut().await;
+                Event::Stop
+            };
+            let end = async {
+                match connections.next().await {
+                    Some(role) => Event::Ended(role),
+                    None => std::future::pending().await,
+                }
+            };
+            let accept = async {
+                if accepting {
+                    Event::Accepted(listener.accept().await.map(|(stream, _)| stream))
+                } else {
+                    std::future::pending().await
+                }
+            };
+            stop.or(end).or(accept).await
+        };
+        match event {
+            Event::Stop => break,
+            Event::Ended(Role::Served) => served -= 1,
+            Event::Ended(Role::Refused) => refused -= 1,
+            Event::Accepted(Ok(stream)) => {
+                let (handler, role) = if served < limits.connections {
+                    served += 1;
+                    (Some(handler.clone()), Role::Served)
+                } else {
+                    refused += 1;
+                    (None, Role::Refused)
+                };
+                let signal = signal.clone();
+                connections.push(async move {
+                    connection(stream, limits, signal, handler).await;
+                    role
+                });
+            }
+            Event::Accepted(Err(error)) => {
+                tracing::warn!(%error, "accepting a connection failed");
+                Timer::after(ACCEPT_RETRY).await;
+            }
+        }
+    }
+    drop(listener);
+    while connections.next().await.is_some() {}
+}
+
+/// What a connection was accepted for.
+#[derive(Clone, Copy)]
+enum Role {
+    Served,
+    Refused,
+}
+
+enum Event {
+    Stop,
+    Ended(Role),
+    Accepted(std::io::Result<TcpStream>),
+}
+
+fn refusal() -> Response<Body> {
+    let mut response = Response::new(full("too many connections\n"));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    response
+}
+
+async fn connection<H>(stream: TcpStream, limits: Limits, signal: Signal, handler: Option<Rc<H>>)
+where
+    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "connection without TCP_NODELAY");
+    }
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move {
+            Ok::<_, Infallible>(match handler {
+                Some(handler) => handler(request).await,
+                None => refusal(),
+            })
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_headers(limits.fields)
+        .max_header_size(limits.head)
+        .max_buf_size(limits.head.max(8 * 1024));
+    let mut serving = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let result = match select(serving.as_mut(), pin!(signal.wait())).await {
+        Either::Left((result, _)) => result,
+        Either::Right(((), _)) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = result {
+        tracing::debug!(%error, "connection ended early");
+    }
+}
--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -1,1 +1,6 @@
-//! Placeholder.
+//! The roles of godwitstep as a library: input and output around `godwitstep_core`.
+//!
+//! Everything of one daemon runs on one thread with a local executor, so shared state is kept in
+//! `Rc<RefCell<..>>` and is never borrowed across an await.
+
+pub mod http;
