feat(router): request policy with admission, fences and an always-on audit

Cause: the entry needs one place that decides which request is sent where, retried or refused, and that proves its own promises.

Change: router::Router with priority classes and earliest deadline first, admission by expected wait, limits, choice of target by load per slot, retry rules and budget, probes of failing targets, the fence protocol for repeated keys, and suspension after a pause. router/audit.rs keeps a separate account from events and actions only. admission, backoff and budget are modules of their own.

Ruled out: refusing a repeated key before it is fenced as not run; an earlier request with the key may have run, so such refusals are unknown until all agents have been asked.

--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -11,7 +11,10 @@
 //! assert_eq!(shape.accelerators(), 16);
 //! ```
 
+pub mod admission;
 pub mod authority;
+pub mod backoff;
+pub mod budget;
 pub mod clock;
 pub mod id;
 pub mod planner;
--- /dev/null
+++ b/crates/godwitstep-core/src/router/settings.rs
@@ -0,0 +1,58 @@
+//! Settings of the router.
+
+use crate::id::DomainId;
+use std::time::Duration;
+
+/// Bounds and times of the request policy.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Failure domain of this entry; preferred on a tie.
+    pub domain: DomainId,
+    /// Greatest number of requests of one service that wait in this entry.
+    pub max_queued: usize,
+    /// Time for which agents remember keys. A target that was lost within it may have run a key.
+    pub key_window: Duration,
+    /// Greatest age of a heartbeat of a target that is sent to.
+    pub heartbeat_limit: Duration,
+    /// Longest wait for the replies of agents to a fence.
+    pub fence_time: Duration,
+    /// Time after the first event in which a fence stays open, so that agents and peer entries
+    /// that have not been heard yet are asked as well.
+    pub warm_up: Duration,
+}
+
+impl Settings {
+    /// Returns the usual settings for an entry in a failure domain.
+    #[must_use]
+    pub fn new(domain: impl Into<DomainId>) -> Self {
+        Self {
+            domain: domain.into(),
+            max_queued: 10_000,
+            key_window: Duration::from_secs(600),
+            heartbeat_limit: Duration::from_millis(1_500),
+            fence_time: Duration::from_secs(1),
+            warm_up: Duration::from_secs(2),
+        }
+    }
+
+    /// Sets the greatest number of requests of one service that wait.
+    #[must_use]
+    pub const fn max_queued(mut self, count: usize) -> Self {
+        self.max_queued = count;
+        self
+    }
+
+    /// Sets the time for which agents remember keys.
+    #[must_use]
+    pub const fn key_window(mut self, window: Duration) -> Self {
+        self.key_window = window;
+        self
+    }
+
+    /// Sets the time after the first event in which a fence stays open.
+    #[must_use]
+    pub const fn warm_up(mut self, time: Duration) -> Self {
+        self.warm_up = time;
+        self
+    }
+}
