feat(key): idempotency-key table and fence of the agent

Cause: at-most-once execution is enforced where the effect takes place.

Change: key::Table decides whether a request starts, records how runs end and answers fences, with bounds on keys, answers and time. Fences of two requests for one key are ordered by time of receipt (key::Owner), and the agent refuses a non-idempotent request whose age plus the longest transit exceeds its uptime.

Ruled out: the last fence received wins. Agents that receive two fences in different orders would then each leave one request with a key that it believes to hold everywhere. The first fence wins was ruled out too, because an entry that dies after fencing would block the key for the whole window.

--- /dev/null
+++ b/crates/godwitstep-core/src/key/table.rs
@@ -0,0 +1,225 @@
+//! The table.
+
+use super::answers::Answers;
+use super::{Admit, Ask, End, Limits, Owner};
+use crate::id::Key;
+use crate::reason::Reason;
+use crate::router::KeyState;
+use bytes::Bytes;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Only the owner may run the key.
+    Fenced,
+    Running,
+    /// The answer is kept unless it was too large or dropped.
+    Answered,
+    Failed,
+    Unknown,
+}
+
+#[derive(Debug)]
+struct Entry {
+    owner: Owner,
+    state: State,
+    changed: Duration,
+    /// Other requests that wait for the end of the run.
+    waiters: Vec<Owner>,
+}
+
+/// Keys that an agent has seen in its present life.
+#[derive(Debug)]
+pub struct Table {
+    limits: Limits,
+    started: Duration,
+    entries: BTreeMap<Key, Entry>,
+    /// Keys with the time of a change, oldest first; a key appears once for each change.
+    changes: VecDeque<(Duration, Key)>,
+    answers: Answers,
+}
+
+impl Table {
+    /// Returns the empty table of an agent that started at the given time.
+    #[must_use]
+    pub fn new(started: Duration) -> Self {
+        Self {
+            limits: Limits::default(),
+            started,
+            entries: BTreeMap::new(),
+            changes: VecDeque::new(),
+            answers: Answers::default(),
+        }
+    }
+
+    /// Sets the bounds.
+    #[must_use]
+    pub const fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Reports whether no key is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Decides whether a request is started. After [`Admit::Run`] the key counts as running.
+    pub fn admit(&mut self, now: Duration, ask: &Ask) -> Admit {
+        self.expire(now);
+        let Some(entry) = self.entries.get_mut(&ask.key) else {
+            return self.admit_new(now, ask);
+        };
+        let own = entry.owner == ask.owner;
+        match entry.state {
+            State::Fenced if own => {}
+            State::Fenced => return Admit::Refuse(Reason::Cancelled),
+            State::Running => {
+                if !own && !entry.waiters.contains(&ask.owner) {
+                    entry.waiters.push(ask.owner);
+                }
+                return Admit::Running;
+            }
+            State::Answered => match self.answers.get(&ask.key) {
+                Some(body) => return Admit::Answered(body.clone()),
+                None if ask.idempotent => {}
+                None => return Admit::Unknown,
+            },
+            State::Failed if own || !ask.idempotent => return Admit::Failed,
+            State::Unknown if !ask.idempotent => return Admit::Unknown,
+            State::Failed | State::Unknown => {}
+        }
+        entry.owner = ask.owner;
+        self.change(now, &ask.key, State::Running);
+        Admit::Run
+    }
+
+    fn admit_new(&mut self, now: Duration, ask: &Ask) -> Admit {
+        let uptime = now.saturating_sub(self.started);
+        let full = self.entries.len() >= self.limits.keys;
+        if !ask.idempotent && ask.age + self.limits.transit > uptime {
+            // A fence may have reached the previous life of this agent only.
+            let detail = "the request may be older than this agent".to_owned();
+            return Admit::Refuse(Reason::Other { detail });
+        }
+        if full && !ask.idempotent {
+            return Admit::Refuse(Reason::LimitReached);
+        }
+        if !full {
+            self.insert(now, ask.owner, &ask.key, State::Running);
+        }
+        Admit::Run
+    }
+
+    /// Records the end of a run. Returns the other requests that wait for it; they get the same
+    /// reply.
+    #[must_use]
+    pub fn finish(&mut self, now: Duration, owner: Owner, key: &Key, end: End) -> Vec<Owner> {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return Vec::new();
+        };
+        if entry.owner != owner || entry.state != State::Running {
+            return Vec::new();
+        }
+        let waiters = std::mem::take(&mut entry.waiters);
+        let state = match end {
+            End::Answered(body) => {
+                if body.len() <= self.limits.answer {
+                    self.answers.insert(key, body, self.limits.answers);
+                }
+                State::Answered
+            }
+            End::Failed => State::Failed,
+            End::Unknown => State::Unknown,
+            End::NotStarted => {
+                let Some(next) = waiters.iter().max() else {
+                    self.entries.remove(key);
+                    return waiters;
+                };
+                entry.owner = *next;
+                State::Fenced
+            }
+        };
+        self.change(now, key, state);
+        waiters
+    }
+
+    /// Gives the key to the owner if it has not run, and tells what is known of it.
+    ///
+    /// After [`KeyState::Running`] the owner is among those that [`Table::finish`] returns.
+    pub fn fence(&mut self, now: Duration, owner: Owner, key: &Key) -> (KeyState, Option<Bytes>) {
+        self.expire(now);
+        let Some(entry) = self.entries.get_mut(key) else {
+            if self.entries.len() >= self.limits.keys {
+                return (KeyState::Unknown, None);
+            }
+            self.insert(now, owner, key, State::Fenced);
+            return (KeyState::Fenced, None);
+        };
+        let state = match entry.state {
+            State::Fenced if owner < entry.owner => KeyState::Unknown,
+            State::Fenced => {
+                entry.owner = owner;
+                self.change(now, key, State::Fenced);
+                KeyState::Fenced
+            }
+            State::Running => {
+                if entry.owner != owner && !entry.waiters.contains(&owner) {
+                    entry.waiters.push(owner);
+                }
+                KeyState::Running
+            }
+            State::Answered => match self.answers.get(key) {
+                Some(body) => return (KeyState::Answered, Some(body.clone())),
+                None => KeyState::Unknown,
+            },
+            State::Failed => KeyState::Failed,
+            State::Unknown => KeyState::Unknown,
+        };
+        (state, None)
+    }
+
+    fn insert(&mut self, now: Duration, owner: Owner, key: &Key, state: State) {
+        let entry = Entry {
+            owner,
+            state,
+            changed: now,
+            waiters: Vec::new(),
+        };
+        self.entries.insert(key.clone(), entry);
+        self.changes.push_back((now, key.clone()));
+    }
+
+    fn change(&mut self, now: Duration, key: &Key, state: State) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.state = state;
+            entry.changed = now;
+            self.changes.push_back((now, key.clone()));
+        }
+    }
+
+    /// Forgets keys that have not changed for the window, except those that run.
+    fn expire(&mut self, now: Duration) {
+        while let Some((changed, key)) = self.changes.front()
+            && *changed + self.limits.window <= now
+        {
+            let over = self
+                .entries
+                .get(key)
+                .is_some_and(|entry| entry.changed == *changed && entry.state != State::Running);
+            if over {
+                self.entries.remove(key);
+                self.answers.remove(key);
+            }
+            self.changes.pop_front();
+        }
+    }
+}
--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod budget;
 pub mod clock;
 pub mod id;
+pub mod key;
 pub mod planner;
 pub mod prelude;
 pub mod reason;
--- a/crates/godwitstep-core/src/router/reply.rs
+++ b/crates/godwitstep-core/src/router/reply.rs
@@ -161,8 +161,8 @@
         match reply {
             Reply::Answered => member.succeed(),
             Reply::NotStarted(Reason::Stopping) => member.leaving = true,
-            Reply::NotStarted(reason) if is_refusal(reason) => member.refuse(),
             Reply::NotStarted(Reason::Cancelled) => {}
+            Reply::NotStarted(reason) if is_refusal(reason) => member.refuse(),
             Reply::NotStarted(_) => {
                 member.refuse();
                 member.fail(now);
@@ -196,8 +196,5 @@
 /// Reports whether an agent refused by its own rules. Each such refusal keeps the target out until
 /// its next heartbeat, which bounds them, so they do not draw on the retry budget.
 const fn is_refusal(reason: &Reason) -> bool {
-    matches!(
-        reason,
-        Reason::Stopping | Reason::LimitReached | Reason::DomainOut { .. } | Reason::Halted
-    )
+    !matches!(reason, Reason::TargetLost | Reason::Cancelled)
 }
