feat(agent): requests, fences, rules, target health and planned stop

Cause: nothing stood between entries and targets.

Change: agent::run dials every entry, announces its target, sends heartbeats, follows the newest rules, forwards requests under the key table and the target's slots, and drains on a planned stop. Rules and slots are checked before the key table, so that a refusal leaves a fence in force; after a run that was not started, a non-idempotent request keeps its key fenced. After a gap of more than 1 s in its own ticks the agent drops all links, because their buffers may hold heartbeats as old as the gap.

Ruled out: cutting a run short when its caller is gone; the caller may ask again with the same key.

--- /dev/null
+++ b/crates/godwitstep/src/agent/rules.rs
@@ -0,0 +1,69 @@
+//! What may start at this agent, as told by the entries.
+
+use godwitstep_core::authority::Standing;
+use godwitstep_core::id::{DomainId, Epoch, Version};
+use godwitstep_core::reason::Reason;
+use godwitstep_wire::Rules as Told;
+use std::time::Duration;
+
+/// Age of an entry's last word after which nothing starts on its instruction.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
+/// What one entry said last about itself.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Word {
+    standing: Standing,
+    heard: Duration,
+}
+
+/// The newest configuration that any entry has told. Survives the loss of all links.
+#[derive(Debug, Default)]
+pub(super) struct Rules {
+    /// Never decreases, so that a late entry can't put a domain back in service.
+    version: Option<Version>,
+    out: Vec<DomainId>,
+    /// Greatest epoch that any entry has told. Never decreases.
+    epoch: Epoch,
+}
+
+impl Rules {
+    /// Takes in the rules of a heartbeat and returns what the sender said about itself.
+    pub(super) fn hear(&mut self, told: Told, now: Duration) -> Word {
+        if self.version.is_none_or(|version| told.version >= version) {
+            self.version = Some(told.version);
+            self.out = told.out;
+        }
+        self.epoch = self.epoch.max(told.epoch);
+        Word {
+            standing: told.standing,
+            heard: now,
+        }
+    }
+
+    /// Returns the greatest epoch that was told; 0 for none.
+    #[allow(dead_code)]
+    pub(super) const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Reports why nothing may start in `domain` on the instruction of an entry, if that is so.
+    ///
+    /// `word` is what the entry said last; an entry that has said nothing yet starts nothing,
+    /// because a new agent does not know the domains that are out of service.
+    pub(super) fn obstacle(
+        &self,
+        domain: &DomainId,
+        word: Option<Word>,
+        now: Duration,
+    ) -> Option<Reason> {
+        if self.out.contains(domain) {
+            return Some(Reason::DomainOut {
+                domain: domain.clone(),
+            });
+        }
+        let live = word.is_some_and(|word| {
+            word.standing.may_start() && now.saturating_sub(word.heard) < SILENCE_LIMIT
+        });
+        (!live).then_some(Reason::Halted)
+    }
+}
--- /dev/null
+++ b/crates/godwitstep/src/agent/run.rs
@@ -0,0 +1,153 @@
+//! The tasks of an agent.
+
+use super::state::Agent;
+use super::{Error, Settings, requests};
+use crate::link::{self, Event, HEARTBEAT, LinkId};
+use godwitstep_core::clock::Clock;
+use godwitstep_wire::Frame;
+use smol::channel::Receiver;
+use smol::{LocalExecutor, Timer};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Events of links that wait to be handled. Handling never waits, so few are needed.
+const MAX_EVENTS: usize = 64;
+/// Time between two looks at the clock. Far below the gap that counts as a pause.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two health checks of the target.
+const HEALTH_CHECK: Duration = Duration::from_millis(250);
+/// Time between two looks at the work that a planned stop waits for.
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Longest time for the last frames to leave.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Runs an agent until `stop` delivers or is closed, then stops it gracefully: it announces that
+/// it leaves, refuses new work, and finishes what it has, up to the limit of the settings.
+///
+/// # Errors
+///
+/// Returns an error if the settings hold values that are not allowed.
+pub async fn run(
+    settings: Settings,
+    clock: Arc<dyn Clock>,
+    stop: Receiver<()>,
+) -> Result<(), Error> {
+    let faults = settings.faults();
+    if !faults.is_empty() {
+        let agent = settings.name.to_string();
+        return Err(Error::Settings { agent, faults });
+    }
+    let agent = Rc::new(Agent::new(settings, clock));
+    let executor = LocalExecutor::new();
+    let (events, inbox) = smol::channel::bounded(MAX_EVENTS);
+    let links: Vec<_> = agent
+        .settings
+        .entries
+        .iter()
+        .map(|&entry| {
+            let key = agent.settings.link_key.clone();
+            let dial = link::dial(entry, agent.identity.clone(), key, events.clone());
+            executor.spawn(dial)
+        })
+        .collect();
+    executor.spawn(tick(Rc::clone(&agent))).detach();
+    executor.spawn(watch(Rc::clone(&agent))).detach();
+    let serve = async {
+        while let Ok(event) = inbox.recv().await {
+            handle(&agent, &executor, event);
+        }
+    };
+    let end = async {
+        // A closed channel means the same as a message.
+        let _ = stop.recv().await;
+        drain(&agent).await;
+    };
+    executor.run(smol::future::or(end, serve)).await;
+    agent.links.borrow_mut().close_all();
+    inbox.close();
+    let close = async {
+        for link in links {
+            link.await;
+        }
+    };
+    let late = async {
+        Timer::after(CLOSE_LIMIT).await;
+    };
+    executor.run(smol::future::or(close, late)).await;
+    Ok(())
+}
+
+fn handle(agent: &Rc<Agent>, executor: &LocalExecutor<'static>, event: Event) {
+    agent.touch();
+    match event {
+        Event::Up(link) => agent.greet(link),
+        Event::Down { id, .. } => agent.links.borrow_mut().remove(id),
+        Event::Frame(id, frame) => receive(agent, executor, id, frame),
+    }
+}
+
+fn receive(agent: &Rc<Agent>, executor: &LocalExecutor<'static>, id: LinkId, frame: Frame) {
+    if agent.links.borrow().get(id).is_none() {
+        // The link was dropped, and what is left of it is out of date.
+        return;
+    }
+    match frame {
+        Frame::Heartbeat(heartbeat) => {
+            if let Some(told) = heartbeat.rules {
+                let word = agent.rules.borrow_mut().hear(told, agent.now());
+                if let Some(entry) = agent.links.borrow_mut().get_mut(id) {
+                    entry.word = Some(word);
+                }
+            }
+        }
+        Frame::Request(request) => requests::take(agent, executor, id, request),
+        Frame::Fence { id: request, key } => requests::fence(agent, request, &key),
+        Frame::Cancel { id: request } => agent.requests.borrow_mut().cancel(request),
+        other => tracing::debug!(link = %id, frame = ?other, "frame is not for an agent"),
+    }
+}
+
+/// Sends heartbeats and lets time pass.
+async fn tick(agent: Rc<Agent>) {
+    let mut due = agent.now();
+    loop {
+        Timer::after(TICK).await;
+        agent.touch();
+        let now = agent.now();
+        agent.requests.borrow_mut().expire(now);
+        if now >= due {
+            agent.beat();
+            due = (due + HEARTBEAT).max(now);
+        }
+    }
+}
+
+/// Watches the target's health and announces its changes.
+async fn watch(agent: Rc<Agent>) {
+    let Some(target) = &agent.target else { return };
+    loop {
+        if let Some(health) = target.health().await {
+            let before = agent.health.replace(health);
+            if before != health {
+                tracing::info!(target = %agent.settings.name, ?before, ?health, "target changed");
+                agent.announce();
+            }
+        }
+        Timer::after(HEALTH_CHECK).await;
+    }
+}
+
+/// Finishes what runs, up to the limit, and logs what is cut off.
+async fn drain(agent: &Agent) {
+    tracing::info!("the agent stops");
+    agent.stopping.set(true);
+    agent.announce();
+    let end = agent.now() + agent.settings.stop_limit();
+    while agent.requests.borrow().busy() > 0 && agent.now() < end {
+        Timer::after(DRAIN_CHECK).await;
+    }
+    for request in agent.requests.borrow().running() {
+        tracing::warn!(?request, "request is cut off by the stop");
+    }
+}
