--- a/crates/godwitstep/tests/agent.rs
+++ b/crates/godwitstep/tests/agent.rs
@@ -120,7 +120,7 @@
 fn slots_are_not_exceeded() {
     run(async |executor| {
         let setup = setup(executor).await;
-        setup.target.delay.set(Duration::from_millis(1000));
+        setup.target.delay.set(Duration::from_secs(1));
         for sequence in 1..=3 {
             let request = request(sequence, &format!("w/{sequence}"));
             setup.entry.link.send(Frame::Request(request));
