feat(core): planner, fleet books and the agents' hold table

Cause: the decider's policy was only declared as events and actions. Change: add `hold::Table` (reservations, epoch fence, runs that never start again), `fleet` (workers by domain, rack and free accelerators), `guarantee`, `estimate`, `quarantine`, `invariant`, and a `Planner` that takes a job from its submission through reserve, record, commit and settle to its end, with losses of messages and a new decider at any step. `Reason` gains epoch_superseded, hold_expired, run_ended and task_failed. Ruled out: barring a released run from its worker, because an attempt that was not recorded is numbered again; only stopped and ended runs are barred.

--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -13,9 +13,15 @@
 
 pub mod authority;
 pub mod clock;
+pub mod estimate;
+pub mod fleet;
+pub mod guarantee;
+pub mod hold;
 pub mod id;
+pub mod invariant;
 pub mod planner;
 pub mod prelude;
+pub mod quarantine;
 pub mod reason;
 pub mod record;
 pub mod resource;
--- /dev/null
+++ b/crates/godwitstep-core/src/planner/emit.rs
@@ -0,0 +1,183 @@
+//! Actions, checked as they leave.
+
+use super::Planner;
+use super::event::Action;
+use super::job::Part;
+use crate::fleet::{Charge, Slot, State};
+use crate::id::{JobId, WorkerId};
+use crate::invariant::Violation;
+use crate::reason::Reason;
+use crate::record;
+
+impl Planner {
+    pub(super) fn violate(&mut self, violation: Violation) {
+        self.violation.get_or_insert(violation);
+    }
+
+    /// Tells why a job is where it is, if that has changed.
+    pub(super) fn explain(&mut self, id: u32, reason: Reason, out: &mut Vec<Action>) {
+        if let Some(entry) = self.jobs.get_mut(&id)
+            && entry.reason != reason
+        {
+            entry.reason = reason.clone();
+            let job = entry.name.clone();
+            out.push(Action::Explain { job, reason });
+        }
+    }
+
+    pub(super) fn record(&mut self, event: record::Event, out: &mut Vec<Action>) {
+        if let record::Event::Start { job, attempt, .. } = &event {
+            let last = self.names.get(job).and_then(|id| self.jobs.get(id));
+            match last.map(|entry| entry.attempt) {
+                Some(last) if last + 1 == *attempt => {}
+                Some(last) => self.violate(Violation::AttemptOrder {
+                    job: job.clone(),
+                    last,
+                    next: *attempt,
+                }),
+                None => self.violate(Violation::FinalJob { job: job.clone() }),
+            }
+        }
+        out.push(Action::Record(event));
+    }
+
+    pub(super) fn send_reserve(&mut self, id: u32, out: &mut Vec<Action>) {
+        let Some((job, run)) = self.active(id) else {
+            return;
+        };
+        let attempt = run.attempt;
+        for part in run.parts.clone() {
+            self.check_place(&job, part.slot);
+            out.push(Action::Reserve {
+                worker: self.worker(part.slot),
+                job: job.clone(),
+                attempt,
+                tasks: part.tasks,
+                accelerators: part.accelerators,
+            });
+        }
+    }
+
+    pub(super) fn send_commit(&mut self, id: u32, out: &mut Vec<Action>) {
+        let Some((job, run)) = self.active(id) else {
+            return;
+        };
+        let attempt = run.attempt;
+        let open = |part: &&Part| part.status == super::job::Status::Committed;
+        let slots: Vec<Slot> = run
+            .parts
+            .iter()
+            .filter(open)
+            .map(|part| part.slot)
+            .collect();
+        for slot in slots {
+            self.check_place(&job, slot);
+            out.push(Action::Commit {
+                worker: self.worker(slot),
+                job: job.clone(),
+                attempt,
+            });
+        }
+    }
+
+    pub(super) fn send_settle(&mut self, id: u32, out: &mut Vec<Action>) {
+        let Some((job, run)) = self.active(id) else {
+            return;
+        };
+        let (attempt, parts) = (run.attempt, run.parts.clone());
+        self.check_whole(id);
+        for part in parts
+            .iter()
+            .filter(|part| !part.settled && !part.status.is_over())
+        {
+            out.push(Action::Settle {
+                worker: self.worker(part.slot),
+                job: job.clone(),
+                attempt,
+            });
+        }
+    }
+
+    pub(super) fn send_release(&mut self, id: u32, out: &mut Vec<Action>) {
+        let Some((job, run)) = self.active(id) else {
+            return;
+        };
+        for part in run.parts.iter().filter(|part| !part.status.is_over()) {
+            out.push(Action::Release {
+                worker: self.worker(part.slot),
+                job: job.clone(),
+                attempt: run.attempt,
+            });
+        }
+    }
+
+    pub(super) fn send_stop(&mut self, id: u32, checkpoint: bool, out: &mut Vec<Action>) {
+        let Some((job, run)) = self.active(id) else {
+            return;
+        };
+        for part in run.parts.iter().filter(|part| !part.status.is_over()) {
+            out.push(Action::Stop {
+                worker: self.worker(part.slot),
+                job: job.clone(),
+                attempt: run.attempt,
+                checkpoint,
+            });
+        }
+    }
+
+    pub(super) fn worker(&self, slot: Slot) -> WorkerId {
+        self.fleet.machine(slot).worker.id.clone()
+    }
+
+    fn active(&self, id: u32) -> Option<(JobId, &super::job::Run)> {
+        let entry = self.jobs.get(&id)?;
+        Some((entry.name.clone(), entry.run.as_ref()?))
+    }
+
+    /// Enters a part into the books.
+    pub(super) fn book(&mut self, id: u32, part: &Part, charge: Charge) {
+        self.fleet.take(part.slot, id, part.accelerators, charge);
+        let machine = self.fleet.machine(part.slot);
+        let (used, capacity) = (machine.used, machine.worker.accelerators);
+        if machine.state == State::Up && used > capacity {
+            let worker = machine.worker.id.clone();
+            self.violate(Violation::OverCommitted {
+                worker,
+                used,
+                capacity,
+            });
+        }
+    }
+
+    fn check_place(&mut self, job: &JobId, slot: Slot) {
+        let zone = self.fleet.zone(self.fleet.machine(slot).seat.domain);
+        if !zone.in_service {
+            let domain = zone.id.clone();
+            let job = job.clone();
+            self.violate(Violation::OutOfService { job, domain });
+        }
+    }
+
+    /// Checks that all tasks of a gang are in place, none of them lost.
+    pub(super) fn check_whole(&mut self, id: u32) {
+        let Some(entry) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(run) = &entry.run else {
+            return;
+        };
+        let present = run.parts.iter().filter(|part| {
+            !matches!(part.status, super::job::Status::Asked | super::job::Status::Unheard)
+                && !matches!(part.status, super::job::Status::Over(end) if end != Some(super::End::Done))
+        });
+        let present = present.map(|part| part.tasks).sum();
+        let (job, tasks) = (entry.name.clone(), entry.spec.shape.tasks);
+        if present != tasks {
+            self.violate(Violation::PartialGang {
+                job,
+                present,
+                tasks,
+            });
+        }
+    }
+}
--- a/crates/godwitstep-core/src/reason.rs
+++ b/crates/godwitstep-core/src/reason.rs
@@ -9,7 +9,7 @@
 //! assert_eq!(reason.code(), "domain_out");
 //! ```
 
-use crate::id::{Accelerators, DomainId, JobId, WorkerId, WorkspaceId};
+use crate::id::{Accelerators, DomainId, Epoch, JobId, WorkerId, WorkspaceId};
 use crate::resource::Shape;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -108,6 +108,20 @@
     TargetLost,
     /// The log service can't take the record that the promise needs.
     LogUnavailable,
+    /// A command came from a decider that has been replaced.
+    EpochSuperseded {
+        /// Newest epoch that the agent has seen.
+        newest: Epoch,
+    },
+    /// The accelerators were not held any more when the commit arrived.
+    HoldExpired,
+    /// The run has ended or was stopped on this worker and does not start again.
+    RunEnded,
+    /// A task of the job failed.
+    TaskFailed {
+        /// The worker on which it failed.
+        worker: WorkerId,
+    },
     /// Something else, told in words.
     Other {
         /// One sentence.
@@ -143,6 +157,10 @@
             Self::NoTarget => "no_target",
             Self::TargetLost => "target_lost",
             Self::LogUnavailable => "log_unavailable",
+            Self::EpochSuperseded { .. } => "epoch_superseded",
+            Self::HoldExpired => "hold_expired",
+            Self::RunEnded => "run_ended",
+            Self::TaskFailed { .. } => "task_failed",
             Self::Other { .. } => "other",
         }
     }
@@ -211,6 +229,12 @@
             Self::NoTarget => f.write_str("no target of the service is available"),
             Self::TargetLost => f.write_str("the target was lost"),
             Self::LogUnavailable => f.write_str("the log service is unavailable"),
+            Self::EpochSuperseded { newest } => {
+                write!(f, "the decider was replaced; the newest epoch is {newest}")
+            }
+            Self::HoldExpired => f.write_str("the reservation expired before the commit"),
+            Self::RunEnded => f.write_str("this run has ended on the worker"),
+            Self::TaskFailed { worker } => write!(f, "a task failed on {worker}"),
             Self::Other { detail } => f.write_str(detail),
         }
     }
--- /dev/null
+++ b/crates/godwitstep-core/tests/driver/mod.rs
@@ -0,0 +1,658 @@
+//! A simulated region: agents built on the hold table, a log, lossy links and a planner.
+//!
+//! The driver checks what must hold whatever happens: no run of a job overlaps another, a run that
+//! must not be repeated is not, and a job is recorded as done only if all its tasks completed.
+#![allow(dead_code, clippy::cast_possible_truncation)]
+
+use godwitstep_core::hold::{self, Command, Order, Table};
+use godwitstep_core::planner::{Action, End, Event, Planner, Running, Settings, Worker};
+use godwitstep_core::record::{Event as Record, Part};
+use godwitstep_core::resource::{Guarantee, Job, Kind, Phase, Priority, Shape, Workspace};
+use godwitstep_core::{Reason, Standing};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+pub const fn s(value: u64) -> Duration {
+    Duration::from_secs(value)
+}
+
+pub fn worker(id: &str, domain: &str, rack: &str, accelerators: u32) -> Worker {
+    Worker {
+        id: id.into(),
+        incarnation: 1,
+        domain: domain.into(),
+        rack: rack.into(),
+        accelerators,
+    }
+}
+
+pub fn workspace(rank: u32, guarantees: &[(Shape, u32)]) -> Workspace {
+    let kind = |name: &str, priority| Kind {
+        name: name.into(),
+        priority,
+        objective_ms: 60_000,
+        refund: 1.0,
+    };
+    let mut spec = Workspace::new(vec![
+        kind("normal", Priority::Normal),
+        kind("urgent", Priority::Urgent),
+        kind("patient", Priority::Patient),
+    ]);
+    spec.rank = rank;
+    let listed = guarantees.iter().map(|(shape, count)| Guarantee {
+        shape: *shape,
+        count: *count,
+    });
+    spec.guarantees = listed.collect();
+    spec
+}
+
+/// Faults of links. Each is the chance of a message to be affected.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    pub loss: f64,
+    pub delay: u64,
+    /// Whether messages on one link overtake each other.
+    pub reorder: bool,
+}
+
+pub struct Agent {
+    pub worker: Worker,
+    pub table: Table,
+    /// Running parts by when they end and how.
+    pub tasks: BTreeMap<(String, u32), (Duration, End)>,
+    pub linked: bool,
+    pub alive: bool,
+    pub fails: bool,
+}
+
+pub struct Entry {
+    pub spec: Job,
+    pub phase: Phase,
+    pub attempt: u32,
+    pub parts: Vec<Part>,
+    pub reason: Reason,
+    pub run: Duration,
+    pub fails: bool,
+    pub accepted: Duration,
+    /// Attempts of which a part was started by an agent.
+    pub started: BTreeSet<u32>,
+    pub first_start: Option<Duration>,
+    pub done_parts: BTreeMap<u32, u32>,
+}
+
+enum Message {
+    Agent(String, Order, Command),
+    Planner(u64, Event),
+    Log(u64, Record),
+}
+
+pub struct World {
+    pub planner: Planner,
+    pub epoch: u64,
+    pub now: Duration,
+    pub agents: BTreeMap<String, Agent>,
+    pub jobs: BTreeMap<String, Entry>,
+    pub workspaces: BTreeMap<String, Workspace>,
+    pub domains: BTreeMap<String, bool>,
+    pub faults: Faults,
+    pub rng: fastrand::Rng,
+    pub starts: Vec<(Duration, String, String)>,
+    pub log_up: bool,
+    /// Reasons as told by the present planner.
+    explained: BTreeMap<String, Reason>,
+    messages: BTreeMap<(Duration, u64), Message>,
+    /// When the last message on each link arrives.
+    links: BTreeMap<String, Duration>,
+    sequence: u64,
+    last_tick: Duration,
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let mut world = Self {
+            planner: Planner::new(Settings::default(), seed),
+            epoch: 1,
+            now: s(1),
+            agents: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            workspaces: BTreeMap::new(),
+            domains: BTreeMap::new(),
+            faults: Faults::default(),
+            rng: fastrand::Rng::with_seed(seed),
+            starts: Vec::new(),
+            log_up: true,
+            explained: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            links: BTreeMap::new(),
+            sequence: 0,
+            last_tick: Duration::ZERO,
+        };
+        world.tell(Event::Epoch(1));
+        world
+    }
+
+    pub fn add(&mut self, worker: Worker) {
+        let id = worker.id.to_string();
+        let agent = Agent {
+            table: Table::new(worker.domain.clone(), worker.accelerators),
+            worker,
+            tasks: BTreeMap::new(),
+            linked: true,
+            alive: true,
+            fails: false,
+        };
+        self.agents.insert(id.clone(), agent);
+        self.announce(&id);
+    }
+
+    pub fn declare(&mut self, name: &str, spec: Workspace) {
+        self.workspaces.insert(name.into(), spec.clone());
+        let id = name.into();
+        self.tell(Event::Workspace {
+            id,
+            spec: Some(spec),
+        });
+    }
+
+    pub fn domain(&mut self, name: &str, in_service: bool) {
+        self.domains.insert(name.into(), in_service);
+        let id = name.into();
+        self.tell(Event::Domain { id, in_service });
+        let now = self.now;
+        for agent in self
+            .agents
+            .values_mut()
+            .filter(|agent| &*agent.worker.domain == name)
+        {
+            let event = hold::Event::Service(in_service);
+            agent.table.handle(now, event, &mut Vec::new());
+        }
+    }
+
+    pub fn submit(&mut self, name: &str, spec: Job, run: Duration) {
+        let entry = Entry {
+            spec: spec.clone(),
+            phase: Phase::Queued,
+            attempt: 0,
+            parts: Vec::new(),
+            reason: Reason::Accepted,
+            run,
+            fails: false,
+            accepted: self.now,
+            started: BTreeSet::new(),
+            first_start: None,
+            done_parts: BTreeMap::new(),
+        };
+        self.jobs.insert(name.into(), entry);
+        self.tell(Event::Submit {
+            job: name.into(),
+            spec,
+            attempt: 0,
+            age: Duration::ZERO,
+        });
+    }
+
+    pub fn cancel(&mut self, name: &str) {
+        self.tell(Event::Cancel { job: name.into() });
+    }
+
+    /// Cuts the link of an agent; its tasks go on.
+    pub fn cut(&mut self, id: &str) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.linked = false;
+        }
+        self.tell(Event::WorkerLost { id: id.into() });
+    }
+
+    /// Stops a worker with all its tasks.
+    pub fn kill(&mut self, id: &str) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            agent.alive = false;
+            agent.tasks.clear();
+        }
+        self.cut(id);
+    }
+
+    /// Restores the link, or starts the worker again with an empty table.
+    pub fn revive(&mut self, id: &str) {
+        if let Some(agent) = self.agents.get_mut(id) {
+            if !agent.alive {
+                agent.worker.incarnation += 1;
+                let worker = &agent.worker;
+                agent.table = Table::new(worker.domain.clone(), worker.accelerators);
+            }
+            agent.alive = true;
+            agent.linked = true;
+            let service = self
+                .domains
+                .get(&*agent.worker.domain)
+                .copied()
+                .unwrap_or(true);
+            let event = hold::Event::Service(service);
+            agent.table.handle(self.now, event, &mut Vec::new());
+        }
+        self.announce(id);
+    }
+
+    fn announce(&mut self, id: &str) {
+        let Some(agent) = self.agents.get(id) else {
+            return;
+        };
+        let worker = agent.worker.clone();
+        let ended = agent.table.unacknowledged();
+        let inventory: Vec<Running> = agent.table.inventory();
+        for action in ended {
+            if let hold::Action::Ended { job, attempt, end } = action {
+                let worker = worker.id.clone();
+                self.tell(Event::Ended {
+                    worker,
+                    job,
+                    attempt,
+                    end,
+                });
+            }
+        }
+        self.tell(Event::WorkerUp { worker, inventory });
+    }
+
+    /// Replaces the decider. Its messages on the way still arrive.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.explained.clear();
+        self.planner = Planner::new(Settings::default(), self.epoch);
+        self.tell(Event::Epoch(self.epoch));
+        for (name, spec) in self.workspaces.clone() {
+            self.tell(Event::Workspace {
+                id: name.as_str().into(),
+                spec: Some(spec),
+            });
+        }
+        for (name, in_service) in self.domains.clone() {
+            let id = name.as_str().into();
+            self.tell(Event::Domain { id, in_service });
+        }
+        let active = self
+            .jobs
+            .iter()
+            .filter(|(_, entry)| !entry.phase.is_final());
+        let events: Vec<Event> = active
+            .map(|(name, entry)| {
+                let (job, spec) = (name.as_str().into(), entry.spec.clone());
+                let (attempt, age) = (entry.attempt, self.now.saturating_sub(entry.accepted));
+                match entry.phase {
+                    Phase::Running => Event::Adopt {
+                        job,
+                        spec,
+                        attempt,
+                        parts: entry.parts.clone(),
+                        age,
+                    },
+                    _ => Event::Submit {
+                        job,
+                        spec,
+                        attempt,
+                        age,
+                    },
+                }
+            })
+            .collect();
+        for event in events {
+            self.tell(event);
+        }
+        let linked = self.agents.iter().filter(|(_, agent)| agent.linked);
+        for id in linked.map(|(id, _)| id.clone()).collect::<Vec<_>>() {
+            self.announce(&id);
+        }
+    }
+
+    pub fn standing(&mut self, standing: Standing) {
+        self.tell(Event::Standing(standing));
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            let next = self.messages.first_key_value().map(|((at, _), _)| *at);
+            let tick = self.last_tick + ms(100);
+            let at = next.map_or(tick, |next| next.min(tick)).min(end);
+            self.now = self.now.max(at);
+            while let Some((at, _)) = self.messages.first_key_value().map(|(key, _)| *key)
+                && at <= self.now
+            {
+                let (_, message) = self.messages.pop_first().unwrap();
+                self.deliver(message);
+            }
+            if self.now >= tick {
+                self.last_tick = self.now;
+                self.tick();
+            }
+        }
+    }
+
+    pub fn run_until(&mut self, limit: Duration, test: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + limit;
+        while self.now < end {
+            if test(self) {
+                return true;
+            }
+            self.run(ms(100));
+        }
+        test(self)
+    }
+
+    pub fn phase(&self, job: &str) -> Phase {
+        self.jobs[job].phase
+    }
+
+    pub fn all_final(&self) -> bool {
+        self.jobs.values().all(|entry| entry.phase.is_final())
+    }
+
+    /// Workers on which the job has running tasks.
+    pub fn places(&self, job: &str) -> Vec<String> {
+        let on = |agent: &Agent| agent.tasks.keys().any(|(name, _)| name == job);
+        let agents = self.agents.iter().filter(|(_, agent)| on(agent));
+        agents.map(|(id, _)| id.clone()).collect()
+    }
+
+    fn tick(&mut self) {
+        self.tell(Event::Tick);
+        let ids: Vec<String> = self.agents.keys().cloned().collect();
+        for id in ids {
+            let agent = self.agents.get_mut(&id).unwrap();
+            if !agent.alive {
+                continue;
+            }
+            let due = agent.tasks.iter().filter(|(_, (at, _))| *at <= self.now);
+            let due: Vec<_> = due.map(|(key, (_, end))| (key.clone(), *end)).collect();
+            self.agent_event(&id, hold::Event::Tick);
+            for ((job, attempt), end) in due {
+                let agent = self.agents.get_mut(&id).unwrap();
+                if agent.tasks.remove(&(job.clone(), attempt)).is_none() {
+                    continue;
+                }
+                if end == End::Done {
+                    let entry = self.jobs.get_mut(&job).unwrap();
+                    *entry.done_parts.entry(attempt).or_default() += 1;
+                }
+                let job = job.as_str().into();
+                self.agent_event(&id, hold::Event::Ended { job, attempt, end });
+            }
+        }
+    }
+
+    fn agent_event(&mut self, id: &str, event: hold::Event) {
+        let mut actions = Vec::new();
+        let now = self.now;
+        let agent = self.agents.get_mut(id).unwrap();
+        agent.table.handle(now, event, &mut actions);
+        for action in actions {
+            self.agent_action(id, action);
+        }
+    }
+
+    fn agent_action(&mut self, id: &str, action: hold::Action) {
+        let worker = id.into();
+        let event = match action {
+            hold::Action::Start { job, attempt, .. } => return self.start_tasks(id, &job, attempt),
+            hold::Action::Stop {
+                job,
+                attempt,
+                checkpoint,
+            } => {
+                let agent = self.agents.get_mut(id).unwrap();
+                let end = if checkpoint {
+                    End::Checkpointed
+                } else {
+                    End::Stopped
+                };
+                let pause = if checkpoint { s(3) } else { ms(200) };
+                if let Some(task) = agent.tasks.get_mut(&(job.to_string(), attempt))
+                    && task.0 > self.now + pause
+                {
+                    *task = (self.now + pause, end);
+                }
+                return;
+            }
+            hold::Action::Held { job, attempt } => Event::Held {
+                worker,
+                job,
+                attempt,
+            },
+            hold::Action::Denied {
+                job,
+                attempt,
+                reason,
+            } => Event::Denied {
+                worker,
+                job,
+                attempt,
+                reason,
+            },
+            hold::Action::Started { job, attempt } => Event::Started {
+                worker,
+                job,
+                attempt,
+            },
+            hold::Action::Ended { job, attempt, end } => Event::Ended {
+                worker,
+                job,
+                attempt,
+                end,
+            },
+        };
+        // An end is kept and sent again with each announcement; other messages may be lost.
+        let reliable = matches!(event, Event::Ended { .. });
+        if self.agents[id].linked && (reliable || self.rng.f64() >= self.faults.loss) {
+            self.post(Message::Planner(self.epoch, event));
+        }
+    }
+
+    fn start_tasks(&mut self, id: &str, job: &str, attempt: u32) {
+        for (other, agent) in &self.agents {
+            let overlapping = agent
+                .tasks
+                .keys()
+                .any(|(name, run)| name == job && *run != attempt);
+            assert!(!overlapping, "two runs of {job} overlap on {other}");
+        }
+        let entry = self.jobs.get_mut(job).unwrap();
+        entry.started.insert(attempt);
+        entry.first_start.get_or_insert(self.now);
+        let repeatable = entry.spec.idempotent || entry.spec.checkpointable;
+        let once = entry.started.len() == 1;
+        assert!(
+            repeatable || once,
+            "{job} was repeated: {:?}",
+            entry.started
+        );
+        let agent = self.agents.get_mut(id).unwrap();
+        let (fails, run) = (agent.fails || entry.fails, entry.run);
+        let end = if fails { End::Failed } else { End::Done };
+        let at = self.now + if fails { ms(300) } else { run };
+        agent.tasks.insert((job.to_string(), attempt), (at, end));
+        let domain = agent.worker.domain.to_string();
+        assert!(
+            self.domains.get(&domain).copied().unwrap_or(true),
+            "{job} started in {domain}, which is out of service"
+        );
+        self.starts
+            .push((self.now, job.to_string(), id.to_string()));
+        let job = job.into();
+        self.agent_event(id, hold::Event::Launched { job, attempt });
+    }
+
+    /// Gives the planner an event and carries out what it asks for.
+    pub fn tell(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.planner.handle(self.now, event, &mut actions);
+        assert_eq!(self.planner.violation(), None);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let epoch = self.epoch;
+        let order = |job, attempt| Order {
+            epoch,
+            job,
+            attempt,
+        };
+        let (worker, order, command) = match action {
+            Action::Record(record) => return self.post(Message::Log(epoch, record)),
+            Action::Explain { job, reason } => {
+                if let Some(entry) = self.jobs.get_mut(&*job) {
+                    let before = self.explained.insert(job.to_string(), reason.clone());
+                    assert_ne!(before.as_ref(), Some(&reason), "explained twice");
+                    entry.reason = reason;
+                }
+                return;
+            }
+            Action::Reserve {
+                worker,
+                job,
+                attempt,
+                tasks,
+                accelerators,
+            } => {
+                let command = Command::Reserve {
+                    tasks,
+                    accelerators,
+                };
+                (worker, order(job, attempt), command)
+            }
+            Action::Commit {
+                worker,
+                job,
+                attempt,
+            } => (worker, order(job, attempt), Command::Commit),
+            Action::Settle {
+                worker,
+                job,
+                attempt,
+            } => (worker, order(job, attempt), Command::Settle),
+            Action::Release {
+                worker,
+                job,
+                attempt,
+            } => (worker, order(job, attempt), Command::Release),
+            Action::Stop {
+                worker,
+                job,
+                attempt,
+                checkpoint,
+            } => (worker, order(job, attempt), Command::Stop { checkpoint }),
+        };
+        if self.rng.f64() >= self.faults.loss {
+            self.post(Message::Agent(worker.to_string(), order, command));
+        }
+    }
+
+    fn post(&mut self, message: Message) {
+        let extra = self.rng.u64(0..=self.faults.delay);
+        self.sequence += 1;
+        let mut at = self.now + ms(1 + extra);
+        let link = match &message {
+            Message::Agent(id, order, _) => format!("{id} {}", order.epoch),
+            Message::Planner(..) => String::from("planner"),
+            Message::Log(..) => String::from("log"),
+        };
+        let last = self.links.entry(link).or_default();
+        if !self.faults.reorder {
+            at = at.max(*last);
+        }
+        *last = at;
+        self.messages.insert((at, self.sequence), message);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Agent(id, order, command) => {
+                if self.agents.get(&id).is_some_and(|agent| agent.linked) {
+                    self.agent_event(&id, hold::Event::Command(order, command));
+                }
+            }
+            Message::Planner(epoch, event) if epoch == self.epoch => self.tell(event),
+            Message::Planner(..) => {}
+            Message::Log(..) if !self.log_up => {
+                self.sequence += 1;
+                self.messages
+                    .insert((self.now + ms(500), self.sequence), message);
+            }
+            Message::Log(epoch, record) => self.fold(epoch, record),
+        }
+    }
+
+    fn fold(&mut self, epoch: u64, record: Record) {
+        let current = epoch == self.epoch;
+        match record {
+            Record::Start {
+                job,
+                attempt,
+                parts,
+                reason,
+                ..
+            } => {
+                let entry = self.jobs.get_mut(&*job).unwrap();
+                let valid = current && entry.phase == Phase::Queued && attempt == entry.attempt + 1;
+                if valid {
+                    entry.phase = Phase::Running;
+                    entry.attempt = attempt;
+                    entry.parts = parts;
+                    entry.reason = reason;
+                }
+                if current {
+                    self.tell(if valid {
+                        Event::Recorded { job, attempt }
+                    } else {
+                        Event::NotRecorded { job, attempt }
+                    });
+                }
+            }
+            Record::Requeue {
+                job,
+                attempt,
+                reason,
+                ..
+            } if current => {
+                let entry = self.jobs.get_mut(&*job).unwrap();
+                assert_eq!((entry.phase, entry.attempt), (Phase::Running, attempt));
+                entry.phase = Phase::Queued;
+                entry.reason = reason;
+                self.acknowledge(&job, attempt);
+            }
+            Record::End {
+                job,
+                attempt,
+                phase,
+                reason,
+                ..
+            } if current => {
+                let entry = self.jobs.get_mut(&*job).unwrap();
+                assert!(!entry.phase.is_final(), "{job} ended twice");
+                if phase == Phase::Done {
+                    let done = entry.done_parts.get(&attempt).copied().unwrap_or(0);
+                    assert_eq!(done as usize, entry.parts.len(), "{job} is not done");
+                }
+                entry.phase = phase;
+                entry.reason = reason;
+                self.acknowledge(&job, attempt);
+            }
+            _ => {}
+        }
+    }
+
+    fn acknowledge(&mut self, job: &str, attempt: u32) {
+        let ids: Vec<String> = self.agents.keys().cloned().collect();
+        for id in ids {
+            let job = job.into();
+            self.agent_event(&id, hold::Event::Acknowledged { job, attempt });
+        }
+    }
+}
