feat(agent): parts of jobs on a worker under its lease

Cause: nothing carried out the deciders' orders.

Change: orders go through hold::Table; tasks start under the worker's lease, whose life is counted from before the call; the task list is followed by long poll and judged only for parts whose launch precedes the request for the list. Task names carry job, attempt, number, tasks and accelerators, so that a new life of the agent adopts what runs, reports what ended meanwhile and stops the rest. Where nothing may start, a commit gives the hold up, so that a repeated commit can't start it later. The worker is announced while its lease is held and its tasks are known.

Ruled out: reporting the parts of an unreachable worker as ended; they may run until the lease lapses, and the planner decides on the loss of a worker.

Conclusion: the agent drives a worker.

--- a/crates/godwitstep/src/agent.rs
+++ b/crates/godwitstep/src/agent.rs
@@ -18,16 +18,18 @@
 //! # Ok::<(), serde_json::Error>(())
 //! ```
 
+mod launch;
+mod lease;
 mod links;
+mod parts;
+mod reconcile;
 mod requests;
 mod rules;
 mod run;
 mod settings;
 mod state;
 mod target;
-#[allow(dead_code)]
 mod task;
-#[allow(dead_code)]
 mod worker;
 
 pub use run::run;
--- a/crates/godwitstep/src/agent/rules.rs
+++ b/crates/godwitstep/src/agent/rules.rs
@@ -41,11 +41,15 @@
     }
 
     /// Returns the greatest epoch that was told; 0 for none.
-    #[allow(dead_code)]
     pub(super) const fn epoch(&self) -> Epoch {
         self.epoch
     }
 
+    /// Reports whether a failure domain is out of service.
+    pub(super) fn is_out(&self, domain: &DomainId) -> bool {
+        self.out.contains(domain)
+    }
+
     /// Reports why nothing may start in `domain` on the instruction of an entry, if that is so.
     ///
     /// `word` is what the entry said last; an entry that has said nothing yet starts nothing,
@@ -56,7 +60,7 @@
         word: Option<Word>,
         now: Duration,
     ) -> Option<Reason> {
-        if self.out.contains(domain) {
+        if self.is_out(domain) {
             return Some(Reason::DomainOut {
                 domain: domain.clone(),
             });
--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -1,9 +1,10 @@
 //! The tasks of an agent.
 
 use super::state::Agent;
-use super::{Error, Settings, requests};
+use super::{Error, Settings, launch, lease, parts, reconcile, requests};
 use crate::link::{self, Event, HEARTBEAT, LinkId};
 use godwitstep_core::clock::Clock;
+use godwitstep_core::hold::Command;
 use godwitstep_wire::Frame;
 use smol::channel::Receiver;
 use smol::{LocalExecutor, Timer};
@@ -15,6 +16,8 @@
 const MAX_EVENTS: usize = 64;
 /// Time between two looks at the clock. Far below the gap that counts as a pause.
 const TICK: Duration = Duration::from_millis(100);
+/// Time between two reports of an ended part whose end is not known yet.
+const REPORT: Duration = Duration::from_secs(1);
 /// Time between two health checks of the target.
 const HEALTH_CHECK: Duration = Duration::from_millis(250);
 /// Time between two looks at the work that a planned stop waits for.
@@ -38,7 +41,8 @@
         let agent = settings.name.to_string();
         return Err(Error::Settings { agent, faults });
     }
-    let agent = Rc::new(Agent::new(settings, clock));
+    let (agent, jobs) = Agent::new(settings, clock);
+    let agent = Rc::new(agent);
     let executor = LocalExecutor::new();
     let (events, inbox) = smol::channel::bounded(MAX_EVENTS);
     let links: Vec<_> = agent
@@ -53,17 +57,32 @@
         .collect();
     executor.spawn(tick(Rc::clone(&agent))).detach();
     executor.spawn(watch(Rc::clone(&agent))).detach();
+    executor.spawn(lease::keep(Rc::clone(&agent))).detach();
+    executor
+        .spawn(reconcile::follow(Rc::clone(&agent)))
+        .detach();
     let serve = async {
         while let Ok(event) = inbox.recv().await {
             handle(&agent, &executor, event);
         }
     };
+    let work = async {
+        let Some(jobs) = jobs else {
+            return std::future::pending().await;
+        };
+        while let Ok(job) = jobs.recv().await {
+            let perform = launch::perform(Rc::clone(&agent), job);
+            executor.spawn(perform).detach();
+        }
+    };
     let end = async {
         // A closed channel means the same as a message.
         let _ = stop.recv().await;
         drain(&agent).await;
     };
-    executor.run(smol::future::or(end, serve)).await;
+    executor
+        .run(smol::future::or(end, smol::future::or(serve, work)))
+        .await;
     agent.links.borrow_mut().close_all();
     inbox.close();
     let close = async {
@@ -99,11 +118,27 @@
                 if let Some(entry) = agent.links.borrow_mut().get_mut(id) {
                     entry.word = Some(word);
                 }
+                parts::hear(agent);
             }
         }
         Frame::Request(request) => requests::take(agent, executor, id, request),
         Frame::Fence { id: request, key } => requests::fence(agent, request, &key),
         Frame::Cancel { id: request } => agent.requests.borrow_mut().cancel(request),
+        Frame::Reserve(part) => {
+            let (tasks, accelerators) = (part.tasks, part.accelerators);
+            let command = Command::Reserve {
+                tasks,
+                accelerators,
+            };
+            parts::order(agent, id, part, command);
+        }
+        Frame::Commit(part) => parts::order(agent, id, part, Command::Commit),
+        Frame::Settle(part) => parts::order(agent, id, part, Command::Settle),
+        Frame::Release(part) => parts::order(agent, id, part, Command::Release),
+        Frame::Stop { part, checkpoint } => {
+            parts::order(agent, id, part, Command::Stop { checkpoint });
+        }
+        Frame::EndKnown(part) => parts::acknowledge(agent, part),
         other => tracing::debug!(link = %id, frame = ?other, "frame is not for an agent"),
     }
 }
@@ -111,11 +146,17 @@
 /// Sends heartbeats and lets time pass.
 async fn tick(agent: Rc<Agent>) {
     let mut due = agent.now();
+    let mut report = due;
     loop {
         Timer::after(TICK).await;
         agent.touch();
         let now = agent.now();
         agent.requests.borrow_mut().expire(now);
+        parts::tick(&agent);
+        if now >= report {
+            parts::report(&agent);
+            report = now + REPORT;
+        }
         if now >= due {
             agent.beat();
             due = (due + HEARTBEAT).max(now);
@@ -144,10 +185,20 @@
     agent.stopping.set(true);
     agent.announce();
     let end = agent.now() + agent.settings.stop_limit();
-    while agent.requests.borrow().busy() > 0 && agent.now() < end {
+    let has_work = || {
+        let worker = agent.worker.as_ref();
+        agent.requests.borrow().busy() > 0
+            || worker.is_some_and(|beside| beside.parts.borrow().busy() > 0)
+    };
+    while has_work() && agent.now() < end {
         Timer::after(DRAIN_CHECK).await;
     }
     for request in agent.requests.borrow().running() {
         tracing::warn!(?request, "request is cut off by the stop");
     }
+    if let Some(beside) = &agent.worker {
+        for (job, attempt) in beside.parts.borrow().driven.keys() {
+            tracing::warn!(%job, attempt, "part is left to the worker, whose lease will lapse");
+        }
+    }
 }
--- a/crates/godwitstep/src/agent/state.rs
+++ b/crates/godwitstep/src/agent/state.rs
@@ -1,6 +1,7 @@
 //! State of an agent, and what it tells the entries.
 
 use super::links::Links;
+use super::parts::{self, Beside, Job};
 use super::requests::Requests;
 use super::rules::Rules;
 use super::settings::Settings;
@@ -9,8 +10,9 @@
 use godwitstep_core::clock::Clock;
 use godwitstep_core::id::Incarnation;
 use godwitstep_core::reason::Reason;
-use godwitstep_core::router;
+use godwitstep_core::{planner, router};
 use godwitstep_wire::{Announce, Frame, Heartbeat, Load, Peer, Role};
+use smol::channel::Receiver;
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -32,11 +34,15 @@
     pub(super) requests: RefCell<Requests>,
     pub(super) target: Option<target::Target>,
     pub(super) health: Cell<Health>,
+    pub(super) worker: Option<Beside>,
     pub(super) stopping: Cell<bool>,
+    /// Number of pauses of this process that were noticed.
+    pub(super) pauses: Cell<u64>,
 }
 
 impl Agent {
-    pub(super) fn new(settings: Settings, clock: Arc<dyn Clock>) -> Self {
+    /// Returns an agent, and what is to be done on its worker if it has one.
+    pub(super) fn new(settings: Settings, clock: Arc<dyn Clock>) -> (Self, Option<Receiver<Job>>) {
         let identity = Peer {
             name: settings.name.clone(),
             role: Role::Agent,
@@ -45,7 +51,12 @@
             domain: settings.domain.clone(),
         };
         let now = clock.now();
-        Self {
+        let worker = settings
+            .worker
+            .as_ref()
+            .map(|worker| Beside::new(worker, &settings.domain));
+        let (worker, jobs) = worker.unzip();
+        let agent = Self {
             identity,
             seen: Cell::new(now),
             links: RefCell::default(),
@@ -54,10 +65,13 @@
             target: settings.target.as_ref().map(target::Target::new),
             // Announced once it has answered.
             health: Cell::new(Health::Gone),
+            worker,
             stopping: Cell::new(false),
+            pauses: Cell::new(0),
             settings,
             clock,
-        }
+        };
+        (agent, jobs)
     }
 
     pub(super) fn now(&self) -> Duration {
@@ -71,6 +85,7 @@
         let gap = now.saturating_sub(self.seen.replace(now));
         if gap > PAUSE_LIMIT {
             tracing::warn!(?gap, "the process was paused; all links are dropped");
+            self.pauses.set(self.pauses.get() + 1);
             self.links.borrow_mut().close_all();
         }
     }
@@ -88,6 +103,10 @@
 
     /// Tells a new link what stands here, and sends the replies that wait for it.
     pub(super) fn greet(&self, link: Link) {
+        // Ends come first, because a part that is in neither counts as lost.
+        for end in parts::ends(self) {
+            link.send(end);
+        }
         link.send(Frame::Announce(self.announcement()));
         let incarnation = link.peer().incarnation;
         self.links.borrow_mut().add(link);
@@ -100,6 +119,7 @@
 
     /// Tells all entries what stands here.
     pub(super) fn announce(&self) {
+        parts::report(self);
         let frame = Frame::Announce(self.announcement());
         self.links.borrow().send_all(&frame);
     }
@@ -107,6 +127,8 @@
     fn announcement(&self) -> Announce {
         let health = self.health.get();
         let target = self.settings.target.as_ref();
+        let beside = self.worker.as_ref().map(|beside| beside.parts.borrow());
+        let parts = beside.filter(|parts| parts.up);
         Announce {
             target: target
                 .filter(|_| health != Health::Gone)
@@ -117,15 +139,28 @@
                     domain: self.settings.domain.clone(),
                     slots: target.slots,
                 }),
-            worker: None,
-            inventory: Vec::new(),
+            worker: parts.as_ref().map(|_| self.described_worker()),
+            inventory: parts.map_or_else(Vec::new, |parts| parts.table.inventory()),
             leaving: self.stopping.get() || health == Health::Leaving,
         }
     }
 
+    fn described_worker(&self) -> planner::Worker {
+        let worker = self.settings.worker.as_ref();
+        planner::Worker {
+            id: self.settings.name.clone(),
+            incarnation: self.identity.incarnation,
+            domain: self.settings.domain.clone(),
+            rack: self.settings.rack.clone(),
+            accelerators: worker.map_or(0, |worker| worker.accelerators),
+        }
+    }
+
     /// Sends a heartbeat on every link.
     pub(super) fn beat(&self) {
         let requests = self.requests.borrow();
+        let beside = self.worker.as_ref();
+        let busy = beside.map(|beside| beside.parts.borrow().busy());
         for entry in self.links.borrow_mut().iter_mut() {
             entry.sequence += 1;
             let load = self.target.as_ref().map(|_| Load {
@@ -135,13 +170,26 @@
             entry.link.send(Frame::Heartbeat(Heartbeat {
                 sequence: entry.sequence,
                 load,
-                busy_accelerators: None,
+                busy_accelerators: busy,
                 rules: None,
                 targets: Vec::new(),
             }));
         }
     }
 
+    /// Sends a frame on a link, if it is still open.
+    pub(super) fn send_on(&self, link: LinkId, frame: Frame) {
+        if let Some(entry) = self.links.borrow().get(link) {
+            entry.link.send(frame);
+        }
+    }
+
+    /// Returns the incarnation of the entry at the other end of a link.
+    pub(super) fn peer_of(&self, link: LinkId) -> Option<Incarnation> {
+        let links = self.links.borrow();
+        Some(links.get(link)?.link.peer().incarnation)
+    }
+
     /// Sends a reply to the entry with the given incarnation, or keeps it for a short time if that
     /// entry has no link at the moment.
     pub(super) fn send_to(&self, incarnation: Incarnation, reply: Frame) {
--- a/crates/godwitstep/src/link/dial.rs
+++ b/crates/godwitstep/src/link/dial.rs
@@ -5,6 +5,7 @@
 use super::handle::{Event, Link};
 use super::handshake::{Socket, initiate};
 use super::{HANDSHAKE_LIMIT, MAX_BACKOFF, MIN_BACKOFF};
+use godwitstep_core::backoff::Backoff;
 use godwitstep_wire::Peer;
 use godwitstep_wire::auth::Key;
 use smol::channel::Sender;
@@ -21,7 +22,7 @@
 ///
 /// Returns when nobody receives `events` any more.
 pub async fn dial(address: SocketAddr, identity: Peer, key: Key, events: Sender<Event>) {
-    let mut failures = 0;
+    let mut backoff = Backoff::new(MIN_BACKOFF, MAX_BACKOFF, fastrand::u64(..));
     let mut last = String::new();
     while !events.is_closed() {
         match connect(address, &identity, &key).await {
@@ -31,14 +32,13 @@
                 drive(socket, link, woken, &events).await;
                 last.clear();
                 if since.elapsed() >= STABLE {
-                    failures = 0;
+                    backoff.reset();
                     continue;
                 }
             }
             Err(error) => report(&error, &mut last),
         }
-        smol::Timer::after(delay(failures)).await;
-        failures += 1;
+        smol::Timer::after(backoff.next_delay()).await;
     }
 }
 
@@ -54,14 +54,6 @@
     }
 }
 
-/// Returns the jittered delay after a number of earlier failures.
-fn delay(failures: u32) -> Duration {
-    let full = MIN_BACKOFF
-        .saturating_mul(1 << failures.min(10))
-        .min(MAX_BACKOFF);
-    full.mul_f64(0.5 + fastrand::f64() / 2.0)
-}
-
 /// Makes one attempt to open and authenticate a connection.
 ///
 /// # Errors
--- a/crates/godwitstep/tests/rig/mod.rs
+++ b/crates/godwitstep/tests/rig/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod worker;
+
 use bytes::Bytes;
 use godwitstep::agent::{self, Settings};
 use godwitstep::http::{self, Limits, Shutdown};
