feat(agent): announce the inventory to a new decider

Cause: an entry that becomes the decider knew only the inventory of the time when its link came up.

Change: the agent announces itself when it hears of a newer epoch; orders have a file of their own; a test sets the agent's clock forward and checks that a pause drops the links.

Conclusion: every epoch starts with fresh inventories, without a further frame.

--- a/crates/godwitstep/src/agent.rs
+++ b/crates/godwitstep/src/agent.rs
@@ -21,6 +21,7 @@
 mod launch;
 mod lease;
 mod links;
+mod orders;
 mod parts;
 mod reconcile;
 mod requests;
--- a/crates/godwitstep/src/agent/parts.rs
+++ b/crates/godwitstep/src/agent/parts.rs
@@ -1,14 +1,11 @@
-//! Parts of jobs: orders of the deciders, and reports to the entries.
+//! Parts of jobs on the worker, and reports about them to the entries.
 
 use super::reconcile;
 use super::state::Agent;
 use super::worker::{Lease, Worker};
-use crate::link::LinkId;
-use godwitstep_core::hold::{Action, Command, Event, Order, Table};
+use godwitstep_core::hold::{Action, Event, Table};
 use godwitstep_core::id::{Accelerators, Attempt, DomainId, Incarnation, JobId};
 use godwitstep_core::planner::Running;
-use godwitstep_core::reason::Reason;
-use godwitstep_core::resource::MAX_TASKS;
 use godwitstep_wire::{Frame, Part};
 use smol::channel::{Receiver, Sender};
 use std::cell::RefCell;
@@ -114,13 +111,22 @@
         }
     }
 
-    fn holds(&self, id: &Id) -> bool {
+    /// Reports whether a part is held or runs here.
+    pub(super) fn holds(&self, id: &Id) -> bool {
         let listed = self.table.inventory();
         listed
             .iter()
             .any(|running| running.job == id.0 && running.attempt == id.1)
     }
 
+    /// Notes an order, unless a newer decider has given one.
+    pub(super) fn note(&mut self, id: &Id, part: &Part, asked_by: Incarnation) {
+        if part.epoch >= self.table.epoch() {
+            let part = part.clone();
+            self.known.insert(id.clone(), Known { part, asked_by });
+        }
+    }
+
     /// Returns the part as the decider knows it, for a report.
     fn part(&self, id: &Id) -> Part {
         match self.known.get(id) {
@@ -183,80 +189,6 @@
     }
 }
 
-/// Carries out a decider's order.
-///
-/// Where nothing may start, a hold that is to be committed is given up instead, so that a repeated
-/// order can't start it later; a part that runs already is reported as before.
-pub(super) fn order(agent: &Agent, link: LinkId, part: Part, command: Command) {
-    let Some(beside) = &agent.worker else {
-        let reason = lost(agent);
-        return agent.send_on(link, Frame::Denied { part, reason });
-    };
-    if !(1..=MAX_TASKS).contains(&part.tasks) {
-        let detail = format!("a part has 1 to {MAX_TASKS} tasks, not {}", part.tasks);
-        let reason = Reason::Other { detail };
-        return agent.send_on(link, Frame::Denied { part, reason });
-    }
-    let id = (part.job.clone(), part.attempt);
-    let (up, holds) = note(agent, beside, link, &id, &part);
-    let obstacle = agent
-        .obstacle(link)
-        .or_else(|| (!up).then(|| lost(agent)))
-        .filter(|_| starts(&command));
-    let order = Order {
-        epoch: part.epoch,
-        job: part.job.clone(),
-        attempt: part.attempt,
-    };
-    match &obstacle {
-        Some(reason) if !holds => {
-            let reason = reason.clone();
-            return agent.send_on(link, Frame::Denied { part, reason });
-        }
-        Some(_) if command == Command::Commit => {
-            decide(agent, Event::Command(order.clone(), Command::Release));
-        }
-        _ => {}
-    }
-    for action in decide(agent, Event::Command(order, command)) {
-        let Action::Denied { reason, .. } = action else {
-            carry_out(agent, beside, action);
-            continue;
-        };
-        // Goes to the sender, who need not be the one that gave the latest order.
-        let reason = match (reason, &obstacle) {
-            (Reason::HoldExpired, Some(obstacle)) => obstacle.clone(),
-            (reason, _) => reason,
-        };
-        let part = part.clone();
-        agent.send_on(link, Frame::Denied { part, reason });
-    }
-}
-
-/// Notes an order unless it is out of date. Returns whether the worker is up and whether the part
-/// is here.
-fn note(agent: &Agent, beside: &Beside, link: LinkId, id: &Id, part: &Part) -> (bool, bool) {
-    let mut parts = beside.parts.borrow_mut();
-    if part.epoch >= parts.table.epoch() {
-        let known = Known {
-            part: part.clone(),
-            asked_by: agent.peer_of(link).unwrap_or_default(),
-        };
-        parts.known.insert(id.clone(), known);
-    }
-    (parts.up, parts.holds(id))
-}
-
-fn lost(agent: &Agent) -> Reason {
-    Reason::WorkerLost {
-        worker: agent.settings.name.clone(),
-    }
-}
-
-const fn starts(command: &Command) -> bool {
-    matches!(command, Command::Reserve { .. } | Command::Commit)
-}
-
 /// Notes that the end of a part is known.
 pub(super) fn acknowledge(agent: &Agent, part: Part) {
     let (job, attempt) = (part.job, part.attempt);
@@ -272,7 +204,7 @@
     }
 }
 
-fn decide(agent: &Agent, event: Event) -> Vec<Action> {
+pub(super) fn decide(agent: &Agent, event: Event) -> Vec<Action> {
     let mut actions = Vec::new();
     if let Some(beside) = &agent.worker {
         let mut parts = beside.parts.borrow_mut();
@@ -281,7 +213,7 @@
     actions
 }
 
-fn carry_out(agent: &Agent, beside: &Beside, action: Action) {
+pub(super) fn carry_out(agent: &Agent, beside: &Beside, action: Action) {
     let mut parts = beside.parts.borrow_mut();
     match action {
         Action::Start {
--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -1,7 +1,7 @@
 //! The tasks of an agent.
 
 use super::state::Agent;
-use super::{Error, Settings, launch, lease, parts, reconcile, requests};
+use super::{Error, Settings, launch, lease, orders, parts, reconcile, requests};
 use crate::link::{self, Event, HEARTBEAT, LinkId};
 use godwitstep_core::clock::Clock;
 use godwitstep_core::hold::Command;
@@ -114,11 +114,16 @@
     match frame {
         Frame::Heartbeat(heartbeat) => {
             if let Some(told) = heartbeat.rules {
+                let before = agent.rules.borrow().epoch();
                 let word = agent.rules.borrow_mut().hear(told, agent.now());
                 if let Some(entry) = agent.links.borrow_mut().get_mut(id) {
                     entry.word = Some(word);
                 }
                 parts::hear(agent);
+                if agent.worker.is_some() && agent.rules.borrow().epoch() > before {
+                    // The new decider needs to know what is here now.
+                    agent.announce();
+                }
             }
         }
         Frame::Request(request) => requests::take(agent, executor, id, request),
@@ -130,13 +135,13 @@
                 tasks,
                 accelerators,
             };
-            parts::order(agent, id, part, command);
+            orders::carry(agent, id, part, command);
         }
-        Frame::Commit(part) => parts::order(agent, id, part, Command::Commit),
-        Frame::Settle(part) => parts::order(agent, id, part, Command::Settle),
-        Frame::Release(part) => parts::order(agent, id, part, Command::Release),
+        Frame::Commit(part) => orders::carry(agent, id, part, Command::Commit),
+        Frame::Settle(part) => orders::carry(agent, id, part, Command::Settle),
+        Frame::Release(part) => orders::carry(agent, id, part, Command::Release),
         Frame::Stop { part, checkpoint } => {
-            parts::order(agent, id, part, Command::Stop { checkpoint });
+            orders::carry(agent, id, part, Command::Stop { checkpoint });
         }
         Frame::EndKnown(part) => parts::acknowledge(agent, part),
         other => tracing::debug!(link = %id, frame = ?other, "frame is not for an agent"),
--- a/crates/godwitstep/tests/agent.rs
+++ b/crates/godwitstep/tests/agent.rs
@@ -272,3 +272,25 @@
         assert_eq!(setup.entry.reply(1).await, Outcome::Answered { body });
     });
 }
+
+/// Guards against work that starts on instructions that were given before a pause of the process.
+#[test]
+fn pause_drops_what_was_received_before() {
+    run(async |executor| {
+        let setup = setup(executor).await;
+        setup.entry.clock.forward(Duration::from_secs(3));
+        setup.entry.link.send(Frame::Request(request(1, "w/1")));
+        within(async {
+            while !setup.entry.link.is_closed() {
+                Timer::after(Duration::from_millis(10)).await;
+            }
+        })
+        .await;
+        // The agent comes back by itself.
+        setup
+            .entry
+            .announced(|announce| announce.target.is_some())
+            .await;
+        assert!(setup.target.runs.borrow().is_empty());
+    });
+}
--- a/crates/godwitstep/tests/agent_worker.rs
+++ b/crates/godwitstep/tests/agent_worker.rs
@@ -280,3 +280,22 @@
         within(setup.agent).await.expect("stops");
     });
 }
+
+/// Guards against a new decider that plans with an inventory of the time when the link came up.
+#[test]
+fn new_epoch_brings_a_new_inventory() {
+    run(async |executor| {
+        let setup = setup(executor, Worker::default()).await;
+        setup.launch(&part("nest-1")).await;
+        setup.entry.tell(Some(Rules {
+            epoch: 6,
+            ..rules()
+        }));
+        let announce = setup
+            .entry
+            .announced(|announce| !announce.inventory.is_empty())
+            .await;
+        assert_eq!(&*announce.inventory[0].job, "nest-1");
+        assert!(announce.inventory[0].settled);
+    });
+}
--- a/crates/godwitstep/tests/rig/mod.rs
+++ b/crates/godwitstep/tests/rig/mod.rs
@@ -9,7 +9,7 @@
 use godwitstep::http::{self, Limits, Shutdown};
 use godwitstep::link::{self, Event, Link};
 use godwitstep_core::authority::Standing;
-use godwitstep_core::clock::System;
+use godwitstep_core::clock::{Clock, System};
 use godwitstep_wire::auth::Key;
 use godwitstep_wire::{Announce, Frame, Heartbeat, Outcome, Peer, Request, RequestId, Role, Rules};
 use hyper::{Response, StatusCode};
@@ -20,8 +20,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
 
 pub const KEY: &str = "a key for the tests";
 pub const DOMAIN: &str = "dk-vest-a";
@@ -93,6 +93,31 @@
     pub address: SocketAddr,
     pub link: Link,
     pub rules: Rc<RefCell<Option<Rules>>>,
+    /// The agent's clock.
+    pub clock: Arc<Leap>,
+}
+
+/// The system's clock, which can be set forward as if the process had been paused.
+#[derive(Default)]
+pub struct Leap {
+    system: System,
+    forward: Mutex<Duration>,
+}
+
+impl Leap {
+    pub fn forward(&self, by: Duration) {
+        *self.forward.lock().expect("not poisoned") += by;
+    }
+}
+
+impl Clock for Leap {
+    fn now(&self) -> Duration {
+        self.system.now() + *self.forward.lock().expect("not poisoned")
+    }
+
+    fn wall(&self) -> SystemTime {
+        self.system.wall()
+    }
 }
 
 pub fn rules() -> Rules {
@@ -154,7 +179,8 @@
         fields.extend(beside.as_object().expect("an object").clone());
         let settings: Settings = serde_json::from_value(settings).expect("legal settings");
         let (stop, stopped) = smol::channel::bounded(1);
-        let agent = executor.spawn(agent::run(settings, Arc::new(System::new()), stopped));
+        let clock = Arc::new(Leap::default());
+        let agent = executor.spawn(agent::run(settings, clock.clone(), stopped));
         let link = match within(events.recv()).await.expect("listens") {
             Event::Up(link) => link,
             event => panic!("expected a link, got {event:?}"),
@@ -165,6 +191,7 @@
             address,
             link: link.clone(),
             rules: Rc::clone(&rules),
+            clock,
         };
         executor
             .spawn(async move {
