feat(standin): log service, target and worker

Add the log service (modes up, down and slow, lost replies, retention), the target (service times, slots, ledger) and the worker (leases, tasks, checkpoints, ledger). Each runs on its own thread and stops when its handle is dropped.

An append or a run that was received takes effect even if its caller has gone: hyper drops a handler when the connection closes, which would have ruled out late appends. Both therefore run as tasks of their own.

--- /dev/null
+++ b/crates/godwitstep-standin/src/worker.rs
@@ -0,0 +1,339 @@
+//! A worker: a machine with accelerators that runs tasks under a lease.
+//!
+//! `POST /lease` takes or renews the lease; all tasks stop when it lapses. `GET /usage` reports the
+//! accelerators in use as of a settable delay ago.
+//!
+//! ```
+//! use godwitstep_standin::worker::{Control, Server, Settings};
+//!
+//! let worker = Server::start(Settings::default())?;
+//! worker.control(&Control { failing: Some(true), ..Control::default() });
+//! assert!(worker.ledger().is_empty());
+//! # Ok::<(), std::io::Error>(())
+//! ```
+
+mod state;
+mod task;
+
+pub use task::{How, Phase, Spec};
+
+use crate::serve::{Answer, Outcome, Thread, bind, http, json, lock, number, parse, refusal};
+use crate::signal::Signal;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use state::State;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Time that a read of the task list waits for a change.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(10);
+/// Longest lease.
+pub const LEASE_LIMIT: Duration = Duration::from_secs(60);
+/// Connections at a time.
+const CONNECTIONS: usize = 64;
+
+/// State of the worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Status {
+    /// Accelerators of the machine.
+    pub accelerators: u32,
+    /// Whether every task that starts fails after 50 ms.
+    pub failing: bool,
+    /// Age of the usage that is reported, at most 10 min.
+    pub usage_delay_ms: u64,
+    /// Time that a checkpoint takes.
+    pub checkpoint_ms: u64,
+}
+
+/// Change of the state; fields that are absent stay as they are.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Control {
+    /// See [`Status::failing`].
+    pub failing: Option<bool>,
+    /// See [`Status::usage_delay_ms`].
+    pub usage_delay_ms: Option<u64>,
+    /// See [`Status::checkpoint_ms`].
+    pub checkpoint_ms: Option<u64>,
+}
+
+/// How to start a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Address; port 0 for any free one.
+    pub listen: SocketAddr,
+    /// State at the start.
+    pub status: Status,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            listen: (Ipv4Addr::LOCALHOST, 0).into(),
+            status: Status {
+                accelerators: 8,
+                failing: false,
+                usage_delay_ms: 0,
+                checkpoint_ms: 200,
+            },
+        }
+    }
+}
+
+/// A task that started, as kept in the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Name of the task.
+    pub task: String,
+    /// Accelerators that it occupied.
+    pub accelerators: u32,
+    /// Lease that it ran under.
+    pub lease: u64,
+    /// When it started, in microseconds since 1970.
+    pub started: u64,
+    /// When it ended; absent while it runs.
+    pub ended: Option<u64>,
+    /// How it ended.
+    pub how: Option<How>,
+    /// Progress at its end. Only that of a checkpointed task is saved.
+    pub progress_ms: u64,
+}
+
+/// A task as listed at `GET /tasks`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listed {
+    /// Name of the task.
+    pub task: String,
+    /// Its state.
+    pub state: Phase,
+    /// Accelerators that it occupies while it runs.
+    pub accelerators: u32,
+    /// Progress so far.
+    pub progress_ms: u64,
+}
+
+/// Usage as reported at `GET /usage`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Age of the report.
+    pub age_ms: u64,
+    /// Accelerators in use.
+    pub accelerators: u32,
+    /// Running tasks.
+    pub tasks: usize,
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+enum Refusal {
+    #[error("held: another holder has the lease")]
+    Held,
+    #[error("lease: the lease has lapsed or is not the current one")]
+    Lease,
+    #[error("exists: there is a task of this name")]
+    Exists,
+    #[error("accelerators: too few accelerators are free")]
+    Accelerators,
+    #[error("unknown: there is no task of this name")]
+    Unknown,
+    #[error("ended: the task has ended")]
+    Ended,
+}
+
+impl From<Refusal> for Answer {
+    fn from(reason: Refusal) -> Self {
+        let status = match reason {
+            Refusal::Unknown => StatusCode::NOT_FOUND,
+            _ => StatusCode::CONFLICT,
+        };
+        refusal(status, &reason.to_string())
+    }
+}
+
+struct Shared {
+    state: Mutex<State>,
+    changed: Signal,
+}
+
+/// The worker.
+#[derive(Debug)]
+pub struct Server;
+
+/// A running worker; it stops, with its tasks, when this is dropped.
+pub struct Handle {
+    /// Address that it serves.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    thread: Thread,
+}
+
+impl Server {
+    /// Starts a worker on its own thread.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn start(settings: Settings) -> io::Result<Handle> {
+        let (listener, address) = bind(settings.listen)?;
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::new(settings.status, Instant::now())),
+            changed: Signal::default(),
+        });
+        let served = Arc::clone(&shared);
+        let thread = Thread::start("standin-worker", move |spawner| {
+            spawner.spawn(run_timer(Arc::clone(&served)));
+            http(spawner, listener, CONNECTIONS, move |request| {
+                serve(Arc::clone(&served), request)
+            });
+        })?;
+        Ok(Handle {
+            address,
+            shared,
+            thread,
+        })
+    }
+}
+
+impl Handle {
+    /// Changes the state.
+    pub fn control(&self, control: &Control) {
+        lock(&self.shared.state).control(control);
+    }
+
+    /// Returns the ledger.
+    #[must_use]
+    pub fn ledger(&self) -> Vec<Entry> {
+        lock(&self.shared.state).ledger.page(0).entries
+    }
+
+    /// Waits until the worker ends.
+    pub fn join(self) {
+        self.thread.join();
+    }
+}
+
+impl Shared {
+    /// Applies a change and wakes the timer and all who wait for the task list.
+    fn apply<T: Serialize>(
+        &self,
+        change: impl FnOnce(&mut State, Instant) -> Result<T, Refusal>,
+    ) -> Answer {
+        let result = change(&mut lock(&self.state), Instant::now());
+        self.changed.notify();
+        match result {
+            Ok(value) => json(StatusCode::OK, &value),
+            Err(reason) => reason.into(),
+        }
+    }
+}
+
+/// Ends tasks and the lease when they are due.
+async fn run_timer(shared: Arc<Shared>) {
+    loop {
+        let change = shared.changed.subscribe();
+        let (due, ended) = {
+            let mut state = lock(&shared.state);
+            let before = state.sequence;
+            state.advance(Instant::now());
+            (state.due(), state.sequence != before)
+        };
+        if ended {
+            shared.changed.notify();
+        }
+        match due {
+            Some(at) => {
+                let left = at.saturating_duration_since(Instant::now());
+                change.wait_for(left).await;
+            }
+            None => change.wait().await,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct Lease {
+    holder: String,
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Throttle {
+    /// Share of the full speed, from 0 to 1.
+    fraction: f64,
+}
+
+async fn serve(shared: Arc<Shared>, request: Request<Incoming>) -> Outcome {
+    let path = request.uri().path().to_owned();
+    let answer = match (request.method(), path.as_str()) {
+        (&Method::POST, "/lease") => parse(request).await.map(|Lease { holder, ttl_ms }| {
+            let ttl = Duration::from_millis(ttl_ms).min(LEASE_LIMIT);
+            shared.apply(|state, now| {
+                let lease = state.lease(holder, ttl, now)?;
+                Ok(serde_json::json!({ "lease": lease }))
+            })
+        }),
+        (&Method::POST, "/tasks") => parse(request)
+            .await
+            .map(|spec| shared.apply(|state, now| state.start(&spec, now))),
+        (&Method::GET, "/tasks") => Ok(list(&shared, &request).await),
+        (&Method::GET, "/usage") => {
+            let usage = lock(&shared.state).usage(Instant::now());
+            Ok(json(StatusCode::OK, &usage))
+        }
+        (&Method::GET, "/ledger") => {
+            let from = number(&request, "from").unwrap_or(0);
+            Ok(json(StatusCode::OK, &lock(&shared.state).ledger.page(from)))
+        }
+        (&Method::GET, "/control") => Ok(json(StatusCode::OK, &lock(&shared.state).status)),
+        (&Method::PUT, "/control") => parse(request)
+            .await
+            .map(|control| json(StatusCode::OK, &lock(&shared.state).control(&control))),
+        (&Method::POST, path) => change(&shared, path, request).await,
+        _ => Err(refusal(StatusCode::NOT_FOUND, "there is no such path")),
+    };
+    Ok(answer.unwrap_or_else(|refused| refused))
+}
+
+/// Serves `POST /tasks/{id}/stop`, `/checkpoint` and `/throttle`.
+async fn change(shared: &Shared, path: &str, request: Request<Incoming>) -> Result<Answer, Answer> {
+    let parts = path
+        .strip_prefix("/tasks/")
+        .and_then(|p| p.rsplit_once('/'));
+    let (task, action) = parts.unwrap_or_default();
+    match action {
+        "stop" => Ok(shared.apply(|state, now| state.stop(task, now))),
+        "checkpoint" => Ok(shared.apply(|state, now| state.checkpoint(task, now))),
+        "throttle" => {
+            let Throttle { fraction } = parse(request).await?;
+            let fraction = if fraction.is_finite() { fraction } else { 1.0 };
+            let fraction = fraction.clamp(0.0, 1.0);
+            Ok(shared.apply(|state, now| state.throttle(task, fraction, now)))
+        }
+        _ => Err(refusal(StatusCode::NOT_FOUND, "there is no such path")),
+    }
+}
+
+async fn list(shared: &Shared, request: &Request<Incoming>) -> Answer {
+    let since = number(request, "since");
+    let wait = Duration::from_millis(number(request, "wait_ms").unwrap_or(0)).min(WAIT_LIMIT);
+    let deadline = Instant::now() + wait;
+    loop {
+        let change = shared.changed.subscribe();
+        let left = deadline.saturating_duration_since(Instant::now());
+        let sequence = lock(&shared.state).sequence;
+        if since != Some(sequence) || left.is_zero() {
+            let now = Instant::now();
+            let mut state = lock(&shared.state);
+            state.advance(now);
+            let (sequence, tasks) = (state.sequence, state.list(now));
+            return json(
+                StatusCode::OK,
+                &serde_json::json!({ "sequence": sequence, "tasks": tasks }),
+            );
+        }
+        change.wait_for(left).await;
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-standin/tests/worker.rs
@@ -0,0 +1,116 @@
+//! The worker, its lease and its tasks.
+
+mod client;
+
+use client::call;
+use godwitstep_standin::worker::{Control, Handle, How, Server, Settings};
+use std::time::Duration;
+
+fn lease(worker: &Handle, holder: &str, ttl_ms: u64) -> (u16, String) {
+    let body = format!("{{\"holder\":\"{holder}\",\"ttl_ms\":{ttl_ms}}}");
+    call(worker.address, "POST", "/lease", &body).unwrap()
+}
+
+fn run(worker: &Handle, lease: u64, task: &str, accelerators: u32, run_ms: u64) -> (u16, String) {
+    let body = format!(
+        "{{\"lease\":{lease},\"task\":\"{task}\",\"accelerators\":{accelerators},\"run_ms\":{run_ms}}}"
+    );
+    call(worker.address, "POST", "/tasks", &body).unwrap()
+}
+
+fn settled(worker: &Handle) -> Vec<How> {
+    std::thread::sleep(Duration::from_millis(300));
+    let ledger = worker.ledger();
+    ledger.iter().filter_map(|entry| entry.how).collect()
+}
+
+/// Guards against tasks that outlive the lease that they run under.
+#[test]
+fn tasks_stop_when_the_lease_lapses() {
+    let worker = Server::start(Settings::default()).unwrap();
+    assert_eq!(lease(&worker, "a", 150), (200, "{\"lease\":1}".into()));
+    assert_eq!(lease(&worker, "b", 150).0, 409);
+    assert_eq!(run(&worker, 1, "t", 8, 60_000).0, 200);
+    assert_eq!(settled(&worker), [How::Lapsed]);
+    assert_eq!(lease(&worker, "b", 1000), (200, "{\"lease\":2}".into()));
+    assert_eq!(run(&worker, 1, "u", 8, 1).0, 409);
+}
+
+/// Guards against one accelerator that is given to two tasks.
+#[test]
+fn refuses_more_tasks_than_accelerators() {
+    let worker = Server::start(Settings::default()).unwrap();
+    lease(&worker, "a", 5000);
+    assert_eq!(run(&worker, 1, "t", 5, 100).0, 200);
+    assert!(run(&worker, 1, "t", 1, 100).1.contains("exists"));
+    assert!(run(&worker, 1, "u", 4, 100).1.contains("accelerators"));
+    assert_eq!(run(&worker, 1, "v", 3, 100).0, 200);
+    assert_eq!(settled(&worker), [How::Done, How::Done]);
+    assert_eq!(run(&worker, 1, "w", 8, 100).0, 200);
+}
+
+/// Guards against a checkpoint that loses progress or frees the worker too early.
+#[test]
+fn a_checkpoint_keeps_the_progress() {
+    let worker = Server::start(Settings::default()).unwrap();
+    lease(&worker, "a", 5000);
+    run(&worker, 1, "t", 8, 60_000);
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(
+        call(worker.address, "POST", "/tasks/t/checkpoint", "")
+            .unwrap()
+            .0,
+        200
+    );
+    assert_eq!(run(&worker, 1, "u", 1, 1).0, 409);
+    assert_eq!(settled(&worker), [How::Checkpointed]);
+    assert!((90..1000).contains(&worker.ledger()[0].progress_ms));
+    let listed = call(worker.address, "GET", "/tasks", "").unwrap().1;
+    assert!(listed.contains("\"state\":\"checkpointed\""), "{listed}");
+}
+
+/// Guards against a change of the list that a waiting reader does not see.
+#[test]
+fn a_waiting_read_sees_the_end_of_a_task() {
+    let worker = Server::start(Settings::default()).unwrap();
+    worker.control(&Control {
+        failing: Some(true),
+        ..Control::default()
+    });
+    lease(&worker, "a", 5000);
+    run(&worker, 1, "t", 8, 60_000);
+    let listed = call(worker.address, "GET", "/tasks?since=1&wait_ms=4000", "")
+        .unwrap()
+        .1;
+    assert!(
+        listed.contains("\"sequence\":2") && listed.contains("\"failed\""),
+        "{listed}"
+    );
+    assert_eq!(
+        call(worker.address, "POST", "/tasks/t/stop", "").unwrap().0,
+        409
+    );
+}
+
+/// Guards against throttled tasks that run at full speed, and against usage that is not late.
+#[test]
+fn throttling_and_the_usage_delay_take_effect() {
+    let worker = Server::start(Settings::default()).unwrap();
+    lease(&worker, "a", 5000);
+    run(&worker, 1, "t", 3, 200);
+    let half = "{\"fraction\":0.1}";
+    assert_eq!(
+        call(worker.address, "POST", "/tasks/t/throttle", half)
+            .unwrap()
+            .0,
+        200
+    );
+    let usage = || call(worker.address, "GET", "/usage", "").unwrap().1;
+    assert!(usage().contains("\"accelerators\":3"));
+    worker.control(&Control {
+        usage_delay_ms: Some(60_000),
+        ..Control::default()
+    });
+    assert!(usage().contains("\"accelerators\":0"));
+    assert!(settled(&worker).is_empty());
+}
