--- a/crates/godwitstep-standin/src/lib.rs
+++ b/crates/godwitstep-standin/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod ledger;
 pub mod log;
+pub mod proxy;
 pub mod serve;
 pub mod signal;
 pub mod target;
