feat(log): client, writer and reader of the platform's log

The log service loses replies after the effect, is down or slow for long periods and retains little. Callers must not be told that a record was not appended if it can still take effect.

Add the client, whose errors tell a refusal from an unsure append; the writer, which numbers and batches events and settles unsure appends; and the reader, which keeps the evidence of the tail and notices trimming.

Reading up to the tail does not prove that an append will not arrive later. The writer therefore appends an empty envelope with the next number. Readers fold only rising numbers of a writer, so once that one stands in the stream and the unsure one does not stand before it, the unsure one never takes effect. Ruled out: sending other content under the same number, because the outcome would depend on which of the two arrives first.

--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -4,3 +4,4 @@
 //! `Rc<RefCell<..>>` and is never borrowed across an await.
 
 pub mod http;
+pub mod log;
