feat(lab): open-loop load tool

The latency that the request path adds has to be measured against the same targets asked directly in the same run.

Add the sub-command load: exponentially distributed arrivals at a given rate on both paths at once, latency from the planned arrival, outcomes by name, and processor share and memory of given processes from /proc. Rate, time, connections and requests in flight are bounded, and addresses other than loopback ones are refused. An answer whose body is not the one that was sent counts as wrong.

--- /dev/null
+++ b/crates/godwitstep-lab/src/load/process.rs
@@ -0,0 +1,90 @@
+//! Processor share and memory of a process, from `/proc`.
+
+use super::tally::round;
+use serde::Serialize;
+use std::io;
+use std::time::Duration;
+
+/// Unit of processor time in `/proc/PID/stat`, which Linux fixes at 100 a second for user space.
+const TICK: Duration = Duration::from_millis(10);
+
+/// A process to observe.
+#[derive(Debug, Clone)]
+pub(super) struct Process {
+    name: String,
+    pid: u32,
+}
+
+/// Processor time of a process so far.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Usage(Duration);
+
+/// Figures of one process.
+#[derive(Debug, Serialize)]
+pub(super) struct Report<'a> {
+    process: &'a str,
+    pid: u32,
+    /// Processor time ÷ time of the run, in percent of one core.
+    core_percent: f64,
+    /// Resident memory at the end of the run, in MiB.
+    resident_mib: f64,
+    /// Greatest resident memory since the process started, in MiB.
+    resident_peak_mib: f64,
+}
+
+impl Process {
+    /// Parses `NAME=PID`.
+    pub(super) fn parse(text: &str) -> Result<Self, String> {
+        let parts = text.split_once('=').ok_or("not NAME=PID")?;
+        let pid = parts.1.parse().map_err(|_| "the PID is not a number")?;
+        Ok(Self {
+            name: parts.0.to_owned(),
+            pid,
+        })
+    }
+
+    pub(super) fn usage(&self) -> io::Result<Usage> {
+        let stat = self.read("stat")?;
+        // The command, in parentheses, may itself contain spaces and parentheses. The fields after
+        // it start with the third; user and system time are the 14th and the 15th.
+        let fields = stat.rsplit_once(')').map_or("", |(_, fields)| fields);
+        let ticks: Option<u32> = fields
+            .split_ascii_whitespace()
+            .skip(11)
+            .take(2)
+            .map(|field| field.parse::<u32>().ok())
+            .sum();
+        let ticks = ticks.ok_or_else(|| self.malformed("stat"))?;
+        Ok(Usage(TICK * ticks))
+    }
+
+    /// Returns the figures of the time since `before`.
+    pub(super) fn report(&self, before: Usage, time: Duration) -> io::Result<Report<'_>> {
+        let used = self.usage()?.0.saturating_sub(before.0);
+        let status = self.read("status")?;
+        let mib = |name: &str| {
+            let line = status.lines().find_map(|line| line.strip_prefix(name));
+            let kib = line.and_then(|line| line.split_ascii_whitespace().next()?.parse().ok());
+            kib.map(|kib: u32| round(f64::from(kib) / 1024.0))
+                .ok_or_else(|| self.malformed("status"))
+        };
+        Ok(Report {
+            process: &self.name,
+            pid: self.pid,
+            core_percent: round(used.as_secs_f64() / time.as_secs_f64() * 100.0),
+            resident_mib: mib("VmRSS:")?,
+            resident_peak_mib: mib("VmHWM:")?,
+        })
+    }
+
+    fn read(&self, file: &str) -> io::Result<String> {
+        let path = format!("/proc/{}/{file}", self.pid);
+        std::fs::read_to_string(&path)
+            .map_err(|error| io::Error::new(error.kind(), format!("{path}: {error}")))
+    }
+
+    fn malformed(&self, file: &str) -> io::Error {
+        let text = format!("/proc/{}/{file} is malformed", self.pid);
+        io::Error::new(io::ErrorKind::InvalidData, text)
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-lab/tests/load.rs
@@ -0,0 +1,113 @@
+//! The load tool against a target and a server that answers as an entry does.
+
+use godwitstep_standin::serve::{Answer, Thread, bind, body, http, text_answer};
+use godwitstep_standin::target::{Server, Settings};
+use hyper::StatusCode;
+use std::net::SocketAddr;
+use std::process::{Command, Output};
+
+/// Serves callers without a target behind it; refuses every request whose number is given.
+fn entry(refused: &'static str) -> (SocketAddr, Thread) {
+    let (listener, address) = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let thread = Thread::start("entry", move |spawner| {
+        http(spawner, listener, 100, move |request| async move {
+            assert_eq!(request.uri().path(), "/v1/services/s/requests");
+            assert_eq!(request.headers()["godwitstep-workspace"], "w");
+            let bytes = body(request, 1 << 20).await.unwrap();
+            let matched = bytes
+                .windows(refused.len())
+                .any(|part| part == refused.as_bytes());
+            Ok(if matched {
+                outcome(
+                    text_answer(StatusCode::SERVICE_UNAVAILABLE, "{}"),
+                    "not_run",
+                )
+            } else {
+                outcome(text_answer(StatusCode::OK, bytes), "answered")
+            })
+        });
+    });
+    (address, thread.unwrap())
+}
+
+fn outcome(mut answer: Answer, outcome: &'static str) -> Answer {
+    let value = hyper::header::HeaderValue::from_static(outcome);
+    answer.headers_mut().insert("godwitstep-outcome", value);
+    answer
+}
+
+fn load(arguments: &str) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_godwitstep-lab"))
+        .args(arguments.split(' '))
+        .output()
+        .unwrap()
+}
+
+/// Guards against load on other machines.
+#[test]
+fn refuses_addresses_that_are_not_loopback() {
+    for address in ["10.0.0.1:80", "0.0.0.0:80", "127.0.0.1:80,192.0.2.1:80"] {
+        let output = load(&format!(
+            "load --entry {address} --seconds 1 --service s --workspace w --kind k"
+        ));
+        assert!(!output.status.success());
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(text.contains("not a loopback address"), "{text}");
+    }
+}
+
+/// Guards against requests that no outcome counts, and against paths that are mixed up.
+#[test]
+fn reports_outcomes_latency_and_processes() {
+    let target = Server::start(Settings::default()).unwrap();
+    let (entry, _thread) = entry("\"number\":3,");
+    let (direct, pid) = (target.address, std::process::id());
+    let output = load(&format!(
+        "load --entry {entry} --direct {direct} --rate 100 --seconds 1 --service s --workspace w --kind k \
+         --run-ms 2 --pid test={pid}"
+    ));
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<serde_json::Value> = text
+        .lines()
+        .map(|line| serde_json::from_str(line).unwrap())
+        .collect();
+    let [entry, direct, added, process] = lines.as_slice() else {
+        panic!("{text}");
+    };
+    assert_eq!(entry["outcomes"]["not_run"], 1, "{text}");
+    let answered = entry["outcomes"]["answered"].as_u64().unwrap();
+    assert_eq!(entry["requests"], answered + 1);
+    let ledger = target.ledger().len();
+    assert_eq!(direct["outcomes"]["answered"], ledger);
+    assert!(ledger > 50 && answered > 50, "{text}");
+    assert_eq!([&entry["late"], &direct["late"]], [0, 0]);
+    assert!(direct["p50_ms"].as_f64().unwrap() >= 2.0, "{text}");
+    // This entry has no target behind it, so it is faster than the target.
+    assert!(added["added_p50_ms"].as_f64().unwrap() < 0.0, "{text}");
+    assert_eq!(process["process"], "test");
+    assert!(process["resident_mib"].as_f64().unwrap() > 1.0, "{text}");
+}
+
+/// Guards against answers to other requests that count as answered.
+#[test]
+fn reports_answers_that_are_wrong_or_absent() {
+    let (listener, address) = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let _thread = Thread::start("entry", move |spawner| {
+        http(spawner, listener, 100, |_| async {
+            Ok(outcome(text_answer(StatusCode::OK, "{}"), "answered"))
+        });
+    });
+    let arguments = "--rate 20 --seconds 1 --service s --workspace w --kind k";
+    let output = load(&format!("load --entry {address} {arguments}"));
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        text.contains("\"wrong\"") && !text.contains("\"answered\""),
+        "{text}"
+    );
+    let (free, _) = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let closed = free.local_addr().unwrap();
+    drop(free);
+    let output = load(&format!("load --entry {closed} {arguments}"));
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("\"no_answer\""), "{text}");
+}
--- a/crates/godwitstep-standin/src/log.rs
+++ b/crates/godwitstep-standin/src/log.rs
@@ -1,6 +1,6 @@
 //! The platform's log service: append-only streams with offsets and limited retention.
 //!
-//! Faults can be switched on at run time with [`Server::control`] or `PUT /control`.
+//! Faults can be switched on at run time with [`Handle::control`] or `PUT /control`.
 //!
 //! ```
 //! use godwitstep_standin::log::{Control, Mode, Server, Settings};
