fix(log): bound the pace of reads from a misbehaving service

A service that answers empty pages before the wait is over, or that names a tail without bringing the records, would have made the reader spin.

The reader waits out the rest of its time after an early empty page, and a page that does not bring a reader behind the tail on is malformed. Add a test of an envelope that expires before its outcome is known, and one of the stand-in's appends a second.

--- a/crates/godwitstep-standin/src/log.rs
+++ b/crates/godwitstep-standin/src/log.rs
@@ -55,7 +55,7 @@
 }
 
 /// State of the service's faults.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults {
     /// How the service behaves.
     pub mode: Mode,
@@ -71,7 +71,7 @@
 }
 
 /// Change of the faults; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// See [`Faults::mode`].
--- a/crates/godwitstep-standin/src/proxy/fault.rs
+++ b/crates/godwitstep-standin/src/proxy/fault.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults of the bytes that flow in one direction.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Direction {
     /// Delay of every piece.
     pub delay_ms: u64,
@@ -19,7 +19,7 @@
 }
 
 /// Faults of the proxy.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults {
     /// Bytes from the one who connected to the proxy.
     pub forward: Direction,
@@ -30,7 +30,7 @@
 }
 
 /// Change of a direction; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct DirectionControl {
     /// See [`Direction::delay_ms`].
@@ -46,7 +46,7 @@
 }
 
 /// Change of the faults; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// Ends all faults before the rest is applied. Connections that went silent stay silent.
--- a/crates/godwitstep-standin/src/target.rs
+++ b/crates/godwitstep-standin/src/target.rs
@@ -56,7 +56,7 @@
 }
 
 /// State of the target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Whether the target takes new work.
     pub state: Condition,
@@ -67,7 +67,7 @@
 }
 
 /// Change of the state; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// See [`Status::state`].
--- a/crates/godwitstep-standin/src/worker.rs
+++ b/crates/godwitstep-standin/src/worker.rs
@@ -36,7 +36,7 @@
 const CONNECTIONS: usize = 64;
 
 /// State of the worker.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Accelerators of the machine.
     pub accelerators: u32,
@@ -49,7 +49,7 @@
 }
 
 /// Change of the state; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Control {
     /// See [`Status::failing`].
--- a/crates/godwitstep-standin/tests/log.rs
+++ b/crates/godwitstep-standin/tests/log.rs
@@ -4,6 +4,7 @@
 
 use client::{call, call_within};
 use godwitstep_standin::log::{Control, Handle, Mode, RECORD_BYTES, Server, Settings};
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 const RECORDS: &str = "/v1/streams/s/records";
@@ -26,6 +27,27 @@
     assert_eq!(page, (200, text.to_owned()));
 }
 
+/// Guards against a stand-in that takes fewer appends a second than the platform's several hundred.
+#[test]
+fn takes_five_hundred_appends_a_second() {
+    let log = start();
+    let mut stream = std::net::TcpStream::connect(log.address).unwrap();
+    stream.set_nodelay(true).unwrap();
+    let begin = Instant::now();
+    for _ in 0..500 {
+        let request = format!("POST {RECORDS} HTTP/1.1\r\nhost: x\r\ncontent-length: 1\r\n\r\n7");
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut answer = [0; 1024];
+        assert!(stream.read(&mut answer).unwrap() > 0);
+    }
+    assert!(
+        begin.elapsed() < Duration::from_secs(1),
+        "{:?}",
+        begin.elapsed()
+    );
+    assert_eq!(log.records("s").len(), 500);
+}
+
 /// Guards against records that no reader can parse, and against unbounded memory.
 #[test]
 fn refuses_what_is_no_json_or_too_large() {
--- a/crates/godwitstep/src/log/page.rs
+++ b/crates/godwitstep/src/log/page.rs
@@ -56,6 +56,10 @@
         if !body.records.is_empty() && next > body.tail {
             return Err(format!("records up to {next} past tail {}", body.tail));
         }
+        // Readers go on at once while they are behind the tail, so each read has to bring them on.
+        if body.records.is_empty() && from < body.tail {
+            return Err(format!("no record from {from} to tail {}", body.tail));
+        }
         let records = body.records.into_iter();
         Ok(Self {
             start: body.start,
--- a/crates/godwitstep/src/log/reader.rs
+++ b/crates/godwitstep/src/log/reader.rs
@@ -61,6 +61,9 @@
     failing: bool,
     /// Time that the last read took beyond its wait.
     overhead: Duration,
+    /// Time to wait before the next read: nonzero if the service gave an empty answer too early,
+    /// which would otherwise make this a busy loop.
+    rest: Duration,
 }
 
 impl Reader {
@@ -75,6 +78,7 @@
             backoff: Backoff::default(),
             failing: false,
             overhead: Duration::ZERO,
+            rest: Duration::ZERO,
         }
     }
 
@@ -99,6 +103,10 @@
     /// the [`Tip`] tells of them meanwhile. Nothing is lost if the future is dropped.
     pub async fn next(&mut self) -> Batch {
         loop {
+            if !self.rest.is_zero() {
+                smol::Timer::after(self.rest).await;
+                self.rest = Duration::ZERO;
+            }
             // A slow service gets a shorter wait, so that evidence does not become too old.
             let wait = WAIT.saturating_sub(self.overhead);
             let sent = Instant::now();
@@ -112,7 +120,9 @@
                 }
                 Ok(Read::Page(page)) if page.tail >= self.next => {
                     if page.records.is_empty() {
-                        self.overhead = sent.elapsed().saturating_sub(wait);
+                        let time = sent.elapsed();
+                        self.overhead = time.saturating_sub(wait);
+                        self.rest = wait.saturating_sub(time);
                     }
                     return self.advance(page, sent);
                 }
--- a/crates/godwitstep/tests/log.rs
+++ b/crates/godwitstep/tests/log.rs
@@ -271,6 +271,44 @@
     });
 }
 
+/// Guards against "not appended" about an envelope that took effect and has expired since.
+#[test]
+fn an_envelope_that_may_have_expired_is_unknown() {
+    let log = start();
+    let proxy = Proxy::start(proxy::Settings::new(log.address)).unwrap();
+    run(proxy.address, async |writer, _| {
+        writer.append(cancel("first"), LIMIT).await;
+        proxy.control(&proxy::Control {
+            backward: DirectionControl {
+                stalled: Some(true),
+                ..DirectionControl::default()
+            },
+            ..proxy::Control::default()
+        });
+        let expire = async {
+            smol::Timer::after(DEADLINE / 2).await;
+            assert!(folded(&log).contains_key("expired"));
+            log.control(&Control {
+                retention_records: Some(1),
+                ..Control::default()
+            });
+            log.append(STREAM, "{}").unwrap();
+            // The reply is still held back when the connection is reset.
+            proxy.control(&proxy::Control {
+                reset: true,
+                ..proxy::Control::default()
+            });
+            smol::Timer::after(DEADLINE / 4).await;
+            proxy.control(&proxy::Control::heal());
+        };
+        let (outcome, ()) =
+            smol::future::zip(writer.append(cancel("expired"), LIMIT), expire).await;
+        assert_eq!(outcome, Outcome::Unknown);
+        let next = writer.append(cancel("next"), LIMIT).await;
+        assert!(matches!(next, Outcome::Appended { .. }), "{next:?}");
+    });
+}
+
 /// Guards against gaps that a reader does not notice, and against a wrong order.
 #[test]
 fn a_reader_yields_in_order_and_notices_trimming() {
