refactor(standin): one concept a file

Move the connections of the proxy, the faults of the log service and the reports of the worker into files of their own.

--- a/crates/godwitstep-standin/src/log.rs
+++ b/crates/godwitstep-standin/src/log.rs
@@ -10,8 +10,11 @@
 //! # Ok::<(), std::io::Error>(())
 //! ```
 
+mod fault;
 mod stream;
 
+pub use fault::{Control, Faults, Mode};
+
 use crate::serve::{
     Answer, Dropped, Outcome, Spawner, Thread, bind, body, http, json, lock, number, parse,
     refusal, text_answer,
@@ -19,7 +22,6 @@
 use crate::signal::Signal;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
-use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -40,52 +42,6 @@
 /// Connections at a time.
 const CONNECTIONS: usize = 512;
 
-/// How the service behaves.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Mode {
-    /// It answers at once.
-    #[default]
-    Up,
-    /// It refuses with 503 or, if `silent` is set, accepts requests and never answers them.
-    Down,
-    /// Every exchange takes `delay_ms` longer. Appends take effect after the delay, even if the
-    /// caller has gone by then.
-    Slow,
-}
-
-/// State of the service's faults.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Faults {
-    /// How the service behaves.
-    pub mode: Mode,
-    /// Whether the service is silent while it is down.
-    pub silent: bool,
-    /// Delay of an exchange in mode slow.
-    pub delay_ms: u64,
-    /// Every how many appends the connection is closed without an answer after the append took
-    /// effect; 0 for never.
-    pub lose_reply_every: u64,
-    /// Records that each stream retains.
-    pub retention_records: usize,
-}
-
-/// Change of the faults; fields that are absent stay as they are.
-#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Control {
-    /// See [`Faults::mode`].
-    pub mode: Option<Mode>,
-    /// See [`Faults::silent`].
-    pub silent: Option<bool>,
-    /// See [`Faults::delay_ms`].
-    pub delay_ms: Option<u64>,
-    /// See [`Faults::lose_reply_every`].
-    pub lose_reply_every: Option<u64>,
-    /// See [`Faults::retention_records`].
-    pub retention_records: Option<usize>,
-}
-
 /// How to start the service.
 #[derive(Debug, Clone, Copy)]
 pub struct Settings {
@@ -201,15 +157,8 @@
 impl Shared {
     fn control(&self, control: &Control) -> Faults {
         let mut state = lock(&self.state);
-        let faults = &mut state.faults;
-        faults.mode = control.mode.unwrap_or(faults.mode);
-        faults.silent = control.silent.unwrap_or(faults.silent);
-        faults.delay_ms = control.delay_ms.unwrap_or(faults.delay_ms);
-        faults.lose_reply_every = control.lose_reply_every.unwrap_or(faults.lose_reply_every);
-        faults.retention_records = control
-            .retention_records
-            .unwrap_or(faults.retention_records);
-        let faults = *faults;
+        state.faults.apply(control);
+        let faults = state.faults;
         for stream in state.streams.values_mut() {
             stream.trim(faults.retention_records);
         }
--- a/crates/godwitstep-standin/src/proxy/pipe.rs
+++ b/crates/godwitstep-standin/src/proxy/pipe.rs
@@ -1,7 +1,8 @@
 //! One direction of a connection.
 
+use super::Shared;
+use super::connection::End;
 use super::fault::Direction;
-use super::{End, Shared};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{Shutdown, TcpStream};
--- a/crates/godwitstep-standin/src/worker/state.rs
+++ b/crates/godwitstep-standin/src/worker/state.rs
@@ -1,7 +1,8 @@
 //! Lease, tasks and usage of a worker. Every call passes the time.
 
+use super::report::{Entry, Listed, Refusal, Usage};
 use super::task::{How, Phase, Spec, Task};
-use super::{Control, Entry, Listed, Refusal, Status, Usage};
+use super::{Control, Status};
 use crate::ledger::Ledger;
 use crate::serve::wall_us;
 use std::collections::{BTreeMap, VecDeque};
