feat(core): registry that folds the log's streams

Entries and deciders need one rule for which record takes effect, so that all readers agree and operators who race get one winner.

--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod prelude;
 pub mod reason;
 pub mod record;
+pub mod registry;
 pub mod resource;
 pub mod router;
 
--- /dev/null
+++ b/crates/godwitstep-core/src/registry/config.rs
@@ -0,0 +1,164 @@
+//! Workspaces and failure domains, folded from the stream `config`.
+
+use super::{Change, Outcome};
+use crate::id::{Name, Offset, Version};
+use crate::record::{Event, Expect, Spec, Subject};
+use crate::resource::{Domain, Workspace, fault};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A declared resource.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Item<T> {
+    /// Offset of its last change.
+    pub version: Version,
+    /// What the operator declared.
+    pub spec: T,
+}
+
+type Table<T> = BTreeMap<Name, Arc<Item<T>>>;
+
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Config {
+    pub(super) workspaces: Table<Workspace>,
+    pub(super) domains: Table<Domain>,
+}
+
+impl Config {
+    /// Applies one event of the record at an offset.
+    pub(super) fn apply(
+        &mut self,
+        offset: Offset,
+        event: &Event,
+        changes: &mut Vec<Change>,
+    ) -> Outcome {
+        match event {
+            Event::Declare { name, spec, expect } => {
+                if !valid(name, spec) {
+                    return Outcome::Invalid;
+                }
+                match spec {
+                    Spec::Workspace(spec) => {
+                        declare(&mut self.workspaces, name, spec, *expect, offset, |item| {
+                            changes.push(workspace(name, item));
+                        })
+                    }
+                    Spec::Domain(spec) => {
+                        declare(&mut self.domains, name, spec, *expect, offset, |item| {
+                            changes.push(domain(name, item));
+                        })
+                    }
+                }
+            }
+            Event::Remove { subject, expect } => match subject {
+                Subject::Workspace(name) => {
+                    remove(&mut self.workspaces, name, *expect, offset, || {
+                        changes.push(workspace(name, None));
+                    })
+                }
+                Subject::Domain(name) => remove(&mut self.domains, name, *expect, offset, || {
+                    changes.push(domain(name, None));
+                }),
+            },
+            Event::SnapshotPart { .. } => Outcome::Unchanged,
+            _ => Outcome::Invalid,
+        }
+    }
+
+    /// Adds the changes that lead from this state to another.
+    pub(super) fn differences(&self, new: &Self, changes: &mut Vec<Change>) {
+        for (name, item) in differing(&self.workspaces, &new.workspaces) {
+            changes.push(workspace(name, item));
+        }
+        for (name, item) in differing(&self.domains, &new.domains) {
+            changes.push(domain(name, item));
+        }
+    }
+}
+
+fn workspace(name: &Name, item: Option<Arc<Item<Workspace>>>) -> Change {
+    let name = name.clone();
+    Change::Workspace { name, item }
+}
+
+fn domain(name: &Name, item: Option<Arc<Item<Domain>>>) -> Change {
+    let name = name.clone();
+    Change::Domain { name, item }
+}
+
+/// Checks a declaration, because a record may also come from tools that checked nothing.
+fn valid(name: &Name, spec: &Spec) -> bool {
+    let faults = match spec {
+        Spec::Workspace(spec) => spec.faults(),
+        Spec::Domain(spec) => spec.faults(),
+    };
+    faults.is_empty() && fault::name("name", name).is_none()
+}
+
+/// Reports whether a resource is in the expected state.
+fn expected(current: Option<Version>, expect: Expect) -> bool {
+    match expect {
+        Expect::Any => true,
+        Expect::Absent => current.is_none(),
+        Expect::Version(version) => current == Some(version),
+    }
+}
+
+fn declare<T: Clone + PartialEq>(
+    table: &mut Table<T>,
+    name: &Name,
+    spec: &T,
+    expect: Expect,
+    offset: Offset,
+    changed: impl FnOnce(Option<Arc<Item<T>>>),
+) -> Outcome {
+    let current = table.get(name);
+    if !expected(current.map(|item| item.version), expect) {
+        return Outcome::Conflict(current.map(|item| item.version));
+    }
+    if current.is_some_and(|item| item.spec == *spec) {
+        return Outcome::Unchanged;
+    }
+    let item = Arc::new(Item {
+        version: offset,
+        spec: spec.clone(),
+    });
+    table.insert(name.clone(), item.clone());
+    changed(Some(item));
+    Outcome::Won(offset)
+}
+
+fn remove<T>(
+    table: &mut Table<T>,
+    name: &Name,
+    expect: Expect,
+    offset: Offset,
+    changed: impl FnOnce(),
+) -> Outcome {
+    let current = table.get(name).map(|item| item.version);
+    if !expected(current, expect) {
+        return Outcome::Conflict(current);
+    }
+    if table.remove(name).is_none() {
+        return Outcome::Unchanged;
+    }
+    changed();
+    Outcome::Won(offset)
+}
+
+/// Returns the entries of `new` that differ from `old`, and `None` for those that are gone.
+pub(super) fn differing<'a, T: PartialEq>(
+    old: &'a BTreeMap<Name, Arc<T>>,
+    new: &'a BTreeMap<Name, Arc<T>>,
+) -> impl Iterator<Item = (&'a Name, Option<Arc<T>>)> {
+    let gone = old
+        .keys()
+        .filter(|name| !new.contains_key(*name))
+        .map(|name| (name, None));
+    let put = new
+        .iter()
+        .filter(|(name, value)| old.get(*name) != Some(*value))
+        .map(|(name, value)| (name, Some(value.clone())));
+    gone.chain(put)
+}
--- a/crates/godwitstep-core/src/resource.rs
+++ b/crates/godwitstep-core/src/resource.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-mod fault;
+pub mod fault;
 
 pub use fault::Fault;
 
