feat: settings with one definition for each key, and telemetry

Daemons must refuse faulty settings before they start anything and name all faults at once.

Unknown keys are faults with the nearest key, keys given twice are faults, and secrets are neither shown nor accepted on the command line.

Telemetry writes human or JSON lines to the standard error stream and renders metrics for scraping.

--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -4,3 +4,5 @@
 //! `Rc<RefCell<..>>` and is never borrowed across an await.
 
 pub mod http;
+pub mod settings;
+pub mod telemetry;
