feat: operators' HTTP interface over a store handle

Operators declare, change and watch resources and follow jobs over HTTP.

It reaches the registry, the log and the decider only through resources::Store, so capacity checks and live status can be connected later. The outcome of a change comes from its fold and never from an earlier look at the registry, because this entry may be behind the one that the operator read from.

--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -4,5 +4,6 @@
 //! `Rc<RefCell<..>>` and is never borrowed across an await.
 
 pub mod http;
+pub mod resources;
 pub mod settings;
 pub mod telemetry;
--- /dev/null
+++ b/crates/godwitstep/src/resources/write.rs
@@ -0,0 +1,297 @@
+//! Changes: declarations, removals, submissions and cancellations.
+
+use super::object::{self, Object};
+use super::query::Query;
+use super::reply::{self, Refusal};
+use super::{Collection, Document, Proposal, Spec, Store, Unrecorded, condition, read};
+use crate::http::{self, Body};
+use crate::settings;
+use bytes::Bytes;
+use godwitstep_core::id::{Name, Version};
+use godwitstep_core::record::{self, Event, Expect, Subject};
+use godwitstep_core::registry::Outcome;
+use godwitstep_core::resource::{Fault, Job, fault};
+use hyper::header::{IF_MATCH, IF_NONE_MATCH};
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+/// Greatest size of a body. Unit: bytes.
+const MAX_BODY: usize = 256 * 1024;
+/// Greatest size of a spec as JSON, so that its record stays within the size that the log takes.
+/// Unit: bytes.
+const MAX_SPEC: usize = 48 * 1024;
+/// Longest time for a body to arrive.
+const BODY_TIME: Duration = Duration::from_secs(5);
+
+/// Declares a resource or submits a job.
+pub(super) async fn put<S, B>(
+    store: &S,
+    collection: Collection,
+    name: Option<&str>,
+    query: &Query,
+    request: Request<B>,
+) -> Result<Response<Body>, Refusal>
+where
+    S: Store,
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<http::BoxError>,
+{
+    let (head, body) = request.into_parts();
+    let bytes = http::read(body, MAX_BODY, BODY_TIME).await?;
+    let document = document(&bytes, collection, name)?;
+    let expect = match collection {
+        Collection::Jobs => new_job(&head.headers)?,
+        _ => condition::read(&head.headers, document.version)?,
+    };
+    if let Spec::Job(job) = &document.spec {
+        let faults = references(store, job);
+        if !faults.is_empty() {
+            return Err(Refusal::invalid(faults));
+        }
+    }
+    let review = store.review(Proposal::Put(&document));
+    if !review.faults.is_empty() {
+        return Err(Refusal::refused(review.faults));
+    }
+    let before = store.read(|registry| Object::find(registry, collection, &document.name));
+    if query.dry_run {
+        return rehearse(store, &document, expect, before, &review.effect);
+    }
+    let outcome = change(store, collection, declare(&document, expect)).await?;
+    match outcome {
+        Outcome::Won(version) => {
+            let status = match before {
+                Some(_) => StatusCode::OK,
+                None => StatusCode::CREATED,
+            };
+            let shown = won(store, &document, version);
+            Ok(reply::object(status, &shown))
+        }
+        outcome => settle(store, collection, &document.name, outcome),
+    }
+}
+
+/// Removes a resource or cancels a job.
+pub(super) async fn delete<S: Store>(
+    store: &S,
+    collection: Collection,
+    name: &str,
+    query: &Query,
+    headers: &HeaderMap,
+) -> Result<Response<Body>, Refusal> {
+    if let Some(fault) = fault::name("name", name) {
+        return Err(Refusal::invalid(vec![fault]));
+    }
+    let expect = match collection {
+        Collection::Jobs => new_job(headers)?,
+        _ => condition::read(headers, None)?,
+    };
+    let review = store.review(Proposal::Remove(collection, name));
+    if !review.faults.is_empty() {
+        return Err(Refusal::refused(review.faults));
+    }
+    if query.dry_run {
+        let before = store.read(|registry| Object::find(registry, collection, name));
+        let before = before.ok_or_else(|| read::missing(collection, name))?;
+        check(expect, Some(before.version), || {
+            current(store, collection, name)
+        })?;
+        let current = before.render(store, collection);
+        let body = json!({
+            "dry_run": true, "change": "remove", "current": current, "effect": review.effect,
+        });
+        return Ok(reply::json(StatusCode::OK, &body));
+    }
+    match change(store, collection, remove(collection, name.into(), expect)).await? {
+        Outcome::Won(version) if collection != Collection::Jobs => {
+            let body = json!({"kind": collection.singular(), "name": name, "version": version});
+            Ok(reply::json(StatusCode::OK, &body))
+        }
+        Outcome::Won(_) => Ok(reply::object(
+            StatusCode::OK,
+            &current(store, collection, name),
+        )),
+        outcome => settle(store, collection, name, outcome),
+    }
+}
+
+fn document(bytes: &[u8], collection: Collection, name: Option<&str>) -> Result<Document, Refusal> {
+    let malformed = |faults| Refusal::bad_request("the body is not a JSON document").faults(faults);
+    let text = std::str::from_utf8(bytes)
+        .map_err(|error| malformed(vec![Fault::new("(document)", error, "UTF-8")]))?;
+    let value = settings::parse(text).map_err(malformed)?;
+    let document = Document::read(value, Some(collection), name).map_err(Refusal::invalid)?;
+    let size = object::spec(&document.spec).to_string().len();
+    if size > MAX_SPEC {
+        let fault = Fault::new("spec", format!("{size} bytes"), format!("{MAX_SPEC} bytes"));
+        return Err(Refusal::invalid(vec![fault]));
+    }
+    Ok(document)
+}
+
+/// A job is submitted once and its spec never changes, so conditions on versions have no meaning.
+fn new_job(headers: &HeaderMap) -> Result<Expect, Refusal> {
+    if headers.contains_key(IF_MATCH) {
+        return Err(Refusal::field(
+            "if-match",
+            "a condition",
+            "no condition on a job",
+        ));
+    }
+    if headers.contains_key(IF_NONE_MATCH) {
+        condition::read(headers, None)?;
+    }
+    Ok(Expect::Any)
+}
+
+/// Checks that the workspace and kind of a job are declared.
+fn references<S: Store>(store: &S, job: &Job) -> Vec<Fault> {
+    store.read(|registry| match registry.workspace(&job.workspace) {
+        None => {
+            let fault = Fault::new("spec.workspace", &job.workspace, "a declared workspace");
+            vec![fault]
+        }
+        Some(item) if item.spec.kind(&job.kind).is_none() => {
+            let kinds: Vec<&str> = item.spec.kinds.iter().map(|kind| &*kind.name).collect();
+            let allowed = format!("a kind of the workspace: {}", kinds.join(", "));
+            vec![Fault::new("spec.kind", &job.kind, allowed)]
+        }
+        Some(_) => Vec::new(),
+    })
+}
+
+fn declare(document: &Document, expect: Expect) -> Event {
+    let name = document.name.clone();
+    let spec = match &document.spec {
+        Spec::Workspace(spec) => record::Spec::Workspace(spec.clone()),
+        Spec::Domain(spec) => record::Spec::Domain(spec.clone()),
+        Spec::Job(spec) => {
+            return Event::Submit {
+                job: name,
+                spec: spec.clone(),
+            };
+        }
+    };
+    Event::Declare { name, spec, expect }
+}
+
+fn remove(collection: Collection, name: Name, expect: Expect) -> Event {
+    let subject = match collection {
+        Collection::Jobs => return Event::Cancel { job: name },
+        Collection::Domains => Subject::Domain(name),
+        Collection::Workspaces => Subject::Workspace(name),
+    };
+    Event::Remove { subject, expect }
+}
+
+async fn change<S: Store>(
+    store: &S,
+    collection: Collection,
+    event: Event,
+) -> Result<Outcome, Refusal> {
+    let outcomes = store.change(collection.stream(), vec![event]).await?;
+    outcomes
+        .first()
+        .copied()
+        .ok_or_else(|| Unrecorded::Unknown.into())
+}
+
+/// Answers for a change that made no difference.
+fn settle<S: Store>(
+    store: &S,
+    collection: Collection,
+    name: &str,
+    outcome: Outcome,
+) -> Result<Response<Body>, Refusal> {
+    let current = current(store, collection, name);
+    match outcome {
+        Outcome::Conflict(None) if collection == Collection::Jobs => {
+            Err(read::missing(collection, name))
+        }
+        Outcome::Unchanged if current.is_null() => Err(read::missing(collection, name)),
+        Outcome::Unchanged => Ok(reply::object(StatusCode::OK, &current)),
+        Outcome::Conflict(version) => Err(conflict(version, current)),
+        Outcome::Invalid => {
+            let fault = Fault::new("spec", "the spec", "one that all entries accept");
+            Err(Refusal::invalid(vec![fault]))
+        }
+        Outcome::Won(_) | Outcome::Duplicate => Err(Unrecorded::Unknown.into()),
+    }
+}
+
+fn conflict(version: Option<Version>, current: Value) -> Refusal {
+    let message = match version {
+        Some(version) => format!("the resource exists with version {version}"),
+        None => "the resource does not exist".to_owned(),
+    };
+    Refusal::conflict(message, current)
+}
+
+/// Compares the expected state with this entry's.
+fn check(
+    expect: Expect,
+    version: Option<Version>,
+    current: impl FnOnce() -> Value,
+) -> Result<(), Refusal> {
+    let fits = match expect {
+        Expect::Any => true,
+        Expect::Absent => version.is_none(),
+        Expect::Version(expected) => version == Some(expected),
+    };
+    if fits {
+        Ok(())
+    } else {
+        Err(conflict(version, current()))
+    }
+}
+
+/// Reports what a change would do, by the state of this entry.
+fn rehearse<S: Store>(
+    store: &S,
+    document: &Document,
+    expect: Expect,
+    before: Option<Object>,
+    effect: &Value,
+) -> Result<Response<Body>, Refusal> {
+    let collection = document.collection;
+    let spec = object::spec(&document.spec);
+    let show = || current(store, collection, &document.name);
+    let version = before.as_ref().map(|object| object.version);
+    check(expect, version, show)?;
+    let change = match &before {
+        None => "create",
+        Some(object) if object.spec == spec => "none",
+        Some(_) if collection == Collection::Jobs => return Err(conflict(version, show())),
+        Some(_) => "update",
+    };
+    let body = json!({
+        "dry_run": true,
+        "change": change,
+        "current": before.map(|object| object.render(store, collection)),
+        "proposed": {"kind": collection.singular(), "name": &*document.name, "spec": spec},
+        "effect": effect,
+    });
+    Ok(reply::json(StatusCode::OK, &body))
+}
+
+fn current<S: Store>(store: &S, collection: Collection, name: &str) -> Value {
+    store
+        .read(|registry| Object::find(registry, collection, name))
+        .map_or(Value::Null, |object| object.render(store, collection))
+}
+
+/// Returns the resource as the change made it, even if it has been changed again since.
+fn won<S: Store>(store: &S, document: &Document, version: Version) -> Value {
+    let collection = document.collection;
+    let now = current(store, collection, &document.name);
+    if now["version"] == version {
+        return now;
+    }
+    json!({
+        "kind": collection.singular(),
+        "name": &*document.name,
+        "version": version,
+        "spec": object::spec(&document.spec),
+    })
+}
