feat(cli): command godwitstep, and the example deployments

Operators need one command for checks, changes and watches, and both deployments need settings to start from.

The command has the daemons (their roles are connected later), check, reference and the verbs apply, get, describe, watch, cancel, domain and report. Flags that replace settings follow from the definitions of the keys. Exit codes tell faults in files and command lines from refusals. A watch goes on at the next server when its connection is lost or silent for 15 s. A change is sent to a further server only if no byte of it was sent; a retry of changes was ruled out because it may act twice.

The examples hold entry and agent settings and resource files of both deployments; a test checks each file and that guarantees fit while any one failure domain is away. Answers to changes carry godwitstep-change.

--- a/crates/godwitstep-cli/src/main.rs
+++ b/crates/godwitstep-cli/src/main.rs
@@ -1,2 +1,38 @@
-//! Placeholder.
-fn main() {}
+//! Command `godwitstep`: the daemons, checks of settings, and the operators' verbs.
+
+mod check;
+mod client;
+mod command;
+mod daemon;
+mod failure;
+mod output;
+mod verb;
+
+use clap::ArgMatches;
+use failure::Failure;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = command::command().get_matches();
+    match run(&matches) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            failure.print();
+            ExitCode::from(failure.code())
+        }
+    }
+}
+
+fn run(matches: &ArgMatches) -> Result<(), Failure> {
+    let Some((name, matches)) = matches.subcommand() else {
+        return Err(Failure::Usage("a command is missing".to_owned()));
+    };
+    match name {
+        "entry" => daemon::entry(matches),
+        "agent" => daemon::agent(matches),
+        "demo" => daemon::demo(),
+        "check" => check::run(matches),
+        "reference" => output::print(&godwitstep::settings::reference()),
+        verb => smol::block_on(verb::run(verb, matches)),
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-cli/tests/cli.rs
@@ -0,0 +1,252 @@
+//! The command against files, and against servers whose store folds each record at once.
+
+use godwitstep::http::{self, Limits, Shutdown, Signal};
+use godwitstep::resources::{self, Store, Unrecorded};
+use godwitstep_core::id::Offset;
+use godwitstep_core::reason::Reason;
+use godwitstep_core::record::{Envelope, Event};
+use godwitstep_core::registry::{Outcome, Registry, Stream};
+use serde_json::{Value, json};
+use smol::Timer;
+use smol::net::TcpListener;
+use std::cell::{Cell, RefCell};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_godwitstep");
+const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
+
+struct Fake {
+    registry: RefCell<Registry>,
+    appends: Cell<u64>,
+    signal: Signal,
+}
+
+impl Fake {
+    fn append(&self, stream: Stream, events: Vec<Event>) -> Vec<Outcome> {
+        self.appends.set(self.appends.get() + 1);
+        let record = Envelope::new("entry-1", 1, self.appends.get(), events);
+        let mut registry = self.registry.borrow_mut();
+        let offset = registry.position(stream);
+        let fold = registry.fold(stream, offset, &record, Duration::ZERO);
+        fold.expect("no gap").outcomes
+    }
+}
+
+impl Store for Fake {
+    fn read<T>(&self, look: impl FnOnce(&Registry) -> T) -> T {
+        look(&self.registry.borrow())
+    }
+
+    async fn change(&self, stream: Stream, events: Vec<Event>) -> Result<Vec<Outcome>, Unrecorded> {
+        Ok(self.append(stream, events))
+    }
+
+    async fn advanced(&self, stream: Stream, position: Offset) {
+        while self.registry.borrow().position(stream) <= position {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn signal(&self) -> Signal {
+        self.signal.clone()
+    }
+
+    fn ready(&self) -> Result<(), Reason> {
+        Ok(())
+    }
+
+    fn metrics(&self) -> String {
+        String::new()
+    }
+
+    fn overview(&self) -> Value {
+        json!({})
+    }
+
+    fn report(&self) -> Value {
+        json!({"late": {"count": 3}})
+    }
+}
+
+struct Server {
+    address: SocketAddr,
+    store: Rc<Fake>,
+    shutdown: Shutdown,
+}
+
+/// Starts a server that runs until its shutdown is started or dropped.
+async fn serve(executor: &smol::LocalExecutor<'_>) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let (shutdown, signal) = Shutdown::new();
+    let store = Rc::new(Fake {
+        registry: RefCell::new(Registry::new("pilbara-coast")),
+        appends: Cell::new(0),
+        signal: signal.clone(),
+    });
+    let served = store.clone();
+    let handler = async move |request| resources::handle(&served, request).await;
+    executor
+        .spawn(http::serve(listener, Limits::default(), signal, handler))
+        .detach();
+    Server {
+        address,
+        store,
+        shutdown,
+    }
+}
+
+/// Runs the command and returns its exit code, output and messages.
+async fn run(server: SocketAddr, line: &str) -> (i32, String, String) {
+    let mut command = Command::new(BINARY);
+    command.args(line.split(' ')).current_dir(ROOT);
+    command.env("GODWITSTEP_SERVER", server.to_string());
+    let output = smol::unblock(move || command.output())
+        .await
+        .expect("the command runs");
+    let text = |bytes| String::from_utf8(bytes).expect("text");
+    (
+        output.status.code().unwrap_or(-1),
+        text(output.stdout),
+        text(output.stderr),
+    )
+}
+
+fn with_server(test: impl AsyncFnOnce(&Server)) {
+    let executor = smol::LocalExecutor::new();
+    smol::block_on(executor.run(async {
+        let server = serve(&executor).await;
+        test(&server).await;
+    }));
+}
+
+/// Guards against scripts that take a faulty file or command line for success or for a refusal.
+#[test]
+fn exit_codes_tell_faults_from_refusals() {
+    with_server(async |server| {
+        let invalid = "crates/godwitstep/tests/settings/invalid/agent-groups.json";
+        let entry = "examples/windsock-works/entries/karratha.json";
+        for (line, code, message) in [
+            (format!("check {entry}"), 0, ""),
+            (
+                format!("check {entry} {invalid}"),
+                2,
+                "did you mean \"service\"?",
+            ),
+            (format!("check --as agent {entry}"), 2, "entries"),
+            ("check absent.json".to_owned(), 2, "can't be read"),
+            (
+                format!("entry --settings {entry} --callers here"),
+                2,
+                "callers: \"here\"",
+            ),
+            (format!("apply -f {entry}"), 2, "kind: a missing value"),
+            ("get pods".to_owned(), 2, "invalid value"),
+            ("get jobs absent".to_owned(), 1, "there is no job absent"),
+            (
+                "get jobs --server 127.0.0.1:1".to_owned(),
+                1,
+                "connect with 127.0.0.1:1",
+            ),
+        ] {
+            let (got, _, messages) = run(server.address, &line).await;
+            assert_eq!(got, code, "{line}: {messages}");
+            assert!(messages.contains(message), "{line}: {messages}");
+        }
+    });
+}
+
+/// Guards against verbs that report what did not happen.
+#[test]
+fn verbs_change_and_show_resources() {
+    with_server(async |server| {
+        let files = ["jobs", "workspaces", "domains"]
+            .map(|name| format!("-f examples/windsock-works/resources/{name}.json"))
+            .join(" ");
+        let (code, out, messages) = run(server.address, &format!("apply {files} --dry-run")).await;
+        assert_eq!(
+            code, 1,
+            "jobs refer to workspaces that a dry run does not declare"
+        );
+        assert!(
+            out.contains("domain karratha-shed (dry run): create"),
+            "{out}"
+        );
+        assert!(messages.contains("a declared workspace") && server.store.appends.get() == 0);
+        for change in ["created", "unchanged"] {
+            let (code, out, messages) = run(server.address, &format!("apply {files}")).await;
+            assert_eq!(
+                (code, out.matches(change).count()),
+                (0, 12),
+                "{out}{messages}"
+            );
+        }
+        // Both runs appended 7 records to the stream of declared resources.
+        let (_, out, _) = run(server.address, "domain out karratha-shed --dry-run").await;
+        assert!(out.contains("change: update"), "{out}");
+        let (code, out, _) = run(server.address, "domain out karratha-shed").await;
+        assert_eq!(
+            (code, &*out),
+            (0, "domain karratha-shed is out of service (version 14)\n")
+        );
+        let (_, out, _) = run(server.address, "domain out karratha-shed").await;
+        assert!(out.contains("already out of service"), "{out}");
+        let (_, out, _) = run(server.address, "get domains").await;
+        assert!(
+            out.contains("karratha-shed     pilbara-coast   out_of_service   14\n"),
+            "{out}"
+        );
+        let (_, out, _) = run(server.address, "cancel rodeo-nesting-1").await;
+        assert_eq!(out, "job rodeo-nesting-1 is cancelled\n");
+        let (_, out, _) = run(server.address, "describe job rodeo-nesting-1").await;
+        assert!(out.contains("message: cancelled on request"), "{out}");
+        let list = "get jobs --workspace council-flags -o json";
+        let (_, out, _) = run(server.address, list).await;
+        let list: Value = serde_json::from_str(&out).expect("JSON");
+        assert_eq!(list["items"].as_array().map(Vec::len), Some(2));
+        assert!(run(server.address, "report").await.1.contains("count: 3"));
+    });
+}
+
+/// Guards against a watch that ends, or loses changes, when its server stops.
+#[test]
+fn watch_goes_on_at_another_server() {
+    let executor = smol::LocalExecutor::new();
+    smol::block_on(executor.run(async {
+        let (first, second) = (serve(&executor).await, serve(&executor).await);
+        let apply = "apply -f examples/windsock-works/resources/domains.json";
+        for server in [&first, &second] {
+            assert_eq!(run(server.address, apply).await.0, 0);
+        }
+        assert_eq!(run(second.address, "domain out dampier-depot").await.0, 0);
+        let servers = format!("{},{}", first.address, second.address);
+        let mut watch = Command::new(BINARY)
+            .args([
+                "watch", "domains", "--from", "0", "-o", "json", "--server", &servers,
+            ])
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the command runs");
+        let mut lines = BufReader::new(watch.stdout.take().expect("a pipe")).lines();
+        for version in 1..=4 {
+            if version == 4 {
+                first.shutdown.start();
+            }
+            let (line, rest) = smol::unblock(move || (lines.next(), lines)).await;
+            lines = rest;
+            let line = line.expect("a line").expect("text");
+            let event: Value = serde_json::from_str(&line).expect("JSON");
+            assert_eq!(
+                (&event["version"], &event["type"]),
+                (&json!(version), &json!("put"))
+            );
+        }
+        watch.kill().expect("it runs");
+        watch.wait().expect("it ends");
+    }));
+}
--- a/crates/godwitstep/src/resources/reply.rs
+++ b/crates/godwitstep/src/resources/reply.rs
@@ -149,6 +149,21 @@
     response
 }
 
+/// Tells a client whether a change made a difference.
+const CHANGE: HeaderName = HeaderName::from_static("godwitstep-change");
+
+/// Returns an object after a change: `created`, `updated` or `unchanged`.
+pub(super) fn changed(change: &'static str, object: &Value) -> Response<Body> {
+    let status = match change {
+        "created" => StatusCode::CREATED,
+        _ => StatusCode::OK,
+    };
+    let mut response = self::object(status, object);
+    let change = HeaderValue::from_static(change);
+    response.headers_mut().insert(CHANGE, change);
+    response
+}
+
 /// Returns an object with its version as the entity tag.
 pub(super) fn object(status: StatusCode, object: &Value) -> Response<Body> {
     let mut response = json(status, object);
--- a/crates/godwitstep/src/resources/write.rs
+++ b/crates/godwitstep/src/resources/write.rs
@@ -61,12 +61,8 @@
     let outcome = change(store, collection, declare(&document, expect)).await?;
     match outcome {
         Outcome::Won(version) => {
-            let status = match before {
-                Some(_) => StatusCode::OK,
-                None => StatusCode::CREATED,
-            };
-            let shown = won(store, &document, version);
-            Ok(reply::object(status, &shown))
+            let change = before.map_or("created", |_| "updated");
+            Ok(reply::changed(change, &won(store, &document, version)))
         }
         outcome => settle(store, collection, &document.name, outcome),
     }
@@ -108,10 +104,7 @@
             let body = json!({"kind": collection.singular(), "name": name, "version": version});
             Ok(reply::json(StatusCode::OK, &body))
         }
-        Outcome::Won(_) => Ok(reply::object(
-            StatusCode::OK,
-            &current(store, collection, name),
-        )),
+        Outcome::Won(_) => Ok(reply::changed("updated", &current(store, collection, name))),
         outcome => settle(store, collection, name, outcome),
     }
 }
@@ -210,7 +203,7 @@
             Err(read::missing(collection, name))
         }
         Outcome::Unchanged if current.is_null() => Err(read::missing(collection, name)),
-        Outcome::Unchanged => Ok(reply::object(StatusCode::OK, &current)),
+        Outcome::Unchanged => Ok(reply::changed("unchanged", &current)),
         Outcome::Conflict(version) => Err(conflict(version, current)),
         Outcome::Invalid => {
             let fault = Fault::new("spec", "the spec", "one that all entries accept");
