feat(core): a recorded start must hold the whole gang

The fold now compares the parts with the job's shape: all tasks, accelerators that match, each worker once. Leaving this to the planner alone was ruled out, because every reader can check it at no cost.

--- a/crates/godwitstep-core/src/registry/jobs.rs
+++ b/crates/godwitstep-core/src/registry/jobs.rs
@@ -75,7 +75,8 @@
                 reason,
             } => self.decide(job, *epoch, offset, changes, |state| {
                 let next = state.status.attempt.checked_add(1) == Some(*attempt);
-                let legal = next && state.status.phase == Phase::Queued && !parts.is_empty();
+                let legal =
+                    next && state.status.phase == Phase::Queued && whole(&state.spec, parts);
                 legal.then(|| start(state, *attempt, parts, reason))
             }),
             Event::Requeue {
@@ -258,6 +259,17 @@
     }
 }
 
+/// Reports whether parts are exactly the gang of a job, with each worker at most once. A start of
+/// less than the whole gang must not be recorded (R2).
+fn whole(spec: &Job, parts: &[Part]) -> bool {
+    let workers: BTreeSet<_> = parts.iter().map(|part| &part.worker).collect();
+    let sized = |part: &Part| {
+        part.tasks > 0 && part.tasks.checked_mul(spec.shape.accelerators) == Some(part.accelerators)
+    };
+    let tasks: u64 = parts.iter().map(|part| u64::from(part.tasks)).sum();
+    workers.len() == parts.len() && parts.iter().all(sized) && tasks == u64::from(spec.shape.tasks)
+}
+
 fn start(state: &mut JobState, attempt: Attempt, parts: &[Part], reason: &Reason) {
     state.status.phase = Phase::Running;
     state.status.attempt = attempt;
--- a/crates/godwitstep-core/tests/registry.rs
+++ b/crates/godwitstep-core/tests/registry.rs
@@ -73,7 +73,7 @@
         Just(Phase::Unknown)
     ];
     prop_oneof![
-        2 => (job(), 1..3u32).prop_map(|(job, tasks)| Event::Submit {
+        2 => (job(), prop_oneof![4 => Just(1u32), 1 => Just(2u32)]).prop_map(|(job, tasks)| Event::Submit {
             job, spec: Job::new("council", "pattern-nesting", tasks, 1),
         }),
         1 => job().prop_map(|job| Event::Cancel { job }),
@@ -338,6 +338,49 @@
     assert_eq!(job.status.phase, Phase::Cancelled);
 }
 
+/// Guards against the start of a part of a gang, of more than the gang, or twice on one worker.
+#[test]
+fn only_whole_gangs_start() {
+    let part = |worker: &str, tasks, accelerators| Part {
+        worker: worker.into(),
+        tasks,
+        accelerators,
+    };
+    let starts = |parts: Vec<Part>| {
+        let mut registry = Registry::new(REGION);
+        let spec = Job::new("council", "pattern-nesting", 3, 2);
+        push(
+            &mut registry,
+            Event::Submit {
+                job: "j".into(),
+                spec,
+            },
+        );
+        let claim = Event::Claim {
+            region: REGION.into(),
+            holder: "entry-1".into(),
+            incarnation: 1,
+            replaces: 0,
+        };
+        push(&mut registry, claim);
+        let start = Event::Start {
+            job: "j".into(),
+            attempt: 1,
+            epoch: 1,
+            parts,
+            reason: Reason::Accepted,
+        };
+        push(&mut registry, start).0 == Outcome::Won(2)
+    };
+    assert!(starts(vec![part("v", 2, 4), part("w", 1, 2)]));
+    assert!(!starts(vec![]));
+    assert!(!starts(vec![part("v", 2, 4)]));
+    assert!(!starts(vec![part("v", 2, 4), part("w", 2, 4)]));
+    assert!(!starts(vec![part("v", 2, 4), part("v", 1, 2)]));
+    assert!(!starts(vec![part("v", 2, 2), part("w", 1, 2)]));
+    assert!(!starts(vec![part("v", 3, 6), part("w", 0, 0)]));
+}
+
 /// Guards against a reader that folds on after the log has dropped records it needed.
 #[test]
 fn gap_is_refused() {
