--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod quarantine;
 pub mod reason;
 pub mod record;
+pub mod registry;
 pub mod resource;
 pub mod router;
 
--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -7,3 +7,6 @@
 pub mod http;
 pub mod link;
 pub mod log;
+pub mod resources;
+pub mod settings;
+pub mod telemetry;
