--- a/crates/godwitstep-core/src/planner/place.rs
+++ b/crates/godwitstep-core/src/planner/place.rs
@@ -58,7 +58,7 @@
         }
         let reason = self.obstacle(id);
         self.explain(id, reason.clone(), out);
-        if self.reserve(now, id) {
+        if self.reserve(now, id, out) {
             return;
         }
         for key in self.queue.block(&lane, &reason) {
--- a/crates/godwitstep-core/src/planner/reserve.rs
+++ b/crates/godwitstep-core/src/planner/reserve.rs
@@ -4,6 +4,7 @@
 use super::event::Action;
 use super::job::Stage;
 use super::place::Place;
+use super::queue::Key;
 use crate::fleet::{Charge, Index, Machine, Seat, Slot, Spot, State};
 use crate::id::Accelerators;
 use crate::resource::{Adjacency, Shape};
@@ -16,26 +17,32 @@
 impl Planner {
     /// Reserves the workers that are expected to be free first. Jobs with one accelerator need no
     /// reservation: whatever becomes free fits them.
-    pub(super) fn reserve(&mut self, now: Duration, id: u32) -> bool {
+    pub(super) fn reserve(&mut self, now: Duration, id: u32, out: &mut Vec<Action>) -> bool {
         let Some(entry) = self.jobs.get(&id) else {
             return false;
         };
-        let (shape, lane) = (entry.spec.shape, &entry.lane);
-        let mut holders = self
+        let shape = entry.spec.shape;
+        if shape.accelerators() == 1 {
+            return false;
+        }
+        let (soft, key) = (entry.lane.soft, entry.key);
+        let holders = self
             .reservations
             .iter()
-            .filter_map(|other| self.jobs.get(other));
-        if shape.accelerators() == 1
-            || self.reservations.len() >= self.settings.reservations
-            || holders.any(|holder| holder.lane == *lane)
-        {
+            .filter_map(|holder| self.jobs.get(holder));
+        // One reservation for each lane is enough: what fits the first fits the others.
+        let alike = holders.clone().find(|holder| holder.lane == entry.lane);
+        let weakest = holders.max_by_key(|holder| holder.key);
+        let full = self.reservations.len() >= self.settings.reservations;
+        let replaced = alike.or(weakest.filter(|_| full)).map(|holder| holder.key);
+        if replaced.is_some_and(|replaced| replaced < key) {
             return false;
         }
-        let soft = lane.soft;
         let charge = if soft { Charge::Soft } else { Charge::Firm };
-        let Some((start, spots)) = self.earliest(shape, soft) else {
+        let Some((start, spots)) = self.earliest(shape, soft, key) else {
             return false;
         };
+        self.yield_to(&spots, replaced, out);
         self.dequeue(id);
         let start = start.max(now);
         let stage = Stage::Pledged {
@@ -48,11 +55,25 @@
         true
     }
 
+    /// Lets the holders of reservations wait again that a more important job replaces.
+    fn yield_to(&mut self, spots: &[Spot], replaced: Option<Key>, out: &mut Vec<Action>) {
+        let mut yielding: Vec<u32> = replaced.map(|key| key.job).into_iter().collect();
+        for spot in spots {
+            yielding.extend(self.fleet.machine(spot.slot).pledges.keys());
+        }
+        yielding.sort_unstable();
+        yielding.dedup();
+        for holder in yielding {
+            self.drop_pledge(holder);
+            self.enqueue(holder, out);
+        }
+    }
+
     /// Finds the place that is expected to be free first, and when.
-    fn earliest(&self, shape: Shape, soft: bool) -> Option<(Duration, Vec<Spot>)> {
+    fn earliest(&self, shape: Shape, soft: bool, key: Key) -> Option<(Duration, Vec<Spot>)> {
         let mut groups: BTreeMap<(u32, u32), Vec<Candidate>> = BTreeMap::new();
         for machine in self.fleet.machines() {
-            let Some(amount) = self.drained(machine, soft) else {
+            let Some(amount) = self.drained(machine, soft, key) else {
                 continue;
             };
             let seat = machine.seat;
@@ -84,10 +105,15 @@
     }
 
     /// Returns the accelerators that a job could have on a worker once everything else that may
-    /// end there has ended; `None` if the worker is of no use or promised already.
-    fn drained(&self, machine: &Machine, soft: bool) -> Option<Accelerators> {
+    /// end there has ended; `None` if the worker is of no use or promised to a claim or to a more
+    /// important job.
+    fn drained(&self, machine: &Machine, soft: bool, key: Key) -> Option<Accelerators> {
         let usable = machine.state == State::Up && self.fleet.startable(machine.seat.domain);
-        if !usable || !machine.pledges.is_empty() {
+        let weaker = |holder: &u32| {
+            let entry = self.jobs.get(holder);
+            self.reservations.contains(holder) && entry.is_some_and(|entry| entry.key > key)
+        };
+        if !usable || !machine.pledges.keys().all(weaker) {
             return None;
         }
         let whole = machine.worker.accelerators;
@@ -98,8 +124,8 @@
         })
     }
 
-    /// Finds accelerators that are kept for a reservation but not needed until the job has ended
-    /// or can be told to stop.
+    /// Finds accelerators that are kept for a reservation, for a job that has ended before they are
+    /// needed, that can be told to stop, or that is more important than the holder.
     pub(super) fn find_shadow(&self, now: Duration, id: u32, avoid: &[Slot]) -> Option<Place> {
         let entry = self.jobs.get(&id)?;
         let (spec, soft) = (&entry.spec, entry.lane.soft);
@@ -108,13 +134,17 @@
             .run_time(&spec.workspace, &spec.kind, spec.run_s);
         let end = run_time.map(|time| now + time);
         for holder in &self.reservations {
-            let Some(run) = self.jobs.get(holder).and_then(|job| job.run.as_ref()) else {
+            let Some(owner) = self.jobs.get(holder) else {
+                continue;
+            };
+            let Some(run) = &owner.run else {
                 continue;
             };
             let Stage::Pledged { start, .. } = run.stage else {
                 continue;
             };
-            if !soft && end.is_none_or(|end| end > start) {
+            let in_time = end.is_some_and(|end| end <= start);
+            if !soft && !in_time && entry.key > owner.key {
                 continue;
             }
             let mut idle = Index::default();
