--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -11,9 +11,13 @@
 //! assert_eq!(shape.accelerators(), 16);
 //! ```
 
+pub mod admission;
 pub mod authority;
+pub mod backoff;
+pub mod budget;
 pub mod clock;
 pub mod id;
+pub mod key;
 pub mod planner;
 pub mod prelude;
 pub mod reason;
