--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod agent;
 pub mod http;
 pub mod link;
+pub mod log;
