test(router): compare ledgers of callers and targets under faults

Change: tests/router_random.rs drives three routers and four key tables with cut links, slow and duplicate replies, restarts of agents and entries, pauses, domains out of service and callers who retry elsewhere. Router::gone and Event::TargetGone let peer entries tell a new entry which lives of targets were lost before it started; without them it would run a key again. The audit checks deadlines on ticks only, since a thawed process handles other events before its first tick.

--- a/crates/godwitstep-core/src/router.rs
+++ b/crates/godwitstep-core/src/router.rs
@@ -31,7 +31,9 @@
 mod reply;
 mod settings;
 
-pub use event::{Action, Event, KeyState, Outcome, Refusal, Reply, Request, Sequence, Target};
+pub use event::{
+    Action, Event, Gone, KeyState, Outcome, Refusal, Reply, Request, Sequence, Target,
+};
 pub use settings::Settings;
 
 use crate::admission::Observed;
@@ -112,10 +114,11 @@
     /// Handles one event at the time `now`, which never decreases, and adds what is to be done.
     pub fn handle(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         let first = actions.len();
+        let tick = event == Event::Tick;
         self.audit.hear(now, &event);
         self.notice_pause(now);
         self.apply(now, event, actions);
-        self.audit.check(now, &actions[first..]);
+        self.audit.check(now, tick, &actions[first..]);
     }
 
     /// Returns the first violation of an invariant, with its context. Always `None` unless the
@@ -152,6 +155,13 @@
             .map(|member| (&member.target, member.ours()))
     }
 
+    /// Returns the lives of targets that are not linked to this entry and may have run keys, for
+    /// peer entries. See [`Event::TargetGone`].
+    #[must_use]
+    pub fn gone(&self, now: Duration) -> Vec<Gone> {
+        self.fleet.absent(now, self.settings.key_window)
+    }
+
     fn apply(&mut self, now: Duration, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Arrive(request) => self.arrive(now, request, actions),
@@ -177,7 +187,15 @@
             // A target is sent to from the next event on: the announcement of one that is leaving
             // comes as two events.
             Event::TargetUp(target) => return self.target_up(now, &target, actions),
-            Event::TargetElsewhere(target) => self.fleet.elsewhere(now, target),
+            Event::TargetElsewhere(target) => {
+                let (id, incarnation, service) = (target.id, target.incarnation, target.service);
+                self.fleet.gone(now, id, incarnation, service);
+            }
+            Event::TargetGone(gone) => {
+                let known = now.saturating_sub(gone.age);
+                self.fleet
+                    .gone(known, gone.id, gone.incarnation, gone.service);
+            }
             Event::Load { id, busy, ours } => {
                 let reliable = now >= self.reliable_from;
                 self.fleet.load(now, &id, busy, ours, reliable);
--- a/crates/godwitstep-core/src/router/audit.rs
+++ b/crates/godwitstep-core/src/router/audit.rs
@@ -5,9 +5,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Delay after its deadline by which a request must have been answered, given ticks in time.
-const LATE: Duration = Duration::from_millis(500);
-
 #[derive(Debug)]
 struct Open {
     idempotent: bool,
@@ -23,7 +20,6 @@
     /// Failure domain of each target and whether it is leaving.
     targets: BTreeMap<TargetId, (DomainId, bool)>,
     out: BTreeSet<DomainId>,
-    last: Duration,
     violation: Option<String>,
 }
 
@@ -82,8 +78,9 @@
         }
     }
 
-    /// Checks the actions that the router returned for the event.
-    pub fn check(&mut self, now: Duration, actions: &[Action]) {
+    /// Checks the actions that the router returned for the event, and after a tick that no
+    /// deadline has passed without an answer.
+    pub fn check(&mut self, now: Duration, tick: bool, actions: &[Action]) {
         for action in actions {
             match action {
                 Action::Send { sequence, target } => self.check_send(now, *sequence, target),
@@ -91,16 +88,10 @@
                 Action::Fence { .. } | Action::Cancel { .. } => {}
             }
         }
-        // A process that was paused answers late through no fault of the policy.
-        let paused = now.saturating_sub(self.last) > LATE;
-        self.last = now;
-        if paused {
+        if !tick {
             return;
         }
-        let late = self
-            .open
-            .iter()
-            .find(|(_, open)| open.deadline + LATE < now);
+        let late = self.open.iter().find(|(_, open)| open.deadline < now);
         if let Some((sequence, _)) = late {
             let text = format!("request {sequence} has no answer after its deadline");
             self.report(now, text);
--- a/crates/godwitstep-core/src/router/event.rs
+++ b/crates/godwitstep-core/src/router/event.rs
@@ -47,6 +47,19 @@
     pub slots: u32,
 }
 
+/// A life of a target that can't be asked about keys, and may have run some.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gone {
+    /// Name of the target.
+    pub id: TargetId,
+    /// Life of its agent.
+    pub incarnation: Incarnation,
+    /// Service that it served.
+    pub service: ServiceId,
+    /// Time since it was last known.
+    pub age: Duration,
+}
+
 /// What an agent says about one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Reply {
@@ -106,6 +119,9 @@
     TargetUp(Target),
     /// A peer entry knows a target that has no link to this entry.
     TargetElsewhere(Target),
+    /// A peer entry has lost a target within the key window. An entry that has just started
+    /// learns in this way what it did not see itself.
+    TargetGone(Gone),
     /// A heartbeat of an agent.
     Load {
         /// The target.
--- a/crates/godwitstep-core/src/router/fleet.rs
+++ b/crates/godwitstep-core/src/router/fleet.rs
@@ -1,6 +1,6 @@
 //! The targets that this entry knows, and the choice among them.
 
-use super::{Sequence, Target};
+use super::{Gone, Sequence, Target};
 use crate::id::{DomainId, Incarnation, ServiceId, TargetId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -147,18 +147,38 @@
         lost
     }
 
-    /// Notes a target that only a peer entry is linked to.
-    pub fn elsewhere(&mut self, now: Duration, target: Target) {
+    /// Notes a life of a target that was known at a time and is not linked.
+    pub fn gone(
+        &mut self,
+        known: Duration,
+        id: TargetId,
+        incarnation: Incarnation,
+        service: ServiceId,
+    ) {
         let linked = self
             .members
-            .get(&target.id)
-            .is_some_and(|member| member.target.incarnation >= target.incarnation);
+            .get(&id)
+            .is_some_and(|member| member.target.incarnation == incarnation);
         if !linked {
-            let life = (target.service, target.id, target.incarnation);
-            self.absent.insert(life, now);
+            let last = self.absent.entry((service, id, incarnation)).or_default();
+            *last = known.max(*last);
         }
     }
 
+    /// Returns the lives of targets that were known within the window and are not linked.
+    pub fn absent(&self, now: Duration, window: Duration) -> Vec<Gone> {
+        self.absent
+            .iter()
+            .filter(|(_, known)| **known + window > now)
+            .map(|((service, id, incarnation), known)| Gone {
+                id: id.clone(),
+                incarnation: *incarnation,
+                service: service.clone(),
+                age: now.saturating_sub(*known),
+            })
+            .collect()
+    }
+
     /// Removes a target. Returns the requests that are lost with it.
     pub fn lose(
         &mut self,
--- a/crates/godwitstep-core/tests/router_policy.rs
+++ b/crates/godwitstep-core/tests/router_policy.rs
@@ -251,6 +251,12 @@
     }
     let refused = bench.arrive("urgent", 60_000);
     assert_eq!(refusal(&refused).reason, Reason::LimitReached);
+    // An earlier request with the key may have run, so the refusal must not claim the opposite.
+    let mut request = bench.request("urgent", 60_000);
+    request.attempt = 2;
+    let refused = bench.on(Event::Arrive(request));
+    let reason = Reason::LimitReached;
+    assert_eq!(outcome(&refused), &Outcome::Unknown { reason });
     let mut request = bench.request("urgent", 60_000);
     request.workspace = "v".into();
     assert!(bench.on(Event::Arrive(request)).is_empty());
--- /dev/null
+++ b/crates/godwitstep-core/tests/world/agent.rs
@@ -0,0 +1,209 @@
+//! An agent with its key table and the target beside it.
+
+use super::{AGENTS, ENTRIES, Order, World, ms};
+use godwitstep_core::Reason;
+use godwitstep_core::id::Key;
+use godwitstep_core::key::{Admit, Ask, End, Owner, Table};
+use godwitstep_core::router::{Event, KeyState, Reply, Target};
+
+const SLOTS: usize = 4;
+
+pub struct Agent {
+    pub incarnation: u64,
+    pub target: Target,
+    pub leaving: bool,
+    started: u64,
+    table: Table,
+    running: Vec<Run>,
+    next_beat: u64,
+}
+
+struct Run {
+    ends: u64,
+    owner: Owner,
+    key: Key,
+    idempotent: bool,
+}
+
+impl Agent {
+    pub fn new(index: usize, now: u64) -> Self {
+        let incarnation = 1_000_000 + now * 1_000;
+        // An agent that is there from the start is taken to have started long before.
+        let started = if now == 0 { 0 } else { now + 10_000 };
+        Self {
+            incarnation,
+            target: Target {
+                id: format!("t{index}").into(),
+                incarnation,
+                service: "s".into(),
+                domain: ["a", "b"][index % 2].into(),
+                slots: 4,
+            },
+            leaving: false,
+            started,
+            table: Table::new(ms(started)),
+            running: Vec::new(),
+            next_beat: 0,
+        }
+    }
+}
+
+impl World {
+    pub fn tick_agents(&mut self) {
+        for index in 0..AGENTS {
+            let now = self.now;
+            while let Some(at) = self.agents[index]
+                .running
+                .iter()
+                .position(|run| run.ends <= now)
+            {
+                let run = self.agents[index].running.swap_remove(at);
+                let end = match self.rng.u8(..40) {
+                    0 => End::Failed,
+                    1 if self.faulty => End::Unknown,
+                    _ => End::Answered(run.key.as_bytes().to_vec().into()),
+                };
+                self.end(index, &run, &end);
+            }
+            if now >= self.agents[index].next_beat {
+                self.agents[index].next_beat = now + 500;
+                self.beat(index);
+            }
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        for entry in 0..ENTRIES {
+            let life = self.entries[entry].incarnation;
+            let running = &self.agents[index].running;
+            let count = |count: usize| u32::try_from(count).unwrap();
+            let ours = running
+                .iter()
+                .filter(|run| run.owner.incarnation == life)
+                .count();
+            let (busy, ours) = (count(running.len()), count(ours));
+            let id = self.agents[index].target.id.clone();
+            self.reply(index, entry, Event::Load { id, busy, ours }, None);
+        }
+    }
+
+    /// Tells the owner of a run and those who wait for it how it ended.
+    fn end(&mut self, index: usize, run: &Run, end: &End) {
+        let now = self.agent_time(index);
+        let table = &mut self.agents[index].table;
+        let mut owners = table.finish(now, run.owner, &run.key, end.clone());
+        owners.push(run.owner);
+        for owner in owners {
+            let (reply, body) = match end {
+                End::Answered(_) => (Reply::Answered, Some(run.key.clone())),
+                End::Failed => (Reply::Failed, None),
+                End::NotStarted => (Reply::NotStarted(Reason::TargetLost), None),
+                End::Unknown => (Reply::Unknown, None),
+            };
+            self.tell(index, owner, reply, body);
+        }
+    }
+
+    fn tell(&mut self, index: usize, owner: Owner, reply: Reply, body: Option<Key>) {
+        let of = |entry: &usize| self.entries[*entry].incarnation == owner.incarnation;
+        let Some(entry) = (0..ENTRIES).find(of) else {
+            return;
+        };
+        let target = self.agents[index].target.id.clone();
+        let event = Event::Reply {
+            sequence: owner.sequence,
+            target,
+            reply,
+        };
+        if self.faulty && self.rng.u8(..10) == 0 {
+            self.reply(index, entry, event.clone(), body.clone());
+        }
+        self.reply(index, entry, event, body);
+    }
+
+    fn agent_time(&self, index: usize) -> std::time::Duration {
+        // Time runs from 10 s before the world's start, for the sake of the agents' uptime.
+        ms(self.now + 10_000).max(ms(self.agents[index].started))
+    }
+
+    pub fn order(&mut self, from: usize, index: usize, order: Order) {
+        let now = self.agent_time(index);
+        match order {
+            Order::Run {
+                owner,
+                request,
+                age,
+            } => {
+                let (key, idempotent) = (request.key.clone(), request.idempotent);
+                let ask = Ask {
+                    owner,
+                    key,
+                    idempotent,
+                    age,
+                };
+                self.start(index, now, &ask);
+            }
+            Order::Fence { owner, key } => {
+                let (state, _) = self.agents[index].table.fence(now, owner, &key);
+                let target = self.agents[index].target.id.clone();
+                let event = Event::Fenced {
+                    sequence: owner.sequence,
+                    target,
+                    state,
+                };
+                self.reply(index, from, event, None);
+                if state == KeyState::Answered {
+                    self.tell(index, owner, Reply::Answered, Some(key));
+                }
+            }
+            Order::Cancel { owner } => {
+                let running = &mut self.agents[index].running;
+                let cancelled = |run: &Run| run.owner == owner && run.idempotent;
+                if let Some(at) = running.iter().position(cancelled) {
+                    let run = running.swap_remove(at);
+                    self.end(index, &run, &End::Unknown);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize, now: std::time::Duration, ask: &Ask) {
+        let owner = ask.owner;
+        let not_started = |reason| (Reply::NotStarted(reason), None);
+        let agent = &mut self.agents[index];
+        let (reply, body) = if agent.leaving {
+            not_started(Reason::Stopping)
+        } else if agent.running.len() >= SLOTS {
+            not_started(Reason::LimitReached)
+        } else {
+            match agent.table.admit(now, ask) {
+                Admit::Run => {
+                    let (key, idempotent) = (ask.key.clone(), ask.idempotent);
+                    let ends = self.now + self.rng.u64(5..120);
+                    let run = Run {
+                        ends,
+                        owner,
+                        key,
+                        idempotent,
+                    };
+                    if self.faulty && self.rng.u8(..30) == 0 {
+                        self.end(index, &run, &End::NotStarted);
+                    } else {
+                        self.runs.entry(ask.key.clone()).or_default().push(owner);
+                        self.agents[index].running.push(run);
+                    }
+                    return;
+                }
+                Admit::Running => return,
+                Admit::Answered(body) => {
+                    assert_eq!(body, ask.key.as_bytes());
+                    (Reply::Answered, Some(ask.key.clone()))
+                }
+                Admit::Failed => (Reply::Failed, None),
+                Admit::Unknown => (Reply::Unknown, None),
+                Admit::Refuse(reason) => not_started(reason),
+            }
+        };
+        self.tell(index, owner, reply, body);
+    }
+}
