feat(burn): service-level accounting that merges across entries

Cause: late answers cost refunds, so the system must show what was late, what it costs and how fast the allowance is used up.

Change: burn::Ledger counts by entry, life, bucket of 10 s, workspace and kind, with times of the steps queue, link and run. Counters only grow, so merging takes the greater state and is commutative and idempotent. Ledger::lines gives burn rates over four windows and a fast or slow alert.

Ruled out: merging by sums with a list of merged parts, which has to be kept as long as the counters and breaks when a part is sent in two states.

Checked by crates/godwitstep-core/tests/burn.rs (4 tests).

--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod authority;
 pub mod backoff;
 pub mod budget;
+pub mod burn;
 pub mod clock;
 pub mod id;
 pub mod key;
--- /dev/null
+++ b/crates/godwitstep-core/tests/burn.rs
@@ -0,0 +1,118 @@
+//! Service-level accounting.
+
+use godwitstep_core::burn::{Alert, Ledger, Observation, Verdict};
+use std::time::{Duration, SystemTime};
+
+fn at(seconds: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000 + seconds)
+}
+
+fn seen(verdict: Verdict) -> Observation {
+    Observation::new("w", "k", verdict).refund(2.0)
+}
+
+fn random(entry: &str, seed: u64) -> Ledger {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut ledger = Ledger::new(entry, 1 + seed % 2);
+    for _ in 0..200 {
+        let verdict = [Verdict::OnTime, Verdict::Late, Verdict::Unknown][rng.usize(..3)];
+        let run = Some(Duration::from_micros(rng.u64(1..1_000_000)));
+        let observation = Observation::new("w", "k", verdict).steps(run, None, run);
+        ledger.record(at(rng.u64(..300)), &observation);
+    }
+    ledger
+}
+
+/// Guards against reports that depend on the order or number of exchanges between entries.
+#[test]
+fn merging_is_commutative_and_idempotent() {
+    for seed in 0..50 {
+        let (one, two) = (random("a", seed), random("b", seed + 7));
+        let mut older = random("a", seed);
+        older.trim(at(3_600 + 100));
+        let merge = |parts: [&Ledger; 4]| {
+            let mut whole = Ledger::new("report", 0);
+            for part in parts {
+                whole.merge(part);
+            }
+            whole
+        };
+        let whole = merge([&one, &two, &older, &one]);
+        assert_eq!(whole, merge([&older, &one, &one, &two]));
+        assert_eq!(whole, merge([&two, &one, &two, &whole]));
+        let lines = whole.lines(at(300));
+        assert_eq!(lines[0].on_time + lines[0].late + lines[0].unknown, 400);
+        let text = serde_json::to_string(&whole).unwrap();
+        assert_eq!(serde_json::from_str::<Ledger>(&text).unwrap(), whole);
+    }
+}
+
+/// Guards against a copy taken in the middle of a bucket that hides what came later in it.
+#[test]
+fn the_newer_state_of_a_bucket_prevails() {
+    let mut ledger = Ledger::new("a", 1);
+    ledger.record(at(0), &seen(Verdict::Late));
+    let earlier = ledger.clone();
+    ledger.record(at(1), &seen(Verdict::Late));
+    let mut report = Ledger::new("report", 0);
+    report.merge(&ledger);
+    report.merge(&earlier);
+    let line = &report.lines(at(2))[0];
+    assert_eq!((line.late, line.refund_due), (2, 4.0));
+}
+
+/// Guards against alerts on single late answers, on past trouble, and against silence on a slow
+/// burn. Each row: late answers of 100 a minute in the last minute, the nine minutes before, and
+/// the rest of the hour.
+#[test]
+fn alerts_need_both_windows() {
+    let rows = [
+        ([0, 0, 0], None),
+        ([2, 2, 2], None),
+        ([20, 0, 0], None),
+        ([20, 20, 0], Some(Alert::Fast)),
+        ([0, 20, 20], Some(Alert::Slow)),
+        ([0, 0, 20], None),
+        ([4, 4, 4], Some(Alert::Slow)),
+    ];
+    for ([last, before, rest], expected) in rows {
+        let mut ledger = Ledger::new("a", 1);
+        for minute in 0..60 {
+            let late = match minute {
+                59 => last,
+                50..=58 => before,
+                _ => rest,
+            };
+            for number in 0..100 {
+                let verdict = if number < late {
+                    Verdict::Late
+                } else {
+                    Verdict::OnTime
+                };
+                ledger.record(at(minute * 60 + 30), &seen(verdict));
+            }
+        }
+        let line = &ledger.lines(at(3_595))[0];
+        assert_eq!(line.alert, expected, "{:?}", line.burn);
+    }
+}
+
+/// Guards against step times that are off by more than the classes allow, and against memory of
+/// more than an hour.
+#[test]
+fn steps_are_summed_and_old_buckets_dropped() {
+    let mut ledger = Ledger::new("a", 1);
+    for millis in 1..=100 {
+        let run = Some(Duration::from_millis(millis));
+        ledger.record(at(0), &seen(Verdict::Unknown).steps(None, None, run));
+    }
+    let line = &ledger.lines(at(0))[0];
+    assert_eq!(line.run.mean_us, 50_500);
+    assert!((50_000..=100_000).contains(&line.run.p50_us));
+    assert!((99_000..=198_000).contains(&line.run.p99_us));
+    assert_eq!(line.queue.p99_us, 0);
+    assert_eq!((line.refund_due, line.refund_at_risk), (0.0, 200.0));
+    ledger.record(at(3_700), &seen(Verdict::Refused));
+    let line = &ledger.lines(at(3_700))[0];
+    assert_eq!((line.unknown, line.refused), (0, 1));
+}
