--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -3,4 +3,5 @@
 //! Everything of one daemon runs on one thread with a local executor, so shared state is kept in
 //! `Rc<RefCell<..>>` and is never borrowed across an await.
 
+pub mod caller;
 pub mod http;
