feat(http): streamed answers for clients, and a bound on stalled writes

Cause: a peer that stops reading kept its connection and answer until the operating system gave up on it, after many minutes. Watches need answers that are read as they come.

Change: writes of the server fail after write_time without progress, and Client::stream returns the head with a body that carries its connection.

--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -1,7 +1,9 @@
 //! Client helper: a pool of kept-alive connections to one address.
 
+use super::body::Body;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
 use hyper::{Request, Response};
@@ -19,9 +21,11 @@
 use std::time::{Duration, Instant};
 
 mod error;
+mod streaming;
 mod witness;
 
 pub use error::{Cause, Error, Step};
+use streaming::Streaming;
 use witness::Witness;
 
 type Driver = Pin<Box<http1::Connection<FuturesIo<Witness<TcpStream>>, Full<Bytes>>>>;
@@ -132,6 +136,43 @@
     ) -> Result<Response<Bytes>, Error> {
         let progress = Progress::default();
         let work = self.attempt(request, &progress);
+        self.within(time, work, &progress).await
+    }
+
+    /// Sends a request on a connection of its own and returns once the head of the answer has come,
+    /// within `time`. The body is read as it comes, without a bound on time or size.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that tells the step and whether bytes of the request were sent.
+    pub async fn stream(
+        &self,
+        mut request: Request<Bytes>,
+        time: Duration,
+    ) -> Result<Response<Body>, Error> {
+        let progress = Progress::default();
+        self.name_host(&mut request);
+        let work = async {
+            progress.step.set(Some(Step::Connect));
+            let mut connection = self.connect().await?;
+            let head = self.head(&mut connection, request, &progress).await?;
+            Ok(head.map(|body| -> Body { Box::pin(Streaming { connection, body }) }))
+        };
+        self.within(time, work, &progress).await
+    }
+
+    fn name_host(&self, request: &mut Request<Bytes>) {
+        if !request.headers().contains_key(HOST) {
+            request.headers_mut().insert(HOST, self.host.clone());
+        }
+    }
+
+    async fn within<T>(
+        &self,
+        time: Duration,
+        work: impl Future<Output = Result<T, (Step, Cause)>>,
+        progress: &Progress,
+    ) -> Result<T, Error> {
         let late = async {
             Timer::after(time).await;
             Err((Step::Wait, Cause::Late { time }))
@@ -149,9 +190,7 @@
         mut request: Request<Bytes>,
         progress: &Progress,
     ) -> Result<Response<Bytes>, (Step, Cause)> {
-        if !request.headers().contains_key(HOST) {
-            request.headers_mut().insert(HOST, self.host.clone());
-        }
+        self.name_host(&mut request);
         let _permit = self.open.acquire().await;
         while let Some(mut connection) = self.reuse().await {
             match self
@@ -197,24 +236,33 @@
         })
     }
 
-    async fn converse(
+    /// Sends a request and waits for the head of the answer.
+    async fn head(
         &self,
         connection: &mut Connection,
         request: Request<Bytes>,
         progress: &Progress,
-    ) -> Result<Response<Bytes>, (Step, Cause)> {
+    ) -> Result<Response<Incoming>, (Step, Cause)> {
         connection.written.set(false);
         *progress.written.borrow_mut() = Some(connection.written.clone());
         progress.step.set(Some(Step::Exchange));
         let Connection { sender, driver, .. } = connection;
-        let failed = |error| (Step::Exchange, Cause::Protocol(error));
-        let response = drive(driver, sender.send_request(request.map(Full::new)))
+        drive(driver, sender.send_request(request.map(Full::new)))
             .await
-            .map_err(failed)?;
+            .map_err(|error| (Step::Exchange, Cause::Protocol(error)))
+    }
+
+    async fn converse(
+        &self,
+        connection: &mut Connection,
+        request: Request<Bytes>,
+        progress: &Progress,
+    ) -> Result<Response<Bytes>, (Step, Cause)> {
+        let response = self.head(connection, request, progress).await?;
         progress.step.set(Some(Step::Body));
         let (head, body) = response.into_parts();
         let limit = self.options.body;
-        let body = drive(driver, Limited::new(body, limit).collect())
+        let body = drive(&mut connection.driver, Limited::new(body, limit).collect())
             .await
             .map_err(|error| match error.downcast::<LengthLimitError>() {
                 Ok(_) => (Step::Body, Cause::TooLarge { limit }),
--- a/crates/godwitstep/src/http/server.rs
+++ b/crates/godwitstep/src/http/server.rs
@@ -18,6 +18,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+mod stall;
+
+use stall::Stall;
+
 /// Delay after a failed accept. Without it, a process that has run out of file descriptors would
 /// spin on the error.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
@@ -35,6 +39,8 @@
     pub head: usize,
     /// Longest wait for a request's head, from the accept or from the previous answer.
     pub head_time: Duration,
+    /// Longest time in which a peer reads nothing of an answer that is being sent.
+    pub write_time: Duration,
 }
 
 impl Default for Limits {
@@ -44,6 +50,7 @@
             fields: 64,
             head: 16 * 1024,
             head_time: Duration::from_secs(30),
+            write_time: Duration::from_secs(30),
         }
     }
 }
@@ -189,7 +196,8 @@
         .max_headers(limits.fields)
         .max_header_size(limits.head)
         .max_buf_size(limits.head.max(8 * 1024));
-    let mut serving = pin!(builder.serve_connection(FuturesIo::new(stream), service));
+    let io = FuturesIo::new(Stall::new(stream, limits.write_time));
+    let mut serving = pin!(builder.serve_connection(io, service));
     let result = match select(serving.as_mut(), pin!(signal.wait())).await {
         Either::Left((result, _)) => result,
         Either::Right(((), _)) => {
--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use godwitstep::http::{self, Client, Limits, Options, Shutdown, Signal, Step};
+use http_body_util::BodyExt;
 use hyper::{Request, Response, StatusCode};
 use smol::future::zip;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
@@ -217,3 +218,35 @@
         zip(echo(listener, limits, signal), calls).await;
     });
 }
+
+/// Guards against streamed answers that are held back until their end, and against a peer that
+/// stops reading and keeps its connection for ever.
+#[test]
+fn streams_come_in_parts_and_stalled_peers_are_cut_off() {
+    smol::block_on(async {
+        let (listener, address) = listen().await;
+        let (shutdown, signal) = Shutdown::new();
+        let limits = Limits {
+            write_time: Duration::from_millis(100),
+            ..Limits::default()
+        };
+        let server = http::serve(listener, limits, signal, async |_| {
+            let part = Bytes::from(vec![0; 1 << 20]);
+            Response::new(http::stream(stream::repeat_with(move || Ok(part.clone()))))
+        });
+        let calls = async {
+            let response = Client::new(address).stream(get("/"), TIME).await.unwrap();
+            let mut body = response.into_body();
+            for _ in 0..20 {
+                assert!(body.frame().await.unwrap().is_ok());
+            }
+            // The server can only end once the connection, which is no longer read, has.
+            shutdown.start();
+            smol::Timer::after(Duration::from_millis(300)).await;
+            body
+        };
+        let started = Instant::now();
+        zip(server, calls).await;
+        assert!(started.elapsed() < TIME);
+    });
+}
