--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -4,6 +4,7 @@
 //! `Rc<RefCell<..>>` and is never borrowed across an await.
 
 pub mod agent;
+pub mod caller;
 pub mod http;
 pub mod link;
 pub mod log;
