feat: the entry, its decider, and both daemons

Cause: the parts (router, planner, registry, links, log) had nothing that drove them. Change: the entry follows both streams of the log, passes evidence and records between entries, judges its standing, connects the callers' front and the operators' interface to the links, and runs the planner while it holds the region's claim. Announcements carry the epoch under which the inventory was made, so that a decider passes over older ones. Job starts need a record in the log: while the log is away accepted jobs wait, because a run that is not recorded would be unknown to the next decider. Ruled out: starting accepted jobs while the log is away. A decider that is cut off could start an attempt that the next decider does not know of. Nothing measured yet.

--- a/crates/godwitstep-cli/src/daemon.rs
+++ b/crates/godwitstep-cli/src/daemon.rs
@@ -3,22 +3,54 @@
 use crate::check::read;
 use crate::command::override_id;
 use crate::failure::Failure;
+use async_signal::{Signal, Signals};
 use clap::ArgMatches;
 use godwitstep::settings::{self, Agent, Entry, Override, Settings};
 use godwitstep::telemetry;
+use godwitstep_core::clock;
+use smol::channel::Receiver;
+use smol::stream::StreamExt;
+use std::sync::Arc;
 
 /// Runs an entry until it is told to stop.
 pub fn entry(matches: &ArgMatches) -> Result<(), Failure> {
     let settings: Entry = load(matches)?;
     start(settings.log_format, settings.log_level)?;
-    Err(missing("entry"))
+    let clock = Arc::new(clock::System::new());
+    run(|stop| godwitstep::entry::run(settings, clock, stop))
 }
 
 /// Runs an agent until it is told to stop.
 pub fn agent(matches: &ArgMatches) -> Result<(), Failure> {
     let settings: Agent = load(matches)?;
     start(settings.log_format, settings.log_level)?;
-    Err(missing("agent"))
+    let clock = Arc::new(clock::System::new());
+    let settings = beside(settings)?;
+    run(|stop| godwitstep::agent::run(settings, clock, stop))
+}
+
+fn beside(settings: Agent) -> Result<godwitstep::agent::Settings, Failure> {
+    use godwitstep::agent;
+    let key = String::from_utf8_lossy(settings.link_key.expose()).into_owned();
+    let link_key = godwitstep_wire::auth::Key::new(key);
+    Ok(agent::Settings {
+        name: settings.name,
+        region: settings.region,
+        domain: settings.domain,
+        rack: settings.rack,
+        entries: settings.entries,
+        link_key: link_key.map_err(|error| Failure::Failed(error.to_string()))?,
+        target: settings.target.map(|target| agent::Target {
+            service: target.service,
+            slots: target.slots,
+            address: target.address,
+        }),
+        worker: settings.worker.map(|worker| agent::Worker {
+            address: worker.address,
+            accelerators: worker.accelerators,
+        }),
+        stop_limit_ms: u64::try_from(settings.stop_limit.as_millis()).unwrap_or(u64::MAX),
+    })
 }
 
 /// Runs all roles in one process over loopback sockets.
@@ -30,6 +62,27 @@
     Failure::Failed(format!("the role {role} is not part of this build"))
 }
 
+/// Runs a role on this thread until the process is told to stop.
+fn run<F, E>(role: impl FnOnce(Receiver<()>) -> F) -> Result<(), Failure>
+where
+    F: Future<Output = Result<(), E>>,
+    E: std::fmt::Display,
+{
+    let failed = |error: &dyn std::fmt::Display| Failure::Failed(error.to_string());
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let mut signals = signals.map_err(|error| failed(&error))?;
+    let (sender, stop) = smol::channel::bounded(1);
+    let watch = async {
+        if let Some(Ok(signal)) = signals.next().await {
+            tracing::info!(?signal, "told to stop");
+        }
+        sender.close();
+        std::future::pending().await
+    };
+    let result = smol::block_on(smol::future::or(role(stop), watch));
+    result.map_err(|error| failed(&error))
+}
+
 fn load<S: Settings>(matches: &ArgMatches) -> Result<S, Failure> {
     let file = matches.get_one::<String>("settings");
     let file = file.ok_or_else(|| Failure::Usage("--settings is missing".to_owned()))?;
--- a/crates/godwitstep-wire/src/frame.rs
+++ b/crates/godwitstep-wire/src/frame.rs
@@ -86,6 +86,9 @@
     pub inventory: Vec<Running>,
     /// Whether the target and the worker take no new work.
     pub leaving: bool,
+    /// Newest epoch that the agent knew when it made the inventory. A decider passes over an
+    /// inventory made under an older epoch than its own.
+    pub epoch: Epoch,
 }
 
 /// Requests that a target runs.
--- a/crates/godwitstep-wire/tests/hostile.rs
+++ b/crates/godwitstep-wire/tests/hostile.rs
@@ -34,6 +34,7 @@
             worker: None,
             inventory: Vec::new(),
             leaving: true,
+            epoch: 4,
         }),
         Frame::Heartbeat(Heartbeat {
             sequence: 9,
--- a/crates/godwitstep/src/agent/state.rs
+++ b/crates/godwitstep/src/agent/state.rs
@@ -142,6 +142,7 @@
             worker: parts.as_ref().map(|_| self.described_worker()),
             inventory: parts.map_or_else(Vec::new, |parts| parts.table.inventory()),
             leaving: self.stopping.get() || health == Health::Leaving,
+            epoch: self.rules.borrow().epoch(),
         }
     }
 
--- /dev/null
+++ b/crates/godwitstep/src/entry.rs
@@ -0,0 +1,30 @@
+//! The entry: serves callers and operators, links agents and peer entries, follows the log, and
+//! decides for its region while it holds the claim.
+//!
+//! [`run`] puts the parts together. All of them share one [`State`](state::State) on one thread:
+//!
+//! | part | does |
+//! |---|---|
+//! | `follow` | reads both streams, folds records and spreads what changed |
+//! | `stream` | keeps the evidence and the recent records of a stream |
+//! | `links` | knows which agents and peers are linked, and what they announced |
+//! | `peers` | passes evidence and records between entries |
+//! | `standing` | judges whether work may start, and tells the agents |
+//! | `requests` | connects the callers' front to the links |
+//! | `store` | connects the operators' interface to the registry and the log |
+
+mod error;
+mod follow;
+mod links;
+mod peers;
+mod requests;
+mod run;
+mod serve;
+mod standing;
+mod state;
+mod store;
+mod stream;
+
+pub use error::{Error, Step};
+pub use run::run;
+pub(crate) use state::State;
--- /dev/null
+++ b/crates/godwitstep/src/entry/peers.rs
@@ -0,0 +1,134 @@
+//! Passes evidence of the log's tail, and records, between entries.
+//!
+//! An entry that can read the log tells its peers the tail with each heartbeat. A peer that is
+//! behind that tail and can't read the log itself asks for the records it lacks.
+
+use super::State;
+use super::follow;
+use crate::link::{Link, LinkId};
+use godwitstep_core::authority::EVIDENCE_LIMIT;
+use godwitstep_core::registry::Stream;
+use godwitstep_core::router;
+use godwitstep_wire::{Frame, Heartbeat, Records};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Age of the own evidence from which records are asked for from peers.
+const STALE: Duration = Duration::from_millis(1_200);
+/// Records of one frame. Unit: bytes.
+const MAX_BYTES: usize = 256 * 1024;
+
+const STREAMS: [Stream; 2] = [Stream::Config, Stream::Jobs];
+
+/// Tells a peer the tails that this entry knows and the targets that are linked to it.
+pub(super) fn beat(state: &State, link: &Link, sequence: u64) {
+    for stream in STREAMS {
+        if let Some(frame) = evidence(state, stream) {
+            link.send(frame);
+        }
+    }
+    link.send(Frame::Heartbeat(Heartbeat {
+        sequence,
+        load: None,
+        busy_accelerators: None,
+        rules: None,
+        targets: state.links.borrow().targets(),
+    }));
+}
+
+/// Returns a frame with the newest tail and no records, if that tail is fresh.
+fn evidence(state: &State, stream: Stream) -> Option<Frame> {
+    let position = state.registry.borrow().position(stream);
+    let known = state.stream(stream);
+    let evidence = known.evidence(state.now(), position)?;
+    (evidence.age <= EVIDENCE_LIMIT).then(|| {
+        Frame::Records(Records {
+            stream: known.name.as_str().into(),
+            tail: evidence.tail,
+            age: evidence.age,
+            next: position,
+            records: Vec::new(),
+        })
+    })
+}
+
+/// Takes in a tail and records that a peer passed on.
+pub(super) fn take(state: &Rc<State>, id: LinkId, told: &Records) {
+    let Some(stream) = stream_of(state, &told.stream) else {
+        return;
+    };
+    let at = state.now().saturating_sub(told.age);
+    if let Some(peer) = state.links.borrow_mut().peer_of(id) {
+        peer.evidence[stream as usize] = Some(at);
+    }
+    let known = state.stream(stream);
+    known.pass(told.tail, at);
+    if let Err(gap) = follow::take_all(state, stream, &told.records) {
+        tracing::debug!(%gap, "records of a peer do not follow the position");
+    }
+    let position = state.registry.borrow().position(stream);
+    let own = known.tip.evidence();
+    let unread = own.is_none_or(|evidence| evidence.age > STALE);
+    if unread && position < told.tail {
+        let want = Frame::Want {
+            stream: told.stream.clone(),
+            from: position,
+        };
+        if let Some(peer) = state.links.borrow_mut().peer_of(id) {
+            peer.link.send(want);
+        }
+    }
+}
+
+/// Answers a peer that lacks records. What is not kept any more can't be passed on; the peer then
+/// waits until it can read the log.
+pub(super) fn pass(state: &State, id: LinkId, name: &str, from: u64) {
+    let Some(stream) = stream_of(state, name) else {
+        return;
+    };
+    let known = state.stream(stream);
+    let position = state.registry.borrow().position(stream);
+    let evidence = known.evidence(state.now(), position);
+    let records = known.recent(from, MAX_BYTES);
+    if let (Some(evidence), Some(records)) = (evidence, records)
+        && let Some(peer) = state.links.borrow_mut().peer_of(id)
+    {
+        let next = records.last().map_or(from, |(offset, _)| offset + 1);
+        peer.link.send(Frame::Records(Records {
+            stream: name.into(),
+            tail: evidence.tail,
+            age: evidence.age,
+            next,
+            records,
+        }));
+    }
+}
+
+/// Takes in which targets are linked to a peer.
+pub(super) fn hear(state: &State, id: LinkId, told: Heartbeat) {
+    let mut links = state.links.borrow_mut();
+    let elsewhere: Vec<_> = told
+        .targets
+        .iter()
+        .filter(|target| {
+            let agent = links.agent(&target.id);
+            agent.is_none_or(|agent| agent.link.peer().incarnation < target.incarnation)
+        })
+        .cloned()
+        .collect();
+    if let Some(peer) = links.peer_of(id) {
+        peer.targets = told.targets;
+    }
+    drop(links);
+    for target in elsewhere {
+        if let Some(front) = state.front() {
+            front.handle(router::Event::TargetElsewhere(target));
+        }
+    }
+}
+
+fn stream_of(state: &State, name: &str) -> Option<Stream> {
+    STREAMS
+        .into_iter()
+        .find(|stream| state.stream(*stream).name == name)
+}
--- /dev/null
+++ b/crates/godwitstep/src/entry/state.rs
@@ -0,0 +1,67 @@
+//! State that the parts of an entry share.
+
+use super::links::Links;
+use super::stream::Stream;
+use crate::caller::Front;
+use crate::decider::Decider;
+use crate::http::Signal;
+use crate::settings;
+use godwitstep_core::authority::Standing;
+use godwitstep_core::clock::Clock;
+use godwitstep_core::registry::{self, Registry};
+use godwitstep_wire::Peer;
+use metrics_exporter_prometheus::PrometheusHandle;
+use smol::LocalExecutor;
+use std::cell::{Cell, OnceCell, RefCell};
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Everything that the tasks of one entry share. Never borrowed across an await.
+pub(crate) struct State {
+    pub(crate) settings: settings::Entry,
+    pub(crate) identity: Peer,
+    pub(super) clock: Arc<dyn Clock>,
+    pub(crate) registry: RefCell<Registry>,
+    pub(super) streams: [Stream; 2],
+    pub(crate) links: RefCell<Links>,
+    pub(crate) standing: Cell<Standing>,
+    /// When the standing last changed.
+    pub(super) since: Cell<Duration>,
+    /// The planner, while this entry holds the claim of its region.
+    pub(crate) decider: RefCell<Option<Decider>>,
+    /// The callers' front. Set before any task runs.
+    pub(super) front: OnceCell<Rc<Front>>,
+    pub(super) executor: Weak<LocalExecutor<'static>>,
+    pub(super) metrics: PrometheusHandle,
+    /// Ends watches and servers.
+    pub(super) signal: Signal,
+    pub(super) stopping: Cell<bool>,
+}
+
+impl State {
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    pub(crate) const fn stream(&self, stream: registry::Stream) -> &Stream {
+        &self.streams[stream as usize]
+    }
+
+    /// Starts a task that ends with the entry.
+    pub(crate) fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(task).detach();
+        }
+    }
+
+    /// Reports whether both streams were folded up to a recent tail since the start.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.streams.iter().all(Stream::is_ready)
+    }
+
+    /// Returns the callers' front; `None` only while the entry is being put together.
+    pub(super) fn front(&self) -> Option<&Rc<Front>> {
+        self.front.get()
+    }
+}
--- /dev/null
+++ b/crates/godwitstep/src/entry/store.rs
@@ -0,0 +1,294 @@
+//! The operators' interface as this entry provides it.
+
+use super::State;
+use super::standing;
+use crate::http::Signal;
+use crate::log;
+use crate::resources::{Collection, Proposal, Review, Spec, Store, Unrecorded};
+use godwitstep_core::authority::Standing;
+use godwitstep_core::guarantee;
+use godwitstep_core::id::{Name, Offset};
+use godwitstep_core::planner::Worker;
+use godwitstep_core::reason::Reason;
+use godwitstep_core::record::Event;
+use godwitstep_core::registry::{Outcome, Registry, Stream};
+use godwitstep_core::resource::{Domain, Fault, Workspace};
+use serde_json::{Map, Value, json};
+use smol::Timer;
+use std::time::Duration;
+
+/// Time for which an operator's change may wait for its turn to be appended.
+const APPEND_LIMIT: Duration = Duration::from_secs(2);
+/// Time in which an appended record is folded, or its effect is unknown.
+const FOLD_LIMIT: Duration = Duration::from_secs(3);
+/// When to come back while the log is away.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+impl State {
+    /// Appends events as one record, waits until it is folded and returns the effect of each.
+    pub(crate) async fn append(
+        &self,
+        stream: Stream,
+        events: Vec<Event>,
+        limit: Duration,
+    ) -> Result<Vec<Outcome>, Unrecorded> {
+        let count = events.len();
+        let known = self.stream(stream);
+        match known.writer.append(events, limit).await {
+            log::Outcome::Appended { offset, index } => {
+                let folded = async {
+                    self.passed(stream, offset).await;
+                    known
+                        .outcomes(offset, index, count)
+                        .ok_or(Unrecorded::Unknown)
+                };
+                let late = async {
+                    Timer::after(FOLD_LIMIT).await;
+                    Err(Unrecorded::Unknown)
+                };
+                smol::future::or(folded, late).await
+            }
+            log::Outcome::NotAppended => Err(Unrecorded::NotRun {
+                reason: Reason::LogUnavailable,
+                retry_after: RETRY_AFTER,
+            }),
+            log::Outcome::Unknown => Err(Unrecorded::Unknown),
+        }
+    }
+
+    /// Waits until the record at an offset is folded.
+    async fn passed(&self, stream: Stream, offset: Offset) {
+        loop {
+            let advance = self.stream(stream).subscribe();
+            if self.registry.borrow().position(stream) > offset {
+                return;
+            }
+            // Closed when the position advances.
+            let _ = advance.recv().await;
+        }
+    }
+
+    /// Returns the workers that are linked to this entry and whose failure domain satisfies a
+    /// condition.
+    fn workers(&self, usable: impl Fn(&str) -> bool) -> Vec<Worker> {
+        let links = self.links.borrow();
+        let announced = links.agents().filter_map(|agent| agent.announce.as_ref());
+        let workers = announced.filter_map(|told| told.worker.clone());
+        workers.filter(|worker| usable(&worker.domain)).collect()
+    }
+
+    fn in_service(&self, domain: &str) -> bool {
+        let registry = self.registry.borrow();
+        registry
+            .domain(domain)
+            .is_some_and(|item| item.spec.in_service)
+    }
+
+    /// Returns the guarantees that would not fit if one workspace had the given spec.
+    fn lacking(&self, name: &Name, spec: &Workspace) -> Vec<guarantee::Lack> {
+        let workers = self.workers(|domain| self.in_service(domain));
+        let registry = self.registry.borrow();
+        let others = registry.workspaces().filter(|(id, _)| *id != name);
+        let all = others
+            .map(|(id, item)| (id, &item.spec))
+            .chain([(name, spec)]);
+        guarantee::check(&workers, all)
+    }
+
+    /// Judges the guarantees of a workspace. Growth beyond the capacity in service is refused;
+    /// a set that did not fit before the change either is not the change's fault.
+    fn review_workspace(&self, name: &Name, spec: &Workspace) -> Review {
+        let lacking = self.lacking(name, spec);
+        let before = {
+            let registry = self.registry.borrow();
+            registry.workspace(name).map(|item| item.spec.clone())
+        };
+        let grows = before.is_none_or(|before| before.guarantees != spec.guarantees);
+        let refused = grows && !spec.guarantees.is_empty() && !lacking.is_empty();
+        let faults = lacking.iter().filter(|_| refused).map(|lack| {
+            let allowed = format!("guarantees that fit the capacity in service: {lack}");
+            Fault::new("spec.guarantees", lack.needed, allowed)
+        });
+        Review {
+            faults: faults.collect(),
+            effect: json!({ "suspended": lack_list(&lacking) }),
+        }
+    }
+
+    /// Tells what taking a failure domain out of service would do.
+    fn review_domain(&self, name: &Name, spec: &Domain) -> Review {
+        let usable = |domain: &str| domain != &**name && self.in_service(domain);
+        let left = if spec.in_service {
+            self.workers(|domain| domain == &**name || usable(domain))
+        } else {
+            self.workers(usable)
+        };
+        let inside = self.workers(|domain| domain == &**name);
+        let registry = self.registry.borrow();
+        let all = registry.workspaces().map(|(id, item)| (id, &item.spec));
+        let lacking = guarantee::check(&left, all);
+        let moved = registry.jobs().filter(|(_, job)| {
+            let mut parts = job.parts.iter();
+            parts.any(|part| inside.iter().any(|worker| worker.id == part.worker))
+        });
+        let moved: Vec<_> = moved.map(|(id, _)| id.to_string()).collect();
+        Review {
+            faults: Vec::new(),
+            effect: json!({
+                "workers": inside.len(),
+                "workers_left": left.len(),
+                "jobs_moved": if spec.in_service { Vec::new() } else { moved },
+                "guarantees_suspended": lack_list(&lacking),
+            }),
+        }
+    }
+}
+
+fn lack_list(lacking: &[guarantee::Lack]) -> Vec<Value> {
+    let listed = lacking.iter().map(|lack| {
+        json!({
+            "workspace": &*lack.workspace,
+            "needed": lack.needed,
+            "available": lack.available,
+        })
+    });
+    listed.collect()
+}
+
+impl Store for State {
+    fn read<T>(&self, look: impl FnOnce(&Registry) -> T) -> T {
+        look(&self.registry.borrow())
+    }
+
+    async fn change(&self, stream: Stream, events: Vec<Event>) -> Result<Vec<Outcome>, Unrecorded> {
+        let refuse = |reason| {
+            Err(Unrecorded::NotRun {
+                reason,
+                retry_after: RETRY_AFTER,
+            })
+        };
+        if self.stopping.get() {
+            return refuse(Reason::Stopping);
+        }
+        if !self.standing.get().may_promise() {
+            return refuse(Reason::LogUnavailable);
+        }
+        self.append(stream, events, APPEND_LIMIT).await
+    }
+
+    async fn advanced(&self, stream: Stream, position: Offset) {
+        self.passed(stream, position).await;
+    }
+
+    fn review(&self, proposal: Proposal<'_>) -> Review {
+        match proposal {
+            Proposal::Put(document) => match &document.spec {
+                Spec::Workspace(spec) => self.review_workspace(&document.name, spec),
+                Spec::Domain(spec) => self.review_domain(&document.name, spec),
+                Spec::Job(_) => Review::default(),
+            },
+            Proposal::Remove(..) => Review::default(),
+        }
+    }
+
+    fn status(&self, collection: Collection, name: &str) -> Map<String, Value> {
+        let mut status = Map::new();
+        let slot = self.decider.borrow();
+        let Some(decider) = slot.as_ref() else {
+            return status;
+        };
+        match collection {
+            Collection::Jobs => {
+                if let Some(reason) = decider.planner.reason(name) {
+                    let mut shown = serde_json::to_value(reason).unwrap_or_default();
+                    shown["message"] = reason.to_string().into();
+                    status.insert("reason".to_owned(), shown);
+                }
+            }
+            Collection::Domains => {
+                let summary = decider.planner.summary();
+                let found = summary.domains.iter().find(|domain| &*domain.id == name);
+                if let Some(found) = found {
+                    status.insert("usable".to_owned(), found.usable.into());
+                    status.insert("free".to_owned(), found.free.into());
+                    status.insert("borrowed".to_owned(), found.borrowed.into());
+                    status.insert("largest_worker".to_owned(), found.largest_worker.into());
+                    status.insert("largest_rack".to_owned(), found.largest_rack.into());
+                }
+            }
+            Collection::Workspaces => {
+                let summary = decider.planner.summary();
+                let found = summary.workspaces.iter().find(|found| &*found.id == name);
+                if let Some(found) = found {
+                    status.insert("guaranteed".to_owned(), found.guaranteed.into());
+                    status.insert("used".to_owned(), found.used.into());
+                    status.insert("suspended".to_owned(), found.suspended.into());
+                    status.insert("waiting".to_owned(), found.waiting.into());
+                }
+            }
+        }
+        status
+    }
+
+    fn signal(&self) -> Signal {
+        self.signal.clone()
+    }
+
+    fn ready(&self) -> Result<(), Reason> {
+        if self.stopping.get() {
+            return Err(Reason::Stopping);
+        }
+        if !self.is_ready() {
+            return Err(Reason::LogUnavailable);
+        }
+        if self.standing.get() == Standing::Halted {
+            return Err(Reason::Halted);
+        }
+        Ok(())
+    }
+
+    fn metrics(&self) -> String {
+        self.metrics.render()
+    }
+
+    fn overview(&self) -> Value {
+        let now = self.now();
+        let registry = self.registry.borrow();
+        let evidence = standing::oldest(self, now);
+        let slot = self.decider.borrow();
+        let agents = self.links.borrow().agents().count();
+        json!({
+            "name": &*self.identity.name,
+            "region": &*self.settings.region,
+            "ready": self.is_ready(),
+            "standing": self.standing.get(),
+            "standing_for_ms": millis(now.saturating_sub(self.since.get())),
+            "evidence_age_ms": evidence.map(|evidence| millis(evidence.age)),
+            "config_position": registry.position(Stream::Config),
+            "jobs_position": registry.position(Stream::Jobs),
+            "decider": registry.claim().map(|claim| claim.holder.to_string()),
+            "epoch": registry.epoch(),
+            "deciding": slot.is_some(),
+            "fragmentation_per_mille":
+                slot.as_ref().map(|decider| decider.planner.fragmentation().per_mille()),
+            "agents": agents,
+            "domains_out": registry.out_of_service().map(ToString::to_string).collect::<Vec<_>>(),
+        })
+    }
+
+    fn report(&self) -> Value {
+        let Some(front) = self.front() else {
+            return Value::Null;
+        };
+        let ledger = front.ledger();
+        json!({
+            "entry": &*self.identity.name,
+            "lines": ledger.lines(self.clock.wall()),
+            "ledger": ledger,
+        })
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod agent;
 pub mod caller;
+mod decider;
+pub mod entry;
 pub mod http;
 pub mod link;
 pub mod log;
