fix(router): refuse overload at arrival instead of after a wait

Cause: under load of three times the capacity the wait was estimated from the queue alone. Requests of lower classes and with later deadlines were accepted, passed by later arrivals and refused near their deadlines. Requests were also sent although they would end too late.

Change: the forecast uses the pace at which a class was taken lately and the share that no class falls below (router/pace.rs, router/queue.rs); a request that would make an accepted one of its class late is refused; the expected wait may take up 60 % of the time left; nothing is sent that is expected to end late.

At load 0.7 nothing is refused in both.

Checked by crates/godwitstep-core/tests/router_load.rs.

--- a/crates/godwitstep-core/src/router.rs
+++ b/crates/godwitstep-core/src/router.rs
@@ -27,6 +27,7 @@
 mod fence;
 mod fleet;
 mod item;
+mod pace;
 mod queue;
 mod reply;
 mod settings;
@@ -243,7 +244,7 @@
     }
 
     /// Moves a request to a phase, and with it in or out of its queue and the counts.
-    fn set_phase(&mut self, sequence: Sequence, phase: Phase) {
+    fn set_phase(&mut self, now: Duration, sequence: Sequence, phase: Phase) {
         let Some(item) = self.items.get_mut(&sequence) else {
             return;
         };
@@ -262,7 +263,7 @@
         }
         if item.phase == Phase::Queued {
             let queue = self.queues.entry(service.clone()).or_default();
-            queue.insert(priority, deadline, sequence);
+            queue.insert(now, priority, deadline, sequence, item.latest);
         }
     }
 
@@ -287,7 +288,7 @@
                 actions.push(Action::Cancel { sequence, target });
             }
         }
-        self.set_phase(sequence, Phase::Idle);
+        self.set_phase(now, sequence, Phase::Idle);
         self.items.remove(&sequence);
         actions.push(Action::Answer { sequence, outcome });
     }
--- a/crates/godwitstep-core/src/router/arrive.rs
+++ b/crates/godwitstep-core/src/router/arrive.rs
@@ -11,6 +11,9 @@
 const HALTED_RETRY: Duration = Duration::from_secs(2);
 /// Time to come back while a service has no target; agents announce within 1 s of a reconnect.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+/// Share of the time left that the expected wait may take up at arrival. The rest is for the error
+/// of the estimate: a request is better refused at once than after it has waited.
+const ADMITTED_SHARE: f64 = 0.6;
 
 impl Router {
     pub(super) fn arrive(&mut self, now: Duration, request: Request, actions: &mut Vec<Action>) {
@@ -57,11 +60,11 @@
     pub(super) fn admit(&mut self, now: Duration, sequence: Sequence, actions: &mut Vec<Action>) {
         match self.refusal(now, sequence) {
             Some((reason, after)) => {
-                self.set_phase(sequence, Phase::Idle);
+                self.set_phase(now, sequence, Phase::Idle);
                 let back = self.come_back(after);
                 self.give_up(now, sequence, reason, back, actions);
             }
-            None => self.set_phase(sequence, Phase::Queued),
+            None => self.set_phase(now, sequence, Phase::Queued),
         }
     }
 
@@ -76,8 +79,7 @@
         if !self.fleet.has_prospect(&request.service) {
             return Some((Reason::NoTarget, NO_TARGET_RETRY));
         }
-        let deadline = request.deadline;
-        if self.expected_finish(now, sequence) > deadline {
+        if !self.is_timely(now, sequence) {
             let service = self.items.get(&sequence)?.request.service.clone();
             let drain = self.drain_time(now, &service);
             return Some((Reason::DeadlineUnreachable, drain));
@@ -94,24 +96,13 @@
             || self.counts.of_service(&request.service) >= self.settings.max_queued
     }
 
-    /// Returns when the request would end: the queue ahead of it, then its own service time.
-    fn expected_finish(&mut self, now: Duration, sequence: Sequence) -> Duration {
-        let Some(item) = self.items.get(&sequence) else {
-            return now;
+    /// Reports whether the request is expected to end in time without making another one late:
+    /// the queue ahead of it, then its own service time.
+    fn is_timely(&mut self, now: Duration, sequence: Sequence) -> bool {
+        let Some(item) = self.items.get_mut(&sequence) else {
+            return false;
         };
-        let (priority, request) = (item.priority, &item.request);
-        let slots = self.fleet.slots(&request.service);
-        let ahead = self
-            .queues
-            .get(&request.service)
-            .map_or(0, |queue| queue.ahead(priority, request.deadline));
-        let limit = self.settings.heartbeat_limit;
-        let busy = !self.fleet.has_free(now, &request.service, limit);
-        let mean = self
-            .by_service
-            .get_mut(&request.service)
-            .and_then(|observed| observed.mean(now))
-            .unwrap_or_default();
+        let request = &item.request;
         let kind = (
             request.service.clone(),
             request.workspace.clone(),
@@ -122,7 +113,23 @@
             .get_mut(&kind)
             .and_then(|observed| observed.p90(now))
             .unwrap_or_default();
-        now + wait(ahead + usize::from(busy), slots, mean) + own
+        item.latest = request.deadline.saturating_sub(own);
+        let limit = self.settings.heartbeat_limit;
+        if self.fleet.has_free(now, &request.service, limit) {
+            return now <= item.latest;
+        }
+        let mean = self
+            .by_service
+            .get_mut(&request.service)
+            .and_then(|observed| observed.mean(now))
+            .unwrap_or_default();
+        let each = wait(1, self.fleet.slots(&request.service), mean);
+        let taken = match self.queues.get(&request.service) {
+            Some(queue) => queue.place(now, item.priority, request.deadline, each),
+            None => Some(now),
+        };
+        let most = item.latest.saturating_sub(now).mul_f64(ADMITTED_SHARE);
+        taken.is_some_and(|taken| taken + each <= now + most)
     }
 
     /// Returns the time in which the queue of a service is expected to drain.
--- a/crates/godwitstep-core/src/router/dispatch.rs
+++ b/crates/godwitstep-core/src/router/dispatch.rs
@@ -21,7 +21,12 @@
             .collect();
         for service in services {
             while let Some((sequence, target)) = self.next(now, &service) {
-                self.send(now, sequence, target, actions);
+                let item = self.items.get(&sequence);
+                if item.is_some_and(|item| item.latest < now) {
+                    self.refuse_late(now, sequence, &service, actions);
+                } else {
+                    self.send(now, sequence, target, actions);
+                }
             }
         }
     }
@@ -55,11 +60,11 @@
             target: target.clone(),
             at: now,
         };
-        self.set_phase(sequence, phase);
+        self.set_phase(now, sequence, phase);
         if let Some(item) = self.items.get(&sequence)
             && let Some(queue) = self.queues.get_mut(&item.request.service)
         {
-            queue.taken(item.priority);
+            queue.taken(now, item.priority);
         }
         if let Some(member) = self.fleet.members.get_mut(&target) {
             member.send(now, sequence);
@@ -112,22 +117,24 @@
             let Some(mean) = mean else {
                 continue;
             };
-            let slots = self.fleet.slots(service);
-            let mut ahead = 0;
-            for sequence in queue.order() {
-                let Some(item) = self.items.get(&sequence) else {
-                    continue;
-                };
-                if now + wait(ahead, slots, mean) > item.request.deadline {
-                    late.push((sequence, wait(queue.len(), slots, mean)));
-                } else {
-                    ahead += 1;
-                }
-            }
+            let each = wait(1, self.fleet.slots(service), mean);
+            let of = queue.late(now, each).into_iter();
+            late.extend(of.map(|sequence| (sequence, service.clone())));
         }
-        for (sequence, drain) in late {
-            let back = self.come_back(drain);
-            self.give_up(now, sequence, Reason::DeadlineUnreachable, back, actions);
+        for (sequence, service) in late {
+            self.refuse_late(now, sequence, &service, actions);
         }
     }
+
+    fn refuse_late(
+        &mut self,
+        now: Duration,
+        sequence: Sequence,
+        service: &ServiceId,
+        actions: &mut Vec<Action>,
+    ) {
+        let drain = self.drain_time(now, service);
+        let back = self.come_back(drain);
+        self.give_up(now, sequence, Reason::DeadlineUnreachable, back, actions);
+    }
 }
--- a/crates/godwitstep-core/src/router/fence.rs
+++ b/crates/godwitstep-core/src/router/fence.rs
@@ -26,7 +26,7 @@
         let open = self.started.unwrap_or(now) + self.settings.warm_up;
         let until = now.max(open) + self.settings.fence_time;
         item.fences = Some(fences);
-        self.set_phase(sequence, Phase::Fencing { until });
+        self.set_phase(now, sequence, Phase::Fencing { until });
         self.conclude_fence(now, sequence, actions);
     }
 
@@ -132,7 +132,7 @@
             KeyState::Running | KeyState::Answered => {
                 self.doubt(sequence);
                 let target = target.clone();
-                self.set_phase(sequence, Phase::Waiting { target });
+                self.set_phase(now, sequence, Phase::Waiting { target });
             }
             KeyState::Failed => {
                 let target = target.clone();
--- a/crates/godwitstep-core/src/router/item.rs
+++ b/crates/godwitstep-core/src/router/item.rs
@@ -35,6 +35,8 @@
 pub struct Item {
     pub request: Request,
     pub priority: Priority,
+    /// Latest time at which the request can be sent and is expected to end in time.
+    pub latest: Duration,
     pub phase: Phase,
     /// Present if the key may have been sent before and must not run twice.
     pub fences: Option<Fences>,
@@ -46,6 +48,7 @@
 impl Item {
     pub const fn new(request: Request, priority: Priority) -> Self {
         Self {
+            latest: request.deadline,
             request,
             priority,
             phase: Phase::Idle,
--- a/crates/godwitstep-core/src/router/reply.rs
+++ b/crates/godwitstep-core/src/router/reply.rs
@@ -45,7 +45,7 @@
     fn sent_lost(&mut self, now: Duration, sequence: Sequence, actions: &mut Vec<Action>) {
         self.doubt(sequence);
         // The request is no longer on the target's count, so answering must not cancel it there.
-        self.set_phase(sequence, Phase::Idle);
+        self.set_phase(now, sequence, Phase::Idle);
         let Some(item) = self.items.get(&sequence) else {
             return;
         };
@@ -74,7 +74,7 @@
             && self.fleet.has_prospect(&service)
             && (!budgeted || self.budget.retry(now));
         if possible {
-            self.set_phase(sequence, Phase::Queued);
+            self.set_phase(now, sequence, Phase::Queued);
         } else {
             let drain = self.drain_time(now, &service);
             let back = self.come_back(drain);
@@ -111,7 +111,7 @@
             self.observe(now, sequence, now.saturating_sub(at), &reply);
         }
         if current {
-            self.set_phase(sequence, Phase::Idle);
+            self.set_phase(now, sequence, Phase::Idle);
         }
         let target = from.clone();
         match reply {
@@ -143,7 +143,7 @@
         actions: &mut Vec<Action>,
     ) {
         let until = now + self.settings.fence_time;
-        self.set_phase(sequence, Phase::Fencing { until });
+        self.set_phase(now, sequence, Phase::Fencing { until });
         if let Some(item) = self.items.get_mut(&sequence)
             && let Some(fences) = &mut item.fences
         {
--- /dev/null
+++ b/crates/godwitstep-core/tests/router_load.rs
@@ -0,0 +1,154 @@
+//! The router under load below and above the capacity of its targets.
+
+use godwitstep_core::resource::{Kind, Priority, Workspace};
+use godwitstep_core::router::{
+    Action, Event, Outcome, Reply, Request, Router, Sequence, Settings, Target,
+};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const TARGETS: u32 = 10;
+const SLOTS: u32 = 8;
+const SERVICE_MS: f64 = 50.0;
+const REQUESTS: u64 = 25_000;
+const KINDS: [(&str, Priority); 3] = [
+    ("u", Priority::Urgent),
+    ("n", Priority::Normal),
+    ("p", Priority::Patient),
+];
+
+/// What came of the requests of a run.
+#[derive(Debug, Default)]
+struct Tally {
+    on_time: u32,
+    /// Refused in the call in which they arrived.
+    refused: u32,
+    /// Refused after they had waited.
+    given_up: u32,
+    unknown: u32,
+    /// Requests that the targets could have served meanwhile.
+    capacity: f64,
+}
+
+fn router() -> Router {
+    let mut router = Router::new(Settings::new("a"), 1);
+    let kinds = KINDS.map(|(name, priority)| Kind {
+        name: name.into(),
+        priority,
+        objective_ms: 1_000,
+        refund: 0.0,
+    });
+    let mut spec = Workspace::new(kinds.to_vec());
+    spec.max_queued = 100_000;
+    let (id, spec) = ("w".into(), Some(spec));
+    let mut actions = Vec::new();
+    router.handle(Duration::ZERO, Event::Workspace { id, spec }, &mut actions);
+    for number in 0..TARGETS {
+        let (id, service, domain) = (format!("t{number}").into(), "s".into(), "a".into());
+        let target = Target {
+            id,
+            incarnation: 1,
+            service,
+            domain,
+            slots: SLOTS,
+        };
+        router.handle(Duration::ZERO, Event::TargetUp(target), &mut actions);
+    }
+    router
+}
+
+/// Offers a multiple of the capacity, with deadlines of 0.3 s, 1 s and 3 s.
+fn run(factor: f64) -> Tally {
+    let mut rng = fastrand::Rng::with_seed(5);
+    let (mut router, mut tally) = (router(), Tally::default());
+    let slots = f64::from(TARGETS * SLOTS);
+    let gap = SERVICE_MS / 1_000.0 / slots / factor;
+    let (mut next, mut tick, mut beat) = (Duration::ZERO, Duration::ZERO, Duration::ZERO);
+    let mut ends: BTreeMap<(Duration, Sequence), _> = BTreeMap::new();
+    let mut open = BTreeMap::new();
+    let mut sequence = 0;
+    while sequence < REQUESTS {
+        let end = ends.keys().next().map_or(Duration::MAX, |(end, _)| *end);
+        let now = next.min(tick).min(beat).min(end);
+        let mut events = Vec::new();
+        if now == beat {
+            beat += Duration::from_millis(500);
+            let load = |number| Event::Load {
+                id: format!("t{number}").into(),
+                busy: 0,
+                ours: 0,
+            };
+            events.extend((0..TARGETS).map(load));
+        } else if now == tick {
+            tick += Duration::from_millis(20);
+            events.push(Event::Tick);
+        } else if now == end {
+            let ((_, sequence), target) = ends.pop_first().unwrap();
+            events.push(Event::Reply {
+                sequence,
+                target,
+                reply: Reply::Answered,
+            });
+        } else {
+            sequence += 1;
+            let left = Duration::from_millis([300, 1_000, 3_000][rng.usize(..3)]);
+            open.insert(sequence, (now, now + left));
+            events.push(Event::Arrive(Request {
+                sequence,
+                service: "s".into(),
+                workspace: "w".into(),
+                kind: KINDS[rng.usize(..3)].0.into(),
+                key: "k".into(),
+                idempotent: false,
+                attempt: 1,
+                deadline: now + left,
+            }));
+            next = now + Duration::from_secs_f64(-gap * rng.f64().max(1e-9).ln());
+        }
+        let mut actions = Vec::new();
+        for event in events {
+            router.handle(now, event, &mut actions);
+        }
+        for action in actions {
+            match action {
+                Action::Send { sequence, target } => {
+                    let took = SERVICE_MS / 1_000.0 * (0.5 + rng.f64());
+                    ends.insert((now + Duration::from_secs_f64(took), sequence), target);
+                }
+                Action::Answer { sequence, outcome } => {
+                    let (arrived, deadline) = open.remove(&sequence).unwrap();
+                    match outcome {
+                        Outcome::Answered { .. } if now <= deadline => tally.on_time += 1,
+                        Outcome::NotRun(_) if now == arrived => tally.refused += 1,
+                        Outcome::NotRun(_) => tally.given_up += 1,
+                        _ => tally.unknown += 1,
+                    }
+                }
+                Action::Fence { .. } | Action::Cancel { .. } => unreachable!(),
+            }
+        }
+    }
+    assert_eq!(router.violation(), None);
+    tally.capacity = next.as_secs_f64() * slots * 1_000.0 / SERVICE_MS;
+    tally
+}
+
+/// Guards against refusals while there is room, against work that is done in vain because it ends
+/// late, and against requests that are held and then refused.
+#[test]
+fn overload_is_refused_at_arrival_and_the_rest_is_on_time() {
+    let light = run(0.7);
+    assert_eq!(
+        (light.refused, light.given_up, light.unknown),
+        (0, 0, 0),
+        "{light:?}"
+    );
+    for factor in [1.2, 3.0] {
+        let heavy = run(factor);
+        assert!(
+            f64::from(heavy.on_time) > 0.95 * heavy.capacity,
+            "{factor}: {heavy:?}"
+        );
+        assert!(heavy.given_up + heavy.unknown < 500, "{factor}: {heavy:?}");
+    }
+}
