fix(agent): keep copies of answers instead of slices of read buffers

Cause: the key table kept each answer as a slice of the HTTP client's read buffer, so 5,000 answers of 256 bytes held some 40 MB.

Change: answers are copied when they are kept; the agent looks at the clock every 250 ms instead of every 100 ms.

Ruled out: fewer health checks; a target that leaves must be noticed in time.

--- a/crates/godwitstep/src/agent/requests.rs
+++ b/crates/godwitstep/src/agent/requests.rs
@@ -204,7 +204,9 @@
     ) -> Vec<RequestId> {
         self.running.remove(&id);
         let end = match outcome {
-            Outcome::Answered { body } => End::Answered(body.clone()),
+            // A copy, because the body is a slice of a read buffer that is many times its size and
+            // would be kept as a whole.
+            Outcome::Answered { body } => End::Answered(Bytes::copy_from_slice(body)),
             Outcome::Failed { .. } => End::Failed,
             Outcome::NotStarted { .. } => End::NotStarted,
             Outcome::Unknown { .. } => End::Unknown,
--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -15,7 +15,7 @@
 /// Events of links that wait to be handled. Handling never waits, so few are needed.
 const MAX_EVENTS: usize = 64;
 /// Time between two looks at the clock. Far below the gap that counts as a pause.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(250);
 /// Time between two reports of an ended part whose end is not known yet.
 const REPORT: Duration = Duration::from_secs(1);
 /// Time between two health checks of the target.
