test(agent): a fence outlives a connection that the target refuses

Cause: key::Table::finish removes a key whose run was not started, and with it the fence that the request had set on all agents; the agent sets it again, and no test showed that.

Change: a test that fences, meets a target that is gone, and sends an earlier request with the key.

Conclusion: an earlier request can't run beside the one that fenced it.

--- a/crates/godwitstep/tests/agent.rs
+++ b/crates/godwitstep/tests/agent.rs
@@ -294,3 +294,23 @@
         assert!(setup.target.runs.borrow().is_empty());
     });
 }
+
+/// Guards against a fence that is lifted when its request meets a target that is gone (R6).
+#[test]
+fn fence_outlives_a_refused_connection() {
+    run(async |executor| {
+        let setup = setup(executor).await;
+        assert_eq!(fence(&setup.entry, 9, "w/1").await, KeyState::Fenced);
+        setup.server.start();
+        // Before the next health check, so that the connection is tried.
+        Timer::after(Duration::from_millis(20)).await;
+        not_started(&setup.entry.ask(9, "w/1").await, &Reason::TargetLost);
+        let gone = |announce: &godwitstep_wire::Announce| announce.target.is_none();
+        setup.entry.announced(gone).await;
+        let _again = target(executor, &setup.target, setup.address).await;
+        let here = |announce: &godwitstep_wire::Announce| announce.target.is_some();
+        setup.entry.announced(here).await;
+        not_started(&setup.entry.ask(5, "w/1").await, &Reason::Cancelled);
+        assert!(setup.target.runs.borrow().is_empty());
+    });
+}
