--- a/crates/godwitstep-core/src/planner/settings.rs
+++ b/crates/godwitstep-core/src/planner/settings.rs
@@ -21,6 +21,9 @@
     pub stop_repeat: Duration,
     /// Life of a worker's lease: parts of a worker that is lost for longer do not run any more.
     pub lease: Duration,
+    /// Time after which a lost worker that is alive has stopped its parts for want of contact. A job
+    /// that must not run twice is not started again before.
+    pub silence: Duration,
     /// Time after an announcement in which the end of a part that it lacks may still be reported.
     pub inventory_grace: Duration,
     /// Time after which a reservation is planned anew.
@@ -51,6 +54,7 @@
             checkpoint_limit: Duration::from_secs(20),
             stop_repeat: Duration::from_secs(1),
             lease: Duration::from_secs(10),
+            silence: Duration::from_secs(90),
             inventory_grace: Duration::from_secs(1),
             reservation_life: Duration::from_secs(5),
             reservations: 4,
--- a/crates/godwitstep-core/src/planner/worker.rs
+++ b/crates/godwitstep-core/src/planner/worker.rs
@@ -188,9 +188,20 @@
             return;
         }
         self.drop_homes_at(slot);
+        let silent = now >= since + self.settings.silence;
+        if !silent {
+            let timer = Timer::Lease(slot);
+            self.timers.insert((since + self.settings.silence, timer));
+        }
         let booked: Vec<u32> = self.fleet.machine(slot).uses.keys().copied().collect();
         for id in booked {
-            self.part_over(now, id, slot, None, out);
+            // A job that may run twice, or that is not started again, need not wait.
+            let harmless = self.jobs.get(&id).is_some_and(|entry| {
+                entry.spec.idempotent || !entry.spec.checkpointable
+            });
+            if silent || harmless {
+                self.part_over(now, id, slot, None, out);
+            }
         }
     }
 }
--- a/crates/godwitstep-wire/src/frame.rs
+++ b/crates/godwitstep-wire/src/frame.rs
@@ -111,6 +111,8 @@
     pub out: Vec<DomainId>,
     /// Newest epoch of the region that the sender has folded; 0 for none.
     pub epoch: Epoch,
+    /// Whether the sender decides for the region under that epoch.
+    pub deciding: bool,
 }
 
 /// Sent every 500 ms in both directions.
--- a/crates/godwitstep-wire/tests/hostile.rs
+++ b/crates/godwitstep-wire/tests/hostile.rs
@@ -45,6 +45,7 @@
                 version: 12,
                 out: vec!["dk-vest-a".into()],
                 epoch: 4,
+                deciding: true,
             }),
             targets: Vec::new(),
         }),
--- a/crates/godwitstep/src/agent/parts.rs
+++ b/crates/godwitstep/src/agent/parts.rs
@@ -1,9 +1,10 @@
 //! Parts of jobs on the worker, and reports about them to the entries.
 
 use super::reconcile;
+use super::rules::Save;
 use super::state::Agent;
 use super::worker::{Lease, Worker};
-use godwitstep_core::hold::{Action, Event, Table};
+use godwitstep_core::hold::{Action, Command, Event, Order, Table};
 use godwitstep_core::id::{Accelerators, Attempt, DomainId, Incarnation, JobId};
 use godwitstep_core::planner::Running;
 use godwitstep_wire::{Frame, Part};
@@ -291,9 +292,41 @@
     ended.filter_map(frame).collect()
 }
 
+/// Stops all parts after too long a time without contact to the decider, which may have started
+/// their jobs again elsewhere by then.
+fn fence(agent: &Agent) {
+    let (lapsed, epoch) = {
+        let rules = agent.rules.borrow();
+        (rules.lapsed(agent.now()), rules.epoch())
+    };
+    let (Some(save), Some(beside)) = (lapsed, &agent.worker) else {
+        return;
+    };
+    let checkpoint = save == Save::Yes;
+    let inventory = beside.parts.borrow().table.inventory();
+    for running in inventory {
+        let id = (running.job.clone(), running.attempt);
+        let stop = {
+            let parts = beside.parts.borrow();
+            parts.driven.get(&id).and_then(|driven| driven.stop)
+        };
+        if stop.is_some_and(|saved| saved == checkpoint || !saved) {
+            continue;
+        }
+        tracing::warn!(job = %id.0, attempt = id.1, checkpoint, "no contact to the decider; stopping");
+        let order = Order {
+            epoch,
+            job: running.job,
+            attempt: running.attempt,
+        };
+        apply(agent, Event::Command(order, Command::Stop { checkpoint }));
+    }
+}
+
 /// Lets time pass.
 pub(super) fn tick(agent: &Agent) {
     apply(agent, Event::Tick);
+    fence(agent);
     if let Some(beside) = &agent.worker {
         reconcile::review(agent, beside);
     }
--- a/crates/godwitstep/src/agent/rules.rs
+++ b/crates/godwitstep/src/agent/rules.rs
@@ -9,6 +9,22 @@
 /// Age of an entry's last word after which nothing starts on its instruction.
 const SILENCE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time without contact to the decider after which the parts of an agent are stopped.
+///
+/// A decider counts parts of a lost worker as gone after 90 s and may start their job again; two
+/// runs of one job must not overlap.
+const CONTACT_LIMIT: Duration = Duration::from_secs(60);
+/// Time without contact after which parts are stopped without saving their state. Leaves 15 s until
+/// a decider counts them as gone.
+const STOP_LIMIT: Duration = Duration::from_secs(75);
+
+/// Whether the state of parts is saved before they are stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Save {
+    Yes,
+    No,
+}
+
 /// What one entry said last about itself.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Word {
@@ -24,6 +40,8 @@
     out: Vec<DomainId>,
     /// Greatest epoch that any entry has told. Never decreases.
     epoch: Epoch,
+    /// When the agent last heard that its decider is linked to it, or that there can be no other.
+    contact: Duration,
 }
 
 impl Rules {
@@ -34,6 +52,11 @@
             self.out = told.out;
         }
         self.epoch = self.epoch.max(told.epoch);
+        let decider = told.deciding && told.standing == Standing::Fresh;
+        // While the log is away nobody can become the decider in place of a lost one.
+        if decider || told.standing == Standing::Coasting {
+            self.contact = now;
+        }
         Word {
             standing: told.standing,
             heard: now,
@@ -45,6 +68,19 @@
         self.epoch
     }
 
+    /// Reports whether a decider may by now count the parts here as gone, and if so, whether there
+    /// is still time to save their state.
+    pub(super) fn lapsed(&self, now: Duration) -> Option<Save> {
+        let silence = now.saturating_sub(self.contact);
+        if silence >= STOP_LIMIT {
+            Some(Save::No)
+        } else if silence >= CONTACT_LIMIT {
+            Some(Save::Yes)
+        } else {
+            None
+        }
+    }
+
     /// Reports whether a failure domain is out of service.
     pub(super) fn is_out(&self, domain: &DomainId) -> bool {
         self.out.contains(domain)
--- a/crates/godwitstep/src/decider/drive.rs
+++ b/crates/godwitstep/src/decider/drive.rs
@@ -123,7 +123,8 @@
     }
 }
 
-/// Returns the part of a run on a worker, with the sizes of its record where there is one.
+/// Returns the part of a run on a worker, with the sizes of its record where there is one. Without
+/// a record the sizes don't count, but agents refuse a part without tasks.
 fn part(state: &State, epoch: Epoch, worker: &str, job: JobId, attempt: Attempt) -> Part {
     let registry = state.registry.borrow();
     let found = registry.job(&job);
@@ -133,7 +134,7 @@
     Part {
         epoch,
         attempt,
-        tasks: recorded.map_or(0, |part| part.tasks),
+        tasks: recorded.map_or(1, |part| part.tasks),
         accelerators: recorded.map_or(0, |part| part.accelerators),
         run: found
             .and_then(|found| found.spec.run_s)
--- a/crates/godwitstep/src/entry/standing.rs
+++ b/crates/godwitstep/src/entry/standing.rs
@@ -120,6 +120,7 @@
         version: registry.position(Stream::Config),
         out: registry.out_of_service().cloned().collect(),
         epoch: registry.epoch(),
+        deciding: state.decider.borrow().is_some(),
     }
 }
 
--- a/crates/godwitstep/tests/rig/mod.rs
+++ b/crates/godwitstep/tests/rig/mod.rs
@@ -125,6 +125,7 @@
         standing: Standing::Fresh,
         version: 10,
         out: Vec::new(),
+        deciding: true,
         epoch: 5,
     }
 }
