fix(caller): give orders to the sink one after the other

Cause: a sink that answers at once nested its calls as deep as the queue, and its later orders overtook earlier ones.

Change: orders go through an outbox that one call at a time empties. A test shows that a closed connection ends its request.

--- a/crates/godwitstep/src/caller/front.rs
+++ b/crates/godwitstep/src/caller/front.rs
@@ -10,7 +10,7 @@
 use godwitstep_wire as wire;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
@@ -64,6 +64,10 @@
     pub(super) incarnation: Incarnation,
     pub(super) clock: Arc<dyn Clock>,
     sink: Box<dyn Fn(Order)>,
+    /// Orders that the sink has not been given yet.
+    outbox: RefCell<VecDeque<Order>>,
+    /// Whether the sink is being called.
+    sending: Cell<bool>,
     pub(super) state: RefCell<State>,
     /// Bytes of bodies that are held or announced.
     pub(super) held: Cell<usize>,
@@ -94,6 +98,8 @@
             incarnation: options.incarnation,
             clock,
             sink: Box::new(sink),
+            outbox: RefCell::default(),
+            sending: Cell::new(false),
             state: RefCell::new(state),
             held: Cell::new(0),
             stopping: Cell::new(false),
@@ -188,7 +194,7 @@
 
     fn apply(&self, event: Event, given: Option<&Given>) {
         let now = self.clock.now();
-        let orders = {
+        {
             let mut state = self.state.borrow_mut();
             let mut actions = Vec::new();
             state.router.handle(now, event, &mut actions);
@@ -198,12 +204,26 @@
             }
             let wall = self.clock.wall();
             let order = |action| state.perform(self.incarnation, now, wall, action, given);
-            actions.into_iter().filter_map(order).collect::<Vec<_>>()
-        };
-        // The sink may come back with events, so the state is not borrowed here.
-        for order in orders {
+            let orders = actions.into_iter().filter_map(order);
+            self.outbox.borrow_mut().extend(orders);
+        }
+        self.flush();
+    }
+
+    /// Gives the orders to the sink. If the sink comes back with events, what they lead to is sent
+    /// by the call that is already under way: orders keep their sequence and the stack its depth.
+    fn flush(&self) {
+        if self.sending.replace(true) {
+            return;
+        }
+        loop {
+            let order = self.outbox.borrow_mut().pop_front();
+            let Some(order) = order else {
+                break;
+            };
             (self.sink)(order);
         }
+        self.sending.set(false);
     }
 }
 
--- a/crates/godwitstep/tests/caller.rs
+++ b/crates/godwitstep/tests/caller.rs
@@ -305,3 +305,29 @@
         assert_eq!(orders.borrow().iter().filter(cancelled).count(), 2);
     });
 }
+
+/// Guards against work that goes on for callers whose connection is closed.
+#[test]
+fn a_closed_connection_ends_its_request() {
+    smol::block_on(async {
+        let front = front(|_, _| {});
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = Client::new(listener.local_addr().unwrap());
+        let (shutdown, signal) = Shutdown::new();
+        let shared = front.clone();
+        let server = http::serve(listener, Limits::default(), signal, async move |request| {
+            shared.serve(request).await
+        });
+        let calls = async {
+            let request = request(&Method::POST, PATH, &GOOD, Bytes::new());
+            let error = client
+                .exchange(request, Duration::from_millis(50))
+                .await
+                .unwrap_err();
+            assert!(error.sent);
+            assert_eq!(front.drain(TIME).await, 0);
+            shutdown.start();
+        };
+        zip(server, calls).await;
+    });
+}
