--- a/crates/godwitstep-core/tests/key.rs
+++ b/crates/godwitstep-core/tests/key.rs
@@ -146,6 +146,12 @@
     let later = START + limits.window;
     assert_eq!(table.admit(later, &ask(9, "d")), Admit::Run);
     assert_eq!(table.len(), 1);
+    // A key that still runs is not forgotten, however long it takes.
+    let much_later = later + limits.window * 2;
+    assert_eq!(
+        table.fence(much_later, owner(10), &"d".into()).0,
+        KeyState::Running
+    );
 }
 
 /// Guards against two requests that are both given a key by all agents when fences and sends
