--- a/crates/godwitstep-core/src/planner/worker.rs
+++ b/crates/godwitstep-core/src/planner/worker.rs
@@ -196,9 +196,10 @@
         let booked: Vec<u32> = self.fleet.machine(slot).uses.keys().copied().collect();
         for id in booked {
             // A job that may run twice, or that is not started again, need not wait.
-            let harmless = self.jobs.get(&id).is_some_and(|entry| {
-                entry.spec.idempotent || !entry.spec.checkpointable
-            });
+            let harmless = self
+                .jobs
+                .get(&id)
+                .is_some_and(|entry| entry.spec.idempotent || !entry.spec.checkpointable);
             if silent || harmless {
                 self.part_over(now, id, slot, None, out);
             }
--- a/crates/godwitstep/src/entry/peers.rs
+++ b/crates/godwitstep/src/entry/peers.rs
@@ -8,7 +8,7 @@
 use crate::link::{Link, LinkId};
 use godwitstep_core::authority::EVIDENCE_LIMIT;
 use godwitstep_core::registry::Stream;
-use godwitstep_core::router;
+use godwitstep_core::router::{self, Gone};
 use godwitstep_wire::{Frame, Heartbeat, Records};
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +18,10 @@
 /// Records of one frame. Unit: bytes.
 const MAX_BYTES: usize = 256 * 1024;
 
+/// Heartbeats between two lists of lost targets. The first one of a link carries it, which is what
+/// an entry that has just started needs.
+const GONE_BEATS: u64 = 10;
+
 const STREAMS: [Stream; 2] = [Stream::Config, Stream::Jobs];
 
 /// Tells a peer the tails that this entry knows and the targets that are linked to it.
@@ -27,6 +31,14 @@
             link.send(frame);
         }
     }
+    let due = sequence.is_multiple_of(GONE_BEATS);
+    let gone = state
+        .front()
+        .filter(|_| due)
+        .map(|front| front.inspect(|router| router.gone(state.now())));
+    if let Some(gone) = gone.filter(|gone| !gone.is_empty()) {
+        link.send(Frame::Gone(gone));
+    }
     link.send(Frame::Heartbeat(Heartbeat {
         sequence,
         load: None,
@@ -127,6 +139,15 @@
     }
 }
 
+/// Takes in which targets a peer has lost.
+pub(super) fn lose(state: &State, gone: Vec<Gone>) {
+    if let Some(front) = state.front() {
+        for gone in gone {
+            front.handle(router::Event::TargetGone(gone));
+        }
+    }
+}
+
 fn stream_of(state: &State, name: &str) -> Option<Stream> {
     STREAMS
         .into_iter()
--- a/crates/godwitstep/src/entry/run.rs
+++ b/crates/godwitstep/src/entry/run.rs
@@ -29,7 +29,7 @@
 const LOG_DEADLINE: Duration = Duration::from_secs(1);
 /// Time between two clean-ups of metric samples.
 const UPKEEP: Duration = Duration::from_secs(5);
-/// Time for the last frames to leave.
+/// Time for the last answers and frames to leave.
 const CLOSE_LIMIT: Duration = Duration::from_millis(500);
 
 /// Runs an entry until `stop` delivers or is closed, then stops it gracefully: it takes no new
@@ -98,15 +98,17 @@
         let _ = stop.recv().await;
         tracing::info!("the entry stops");
         state.stopping.set(true);
+        // New requests are refused as not run while those in progress end; a closed listener
+        // would leave callers without an answer.
         if let Some(front) = state.front() {
             front.handle(router::Event::Stop);
+            front.drain(state.settings.stop_limit).await;
         }
         shutdown.start();
-        let late = async {
-            Timer::after(state.settings.stop_limit).await;
-            tracing::warn!(limit = ?state.settings.stop_limit, "requests are cut off by the stop");
-        };
-        smol::future::or(servers, late).await;
+        smol::future::or(servers, async {
+            Timer::after(CLOSE_LIMIT).await;
+        })
+        .await;
     };
     executor.run(smol::future::or(end, handle)).await;
     state.links.borrow().close_all();
--- a/crates/godwitstep/src/entry/serve.rs
+++ b/crates/godwitstep/src/entry/serve.rs
@@ -73,6 +73,7 @@
             decider::part_event(state, &name, frame);
         }
         (Role::Entry, Frame::Heartbeat(told)) => peers::hear(state, id, told),
+        (Role::Entry, Frame::Gone(gone)) => peers::lose(state, gone),
         (Role::Entry, Frame::Records(told)) => peers::take(state, id, &told),
         (Role::Entry, Frame::Want { stream, from }) => peers::pass(state, id, &stream, from),
         (role, frame) => tracing::debug!(peer = %name, ?role, ?frame, "frame is not for an entry"),
--- a/crates/godwitstep/tests/agent_worker.rs
+++ b/crates/godwitstep/tests/agent_worker.rs
@@ -3,6 +3,7 @@
 mod rig;
 
 use godwitstep_core::authority::Standing;
+use godwitstep_core::clock::Clock;
 use godwitstep_core::planner::End;
 use godwitstep_core::reason::Reason;
 use godwitstep_wire::{Announce, Frame, Part, Rules};
@@ -299,3 +300,51 @@
         assert!(announce.inventory[0].settled);
     });
 }
+
+/// Lets a minute pass for the agent, five times as fast as it does, while the entry tells `rules`.
+/// The agent looks at its clock every 100 ms, which must not look like a pause to it.
+async fn pass_a_minute(setup: &Setup, rules: Rules) {
+    const PAUSE: Duration = Duration::from_millis(20);
+    const STEP: Duration = Duration::from_millis(80);
+    setup.entry.tell(Some(rules));
+    let end = setup.entry.clock.now() + Duration::from_secs(62);
+    while setup.entry.clock.now() < end {
+        Timer::after(PAUSE).await;
+        setup.entry.clock.forward(STEP);
+    }
+}
+
+/// Guards against two overlapping runs of a job: a decider that has lost an agent starts the job
+/// again after 90 s, so the agent stops its parts before.
+#[test]
+fn parts_stop_after_a_minute_without_contact_to_the_decider() {
+    run(async |executor| {
+        let setup = setup(executor, Worker::default()).await;
+        let part = part("nest-1");
+        setup.launch(&part).await;
+        // An entry is linked, but it is not the decider.
+        let other = Rules {
+            deciding: false,
+            ..rules()
+        };
+        pass_a_minute(&setup, other).await;
+        assert_eq!(setup.ended(&part).await, End::Checkpointed);
+    });
+}
+
+/// Guards against parts that stop in a log outage, in which no other decider can start their jobs.
+#[test]
+fn parts_run_on_without_a_decider_while_the_log_is_away() {
+    run(async |executor| {
+        let setup = setup(executor, Worker::default()).await;
+        setup.launch(&part("nest-1")).await;
+        let coasting = Rules {
+            standing: Standing::Coasting,
+            deciding: false,
+            ..rules()
+        };
+        pass_a_minute(&setup, coasting).await;
+        let state = setup.worker.state("nest-1~1~0~2~4");
+        assert_eq!(state.as_deref(), Some("running"));
+    });
+}
