feat(lab): random runs of the planner under faults

A discrete-event region with the real planner and the agents' hold table checks from outside what must hold after each event.

--- /dev/null
+++ b/crates/godwitstep-lab/src/lib.rs
@@ -0,0 +1,8 @@
+//! Experiments with the planner: random runs under faults, comparison of policies, and scale.
+
+mod policy;
+mod queue;
+pub mod random;
+mod world;
+
+pub use world::Breakage;
