--- a/crates/godwitstep-lab/src/random/drain.rs
+++ b/crates/godwitstep-lab/src/random/drain.rs
@@ -33,6 +33,11 @@
         for number in 0..world.domains.len() {
             world.set_domain(number, true);
         }
+        // A job that may not borrow can't run while guarantees take up the region.
+        for (id, mut spec) in world.workspaces.clone() {
+            spec.guarantees.clear();
+            world.declare(&id, spec);
+        }
         for at in 0..world.agents.len() {
             world.agents[at].fails = false;
             world.resume_agent(at);
--- a/crates/godwitstep-lab/src/world.rs
+++ b/crates/godwitstep-lab/src/world.rs
@@ -53,6 +53,8 @@
     pub hear: fn(hold::Event) -> Option<hold::Event>,
     /// Changes what a policy asks for.
     pub act: fn(&mut Vec<Action>),
+    /// Whether deciders are not told of failure domains.
+    pub deaf: bool,
 }
 
 impl Default for Breakage {
@@ -60,6 +62,7 @@
         Self {
             hear: Some,
             act: |_| {},
+            deaf: false,
         }
     }
 }
@@ -108,6 +111,8 @@
     links: Vec<Duration>,
     actions: Vec<Action>,
     stamp: u64,
+    /// Events since time last moved.
+    still: u64,
 }
 
 impl World {
@@ -153,6 +158,7 @@
             links: Vec::new(),
             actions: Vec::new(),
             stamp: 0,
+            still: 0,
         }
     }
 
--- a/crates/godwitstep-lab/src/world/config.rs
+++ b/crates/godwitstep-lab/src/world/config.rs
@@ -18,7 +18,9 @@
         domain.out = (!in_service).then_some(now);
         let id = domain.id.clone();
         self.version += 1;
-        self.publish(&Event::Domain { id, in_service });
+        if !self.breakage.deaf {
+            self.publish(&Event::Domain { id, in_service });
+        }
     }
 
     /// Returns since when a failure domain has been out of service.
--- a/crates/godwitstep-lab/src/world/item.rs
+++ b/crates/godwitstep-lab/src/world/item.rs
@@ -48,7 +48,7 @@
     /// A worker's lease lapses, unless it was renewed since.
     Lease { agent: usize, stamp: u64 },
     /// The deciders notice that a link is silent.
-    Silent { agent: usize, link: u64 },
+    Silent { agent: usize, silence: u64 },
     /// Entries report epochs and domains to agents, and agents report ends and usage.
     Heartbeat,
     /// Time passes for a decider.
