--- a/crates/godwitstep-lab/src/lib.rs
+++ b/crates/godwitstep-lab/src/lib.rs
@@ -3,6 +3,7 @@
 mod policy;
 mod queue;
 pub mod random;
+pub mod scale;
 mod world;
 
 pub use world::Breakage;
