--- a/crates/godwitstep-lab/src/lib.rs
+++ b/crates/godwitstep-lab/src/lib.rs
@@ -1,5 +1,6 @@
 //! Experiments with the planner: random runs under faults, comparison of policies, and scale.
 
+pub mod compare;
 mod policy;
 mod queue;
 pub mod random;
--- a/crates/godwitstep-lab/src/world.rs
+++ b/crates/godwitstep-lab/src/world.rs
@@ -27,7 +27,7 @@
 pub use agent::Agent;
 pub use decider::Decider;
 pub use item::Item;
-pub use job::Job;
+pub use job::{Job, Seen};
 pub use log::Log;
 
 /// Events that are shown when a check fails.
