--- a/crates/godwitstep-core/src/lib.rs
+++ b/crates/godwitstep-core/src/lib.rs
@@ -11,7 +11,11 @@
 //! assert_eq!(shape.accelerators(), 16);
 //! ```
 
+pub mod admission;
 pub mod authority;
+pub mod backoff;
+pub mod budget;
+pub mod burn;
 pub mod clock;
 pub mod estimate;
 pub mod fleet;
@@ -19,11 +23,13 @@
 pub mod hold;
 pub mod id;
 pub mod invariant;
+pub mod key;
 pub mod planner;
 pub mod prelude;
 pub mod quarantine;
 pub mod reason;
 pub mod record;
+pub mod registry;
 pub mod resource;
 pub mod router;
 
--- a/crates/godwitstep-lab/src/compare.rs
+++ b/crates/godwitstep-lab/src/compare.rs
@@ -3,7 +3,6 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::Serialize;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
 mod baseline;
 mod measure;
@@ -82,18 +81,11 @@
 }
 
 /// Carries out the sub-command.
-#[must_use]
-pub fn main(matches: &ArgMatches) -> ExitCode {
-    match carry_out(matches) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("{message}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn carry_out(matches: &ArgMatches) -> Result<(), String> {
+///
+/// # Errors
+///
+/// Returns an error if the scenario can't be read or the drawing can't be written.
+pub fn run(matches: &ArgMatches) -> Result<(), Box<dyn std::error::Error>> {
     let value = |name| matches.get_one::<u64>(name).copied().unwrap_or(1);
     let text = match matches.get_one::<PathBuf>("scenario") {
         None => DEFAULT.to_owned(),
@@ -101,14 +93,13 @@
             std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?
         }
     };
-    let scenario = Scenario::parse(&text).map_err(|error| error.to_string())?;
+    let scenario = Scenario::parse(&text)?;
     let lines = compare(&scenario, value("seed"), value("seeds").max(1));
     for line in &lines {
-        let text = serde_json::to_string(line).map_err(|error| error.to_string())?;
-        println!("{text}");
+        println!("{}", serde_json::to_string(line)?);
     }
-    match matches.get_one::<PathBuf>("plot") {
-        None => Ok(()),
-        Some(path) => plot::draw(path, &scenario.name, &lines),
+    if let Some(path) = matches.get_one::<PathBuf>("plot") {
+        plot::draw(path, &scenario.name, &lines)?;
     }
+    Ok(())
 }
--- a/crates/godwitstep-lab/src/compare/run.rs
+++ b/crates/godwitstep-lab/src/compare/run.rs
@@ -80,7 +80,7 @@
         }
     }
     let measures = measure(&world, &samples, (start, end));
-    (measures, world.broken.clone())
+    (measures, world.broken.map(|fault| fault.what))
 }
 
 fn set_up(world: &mut World, scenario: &Scenario) {
--- a/crates/godwitstep-lab/src/random.rs
+++ b/crates/godwitstep-lab/src/random.rs
@@ -2,11 +2,12 @@
 
 use crate::policy::Factory;
 use crate::world::{Breakage, World};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use godwitstep_core::planner::{Planner, Settings};
 use serde::Serialize;
 use std::collections::BTreeMap;
-use std::process::ExitCode;
+use std::error::Error;
+use std::fmt;
 use std::time::{Duration, Instant};
 
 mod act;
@@ -27,6 +28,7 @@
     events: u64,
     breakage: Breakage,
     watch: Option<String>,
+    keep_going: bool,
 }
 
 impl Options {
@@ -38,6 +40,7 @@
             events,
             breakage: Breakage::default(),
             watch: None,
+            keep_going: false,
         }
     }
 
@@ -68,13 +71,17 @@
     pub ends: BTreeMap<String, u64>,
     /// Faults by kind, and other counts.
     pub counts: BTreeMap<&'static str, u64>,
-    /// What broke, if anything did.
+    /// Checks that failed, by name.
+    pub violations: BTreeMap<&'static str, u64>,
+    /// What broke first, if anything did.
     pub broken: Option<Broken>,
 }
 
-/// What broke in a run.
+/// What broke first in a run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct Broken {
+    /// Seed of the run.
+    pub seed: u64,
     /// Number of the event.
     pub event: u64,
     /// What did not hold.
@@ -83,6 +90,21 @@
     pub last_events: Vec<String>,
 }
 
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            seed, event, what, ..
+        } = self;
+        write!(f, "seed {seed} broke at event {event}: {what}")?;
+        for line in &self.last_events {
+            write!(f, "\n  {line}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Error for Broken {}
+
 /// A run under way.
 struct Run {
     world: World,
@@ -95,7 +117,7 @@
 
 /// Runs once.
 #[must_use]
-pub fn run(options: &Options) -> Outcome {
+pub fn simulate(options: &Options) -> Outcome {
     let factory: Factory = Box::new(|seed| Box::new(Planner::new(Settings::default(), seed)));
     let mut world = World::new(options.seed, factory);
     world.breakage = options.breakage;
@@ -107,12 +129,13 @@
         open: true,
     };
     run.set_up();
-    while run.world.events < options.events && run.world.broken.is_none() {
+    let stop = |run: &Run| run.world.broken.is_some() && !options.keep_going;
+    while run.world.events < options.events && !stop(&run) {
         run.step();
     }
     let fault_events = run.world.events;
-    if run.world.broken.is_none() {
-        run.drain(fault_events + DRAIN_EVENTS);
+    if !stop(&run) {
+        run.drain(fault_events + DRAIN_EVENTS, options.keep_going);
     }
     run.outcome(options.seed, fault_events)
 }
@@ -131,10 +154,11 @@
             let phase = format!("{:?}", job.phase).to_lowercase();
             *ends.entry(phase).or_default() += 1;
         }
-        let broken = world.broken.clone().map(|what| Broken {
-            event: world.events,
-            what,
-            last_events: world.last_events(),
+        let broken = world.broken.clone().map(|fault| Broken {
+            seed,
+            event: fault.event,
+            what: fault.what,
+            last_events: fault.last_events,
         });
         Outcome {
             seed,
@@ -145,6 +169,7 @@
             jobs: world.jobs.len(),
             ends,
             counts: world.counts.clone(),
+            violations: world.violations.clone(),
             broken,
         }
     }
@@ -158,9 +183,15 @@
         .arg(number("seed", "Seed of the run", "1"))
         .arg(number("events", "Events under faults", "1000000"))
         .arg(
-            Arg::new("watch")
-                .long("watch")
-                .help("Job of which all events and actions are printed to standard error"),
+            Arg::new("watch").long("watch").help(
+                "Job or worker of which all events and actions are printed to standard error",
+            ),
+        )
+        .arg(
+            Arg::new("keep-going")
+                .long("keep-going")
+                .action(ArgAction::SetTrue)
+                .help("Go on after a check has failed, and count failed checks"),
         )
 }
 
@@ -170,30 +201,27 @@
 }
 
 /// Carries out the sub-command.
-#[must_use]
-pub fn main(matches: &ArgMatches) -> ExitCode {
+///
+/// # Errors
+///
+/// Returns what broke, with the seed, the number of the event and the last events.
+pub fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let value = |name| matches.get_one::<u64>(name).copied().unwrap_or(1);
     let start = Instant::now();
     let mut options = Options::new(value("seed"), value("events"));
     options.watch = matches.get_one::<String>("watch").cloned();
-    let outcome = run(&options);
+    options.keep_going = matches.get_flag("keep-going");
+    let outcome = simulate(&options);
     let wall = round(start.elapsed());
-    let mut object = serde_json::to_value(&outcome).unwrap_or_default();
+    let mut object = serde_json::to_value(&outcome)?;
     if let Some(map) = object.as_object_mut() {
         map.insert("wall_s".into(), wall.into());
     }
     println!("{object}");
-    let Some(broken) = outcome.broken else {
-        return ExitCode::SUCCESS;
-    };
-    eprintln!(
-        "seed {} broke at event {}: {}",
-        outcome.seed, broken.event, broken.what
-    );
-    for line in broken.last_events {
-        eprintln!("  {line}");
+    match outcome.broken {
+        None => Ok(()),
+        Some(broken) => Err(broken.into()),
     }
-    ExitCode::FAILURE
 }
 
 fn round(time: Duration) -> f64 {
--- a/crates/godwitstep-lab/src/random/drain.rs
+++ b/crates/godwitstep-lab/src/random/drain.rs
@@ -11,16 +11,16 @@
 
 impl Run {
     /// Ends all faults and runs until all jobs are final.
-    pub(super) fn drain(&mut self, events: u64) {
+    pub(super) fn drain(&mut self, events: u64, keep_going: bool) {
         self.open = false;
         self.storm = false;
         self.mend();
         let end = self.world.now + LIMIT;
         let more = |run: &Self| run.world.now < end && run.world.events < events;
-        while self.world.load() > 0 && more(self) && self.world.broken.is_none() {
+        while self.world.load() > 0 && more(self) && (keep_going || self.world.broken.is_none()) {
             self.step();
         }
-        if self.world.broken.is_none() {
+        if keep_going || self.world.broken.is_none() {
             self.world.check_end();
         }
     }
--- a/crates/godwitstep-lab/src/random/load.rs
+++ b/crates/godwitstep-lab/src/random/load.rs
@@ -139,7 +139,7 @@
                 "guaranteed claim {} of {:?} has not started after {CLAIM_LIMIT:?}: {:?}",
                 job.id, job.spec.shape, job.reason
             );
-            world.fail(what);
+            world.fail("late_claim", what);
         }
     }
 }
--- a/crates/godwitstep-lab/src/scale.rs
+++ b/crates/godwitstep-lab/src/scale.rs
@@ -2,7 +2,7 @@
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use serde::Serialize;
-use std::process::ExitCode;
+use std::error::Error;
 use std::time::Duration;
 
 pub mod fit;
@@ -104,8 +104,11 @@
 }
 
 /// Carries out the sub-command.
-#[must_use]
-pub fn main(matches: &ArgMatches) -> ExitCode {
+///
+/// # Errors
+///
+/// Returns an error if a row can't be encoded.
+pub fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let value = |name| matches.get_one::<usize>(name).copied().unwrap_or(1);
     let (measured, smallest) = (value("measured"), value("smallest"));
     let json = matches.get_flag("json");
@@ -113,21 +116,21 @@
         let mut points = Vec::new();
         for divisor in DIVISORS.into_iter().filter(|divisor| *divisor >= smallest) {
             let point = point(series, divisor, workers, tasks, measured);
-            print(&Row::Planner(point.clone()), json);
+            print(&Row::Planner(point.clone()), json)?;
             points.push(point);
         }
         for row in fits(series, &points) {
-            print(&row, json);
+            print(&row, json)?;
         }
     }
     for row in frame::rows() {
-        print(&row, json);
+        print(&row, json)?;
     }
-    ExitCode::SUCCESS
+    Ok(())
 }
 
-fn print(row: &Row, json: bool) {
-    let value = serde_json::to_value(row).unwrap_or_default();
+fn print(row: &Row, json: bool) -> Result<(), Box<dyn Error>> {
+    let value = serde_json::to_value(row)?;
     match value.as_object() {
         Some(object) if !json => {
             let fields = object.iter().map(|(name, value)| format!("{name}={value}"));
@@ -135,6 +138,7 @@
         }
         _ => println!("{value}"),
     }
+    Ok(())
 }
 
 fn point(
--- a/crates/godwitstep-lab/src/scale/frame.rs
+++ b/crates/godwitstep-lab/src/scale/frame.rs
@@ -71,6 +71,7 @@
         }),
         inventory: running.collect(),
         leaving: false,
+        epoch: 1_234_000,
     })
 }
 
--- a/crates/godwitstep-lab/src/world.rs
+++ b/crates/godwitstep-lab/src/world.rs
@@ -67,6 +67,16 @@
     }
 }
 
+/// A check that failed.
+#[derive(Debug, Clone)]
+pub struct Fault {
+    /// Number of the event.
+    pub event: u64,
+    pub what: String,
+    /// The last events up to it.
+    pub last_events: Vec<String>,
+}
+
 /// A failure domain.
 #[derive(Debug, Clone)]
 pub struct Domain {
@@ -98,10 +108,12 @@
     pub checkpoint_ms: u64,
     /// When something last disturbed the region.
     pub disturbed: Duration,
-    /// Job of which all events and actions are printed to standard error.
+    /// Job or worker of which all events and actions are printed to standard error.
     pub watch: Option<String>,
     /// What broke first.
-    pub broken: Option<String>,
+    pub broken: Option<Fault>,
+    /// Failed checks by name.
+    pub violations: BTreeMap<&'static str, u64>,
     factory: Factory,
     hasher: DefaultHasher,
     recent: VecDeque<(Duration, Item)>,
@@ -150,6 +162,7 @@
             disturbed: Duration::ZERO,
             watch: None,
             broken: None,
+            violations: BTreeMap::new(),
             factory,
             hasher: DefaultHasher::new(),
             recent: VecDeque::new(),
@@ -225,9 +238,16 @@
         *self.counts.entry(name).or_default() += 1;
     }
 
-    /// Notes the first thing that broke.
-    pub fn fail(&mut self, what: String) {
-        self.broken.get_or_insert(what);
+    /// Notes that a check failed.
+    pub fn fail(&mut self, check: &'static str, what: String) {
+        *self.violations.entry(check).or_default() += 1;
+        if self.broken.is_none() {
+            self.broken = Some(Fault {
+                event: self.events,
+                what,
+                last_events: self.last_events(),
+            });
+        }
     }
 
     /// Returns the hash of all events and actions so far.
@@ -236,7 +256,7 @@
     }
 
     /// Returns the last events, oldest first.
-    pub fn last_events(&self) -> Vec<String> {
+    fn last_events(&self) -> Vec<String> {
         let shown = self.recent.iter();
         shown
             .map(|(at, item)| format!("{:.3} {item:?}", at.as_secs_f64()))
--- a/crates/godwitstep-lab/src/world/check.rs
+++ b/crates/godwitstep-lab/src/world/check.rs
@@ -33,49 +33,72 @@
         let state = &self.jobs[number];
         let mut faults = Vec::new();
         if used > capacity {
-            faults.push(format!("{used} of {capacity} accelerators of {id} run"));
+            faults.push((
+                "over_committed",
+                format!("{used} of {capacity} accelerators of {id} run"),
+            ));
         }
         if out.is_some_and(|since| now > since + DOMAIN_LIMIT) {
-            faults.push(format!(
-                "{job} starts on {id}, out of service since {out:?}"
+            faults.push((
+                "domain_out",
+                format!("{job} starts on {id}, out of service since {out:?}"),
             ));
         }
         let listed = state.parts.iter().find(|part| part.worker == id);
         let recorded = state.attempt == attempt
             && listed.is_some_and(|part| part.accelerators == accelerators);
         if state.attempt <= attempt && !recorded {
-            faults.push(format!(
-                "{job} run {attempt} starts on {id}, not as recorded"
+            faults.push((
+                "not_as_recorded",
+                format!("{job} run {attempt} starts on {id}, not as recorded"),
             ));
         }
         if state.phase == Phase::Cancelled {
-            faults.push(format!("{job} starts on {id} although it is cancelled"));
+            faults.push((
+                "start_after_cancelled",
+                format!("{job} starts on {id} although it is cancelled"),
+            ));
         }
         if state
             .cancelled
             .is_some_and(|since| now > since + CANCEL_LIMIT)
         {
-            faults.push(format!("{job} starts on {id} long after it was cancelled"));
+            faults.push((
+                "late_start_of_cancelled",
+                format!("{job} starts on {id} long after it was cancelled"),
+            ));
         }
         let newest = state.runs.iter().filter(|seen| seen.started > 0);
         let newest = newest.map(|seen| seen.attempt).max().unwrap_or(0);
         if attempt < newest {
-            faults.push(format!("run {attempt} of {job} starts after run {newest}"));
+            faults.push((
+                "attempt_order",
+                format!("run {attempt} of {job} starts after run {newest}"),
+            ));
         }
         let others = state.runs.iter().filter(|seen| seen.attempt != attempt);
         if !state.repeatable() && others.clone().any(|seen| seen.started > 0) {
-            faults.push(format!("{job} must not be repeated; run {attempt} on {id}"));
+            faults.push((
+                "repeated",
+                format!("{job} must not be repeated; run {attempt} on {id}"),
+            ));
         }
         if !state.spec.idempotent && others.clone().any(|seen| seen.live > 0) {
-            faults.push(format!("run {attempt} of {job} overlaps another, on {id}"));
+            faults.push((
+                "overlap",
+                format!("run {attempt} of {job} overlaps another, on {id}"),
+            ));
         }
         let mut others = others;
         let whole = others.any(|seen| seen.done > 0 && seen.done >= seen.parts);
         if !state.spec.idempotent && whole {
-            faults.push(format!("{job} has completed; run {attempt} starts on {id}"));
+            faults.push((
+                "completed_twice",
+                format!("{job} has completed; run {attempt} starts on {id}"),
+            ));
         }
-        for fault in faults {
-            self.fail(fault);
+        for (check, fault) in faults {
+            self.fail(check, fault);
         }
     }
 
@@ -91,9 +114,9 @@
         let started = seen.started;
         seen.settled.get_or_insert(now);
         if started < parts {
-            self.fail(format!(
-                "epoch {epoch} settles {job} with {started} of {parts} parts started"
-            ));
+            let what =
+                format!("epoch {epoch} settles {job} with {started} of {parts} parts started");
+            self.fail("partial_gang", what);
         }
     }
 
@@ -153,7 +176,7 @@
                 "{} is {:?} at the end, attempt {}, parts {:?}, told {:?}, known {known:?}, {:?}",
                 state.id, state.phase, state.attempt, state.parts, state.reason, state.spec
             );
-            self.fail(message);
+            self.fail("not_final", message);
         }
     }
 }
--- a/crates/godwitstep-lab/src/world/decider.rs
+++ b/crates/godwitstep-lab/src/world/decider.rs
@@ -55,7 +55,8 @@
         decider.policy.handle(now, event, &mut actions);
         act(&mut actions);
         if let Some(violation) = decider.policy.violation() {
-            self.fail(format!("violation in epoch {epoch}: {violation}"));
+            let what = format!("violation in epoch {epoch}: {violation}");
+            self.fail("planner_violation", what);
         }
         for action in actions.drain(..) {
             self.hash_action(&action);
--- a/crates/godwitstep-lab/src/world/log.rs
+++ b/crates/godwitstep-lab/src/world/log.rs
@@ -110,7 +110,8 @@
                 let state = &mut self.jobs[number];
                 if (state.phase, state.attempt) != (Phase::Running, attempt) {
                     let found = (state.phase, state.attempt);
-                    return self.fail(format!("{job} requeued after run {attempt}: {found:?}"));
+                    let what = format!("{job} requeued after run {attempt}: {found:?}");
+                    return self.fail("requeue_order", what);
                 }
                 state.phase = Phase::Queued;
                 state.reason = reason;
@@ -130,12 +131,14 @@
         let state = &mut self.jobs[number];
         if state.phase.is_final() {
             let found = state.phase;
-            return self.fail(format!("{job} ended twice: {found:?} then {phase:?}"));
+            let what = format!("{job} ended twice: {found:?} then {phase:?}");
+            return self.fail("ended_twice", what);
         }
         let attempt = state.attempt;
         let parts = state.parts.len();
         if phase == Phase::Done && (attempt == 0 || state.seen(attempt).done != parts) {
-            return self.fail(format!("{job} is recorded as done but is not"));
+            let what = format!("{job} is recorded as done but is not");
+            return self.fail("not_done", what);
         }
         let state = &mut self.jobs[number];
         state.phase = phase;
--- a/crates/godwitstep-lab/src/world/step.rs
+++ b/crates/godwitstep-lab/src/world/step.rs
@@ -20,9 +20,9 @@
         let (at, item) = self.queue.pop()?;
         self.still = if at > self.now { 0 } else { self.still + 1 };
         if self.still > STILL_LIMIT {
-            self.fail(String::from(
-                "events follow each other without end at one instant",
-            ));
+            self.still = 0;
+            let what = String::from("events follow each other without end at one instant");
+            self.fail("livelock", what);
         }
         self.now = at;
         self.events += 1;
--- a/crates/godwitstep-lab/tests/random.rs
+++ b/crates/godwitstep-lab/tests/random.rs
@@ -5,7 +5,7 @@
 use godwitstep_core::record;
 use godwitstep_core::resource::Phase;
 use godwitstep_lab::Breakage;
-use godwitstep_lab::random::{Options, run};
+use godwitstep_lab::random::{Options, simulate};
 
 /// Events of each run; the faults of several storms fall into them.
 const EVENTS: u64 = 20_000;
@@ -14,16 +14,19 @@
 #[test]
 fn the_same_seed_gives_the_same_trace() {
     let options = Options::new(7, EVENTS);
-    let (first, second) = (run(&options), run(&options));
+    let (first, second) = (simulate(&options), simulate(&options));
     assert_eq!(first, second);
-    assert_ne!(first.trace_hash, run(&Options::new(8, EVENTS)).trace_hash);
+    assert_ne!(
+        first.trace_hash,
+        simulate(&Options::new(8, EVENTS)).trace_hash
+    );
 }
 
 /// Guards against faults that these seeds would show again.
 #[test]
 fn fixed_seeds_pass() {
     for seed in [1, 2, 4] {
-        let outcome = run(&Options::new(seed, EVENTS));
+        let outcome = simulate(&Options::new(seed, EVENTS));
         assert_eq!(outcome.broken, None, "seed {seed}");
         assert!(outcome.ends["done"] > 0, "seed {seed}");
     }
@@ -33,7 +36,7 @@
 fn assert_caught(breakage: Breakage, expected: &str) {
     let mut seen = Vec::new();
     for seed in 1..=6 {
-        let outcome = run(&Options::new(seed, EVENTS).breakage(breakage));
+        let outcome = simulate(&Options::new(seed, EVENTS).breakage(breakage));
         let Some(broken) = outcome.broken else {
             continue;
         };
