--- a/crates/godwitstep-core/src/fleet.rs
+++ b/crates/godwitstep-core/src/fleet.rs
@@ -24,7 +24,7 @@
 use crate::id::{Accelerators, DomainId, RackId, WorkerId};
 use crate::planner::Worker;
 use crate::resource::Shape;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 mod index;
@@ -118,10 +118,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Fleet {
     machines: Vec<Machine>,
-    slots: HashMap<WorkerId, Slot>,
-    racks: HashMap<(u32, RackId), u32>,
+    slots: BTreeMap<WorkerId, Slot>,
+    racks: BTreeMap<(u32, RackId), u32>,
     zones: Vec<Zone>,
-    zone_slots: HashMap<DomainId, u32>,
+    zone_slots: BTreeMap<DomainId, u32>,
     /// Accelerators neither used nor pledged.
     free: Index,
     /// The part of `free` that no guarantee claims.
--- a/crates/godwitstep-core/src/fleet/index.rs
+++ b/crates/godwitstep-core/src/fleet/index.rs
@@ -2,7 +2,7 @@
 
 use crate::id::Accelerators;
 use crate::resource::{Adjacency, Shape};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Number of a worker in its fleet.
 pub type Slot = u32;
@@ -48,8 +48,8 @@
 /// Amounts by worker. Workers with an amount of 0 take no space.
 #[derive(Debug, Clone, Default)]
 pub struct Index {
-    amounts: HashMap<Slot, (Seat, Accelerators)>,
-    racks: HashMap<u32, Rack>,
+    amounts: BTreeMap<Slot, (Seat, Accelerators)>,
+    racks: BTreeMap<u32, Rack>,
     domains: BTreeMap<u32, Domain>,
 }
 
--- a/crates/godwitstep-core/src/hold.rs
+++ b/crates/godwitstep-core/src/hold.rs
@@ -19,7 +19,7 @@
 use crate::id::{Accelerators, Attempt, DomainId, Epoch, JobId};
 use crate::planner::{End, Running};
 use crate::reason::Reason;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 mod message;
@@ -67,7 +67,7 @@
     /// Ended parts that the decider has not acknowledged.
     ended: BTreeMap<Id, End>,
     /// Newest ended run of each job; it and older runs never start.
-    closed: HashMap<JobId, (Attempt, End)>,
+    closed: BTreeMap<JobId, (Attempt, End)>,
     closed_order: VecDeque<(Duration, Id)>,
     deadlines: BTreeSet<(Duration, Id)>,
 }
@@ -83,7 +83,7 @@
             in_service: true,
             parts: BTreeMap::new(),
             ended: BTreeMap::new(),
-            closed: HashMap::new(),
+            closed: BTreeMap::new(),
             closed_order: VecDeque::new(),
             deadlines: BTreeSet::new(),
         }
@@ -98,6 +98,7 @@
             Event::Service(in_service) => self.in_service = in_service,
             Event::Launched { job, attempt } => self.launched((job, attempt), out),
             Event::Ended { job, attempt, end } => self.end(now, (job, attempt), end, out),
+            Event::Lapsed => self.lapse(now, out),
             Event::Found { running } => self.found(running),
             Event::Acknowledged { job, attempt } => {
                 self.ended.remove(&(job, attempt));
@@ -261,14 +262,19 @@
 
     fn stop(&mut self, now: Duration, id: Id, checkpoint: bool, out: &mut Vec<Action>) {
         let Some(part) = self.parts.get(&id) else {
-            let end = match self.closed.get(&id.0) {
-                Some((attempt, end)) if *attempt == id.1 => *end,
-                _ => End::NotStarted,
-            };
-            return self.close(now, id, end, out);
+            let known = self
+                .closed
+                .get(&id.0)
+                .filter(|(attempt, _)| *attempt == id.1);
+            let end = known.map_or(End::NotStarted, |(_, end)| *end);
+            self.bar(now, &id, end);
+            return out.push(ended(id, end));
         };
+        // What never started need not be kept until acknowledged: a stop is repeated.
         if part.state == State::Held {
-            return self.close(now, id, End::NotStarted, out);
+            self.remove(&id);
+            self.bar(now, &id, End::NotStarted);
+            return out.push(ended(id, End::NotStarted));
         }
         self.deadlines.remove(&(part.until, id.clone()));
         self.set_state(&id, State::Stopping);
@@ -299,6 +305,17 @@
         }
     }
 
+    fn lapse(&mut self, now: Duration, out: &mut Vec<Action>) {
+        let ids: Vec<Id> = self.parts.keys().cloned().collect();
+        for id in ids {
+            if self.parts[&id].state == State::Held {
+                self.remove(&id);
+            } else {
+                self.close(now, id, End::Stopped, out);
+            }
+        }
+    }
+
     /// Takes over a part that a previous life of this agent started. It counts as settled: the
     /// decider sees it in the inventory and stops it if it must not run.
     fn found(&mut self, running: Running) {
@@ -314,13 +331,18 @@
 
     fn close(&mut self, now: Duration, id: Id, end: End, out: &mut Vec<Action>) {
         self.remove(&id);
+        self.bar(now, &id, end);
+        self.ended.insert(id.clone(), end);
+        out.push(ended(id, end));
+    }
+
+    /// Bars a run and all earlier runs of its job from starting.
+    fn bar(&mut self, now: Duration, id: &Id, end: End) {
         let newest = self.closed.entry(id.0.clone()).or_insert((id.1, end));
         if newest.0 <= id.1 {
             *newest = (id.1, end);
         }
         self.closed_order.push_back((now + MEMORY, id.clone()));
-        self.ended.insert(id.clone(), end);
-        out.push(ended(id, end));
     }
 
     fn expire(&mut self, now: Duration, out: &mut Vec<Action>) {
--- a/crates/godwitstep-core/src/hold/message.rs
+++ b/crates/godwitstep-core/src/hold/message.rs
@@ -63,6 +63,10 @@
         /// How.
         end: End,
     },
+    /// The worker's lease has lapsed, so nothing that was started under it runs any more. An agent
+    /// lets the lease lapse when it has heard no entry for nearly the lease's life, because the
+    /// decider takes its parts for gone then.
+    Lapsed,
     /// The worker's task list holds a part that this table does not know.
     Found {
         /// The part.
--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -37,7 +37,7 @@
 use crate::invariant::Violation;
 use crate::quarantine::Quarantine;
 use crate::reason::Reason;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 mod adopt;
@@ -82,19 +82,19 @@
     superseded: bool,
     fleet: Fleet,
     /// Jobs that are not final.
-    jobs: HashMap<u32, Entry>,
-    names: HashMap<JobId, u32>,
+    jobs: BTreeMap<u32, Entry>,
+    names: BTreeMap<JobId, u32>,
     next_job: u32,
     queue: Queue,
     tenants: BTreeMap<WorkspaceId, Tenant>,
     /// Guaranteed shapes that have no place, by rank, workspace and number.
     unplaced: BTreeSet<(u32, WorkspaceId, usize)>,
     /// Guaranteed shapes by the workers that hold them.
-    homes_at: HashMap<Slot, BTreeSet<(WorkspaceId, usize)>>,
+    homes_at: BTreeMap<Slot, BTreeSet<(WorkspaceId, usize)>>,
     /// Jobs that run outside of the place of a guarantee that could cover them.
     outside: BTreeSet<u32>,
     /// Active jobs by workspace.
-    members: HashMap<WorkspaceId, BTreeSet<u32>>,
+    members: BTreeMap<WorkspaceId, BTreeSet<u32>>,
     /// Whether guarantees are to be placed anew.
     rehome: bool,
     /// Jobs that hold a reservation.
@@ -125,15 +125,15 @@
             standing: Standing::Fresh,
             superseded: false,
             fleet: Fleet::default(),
-            jobs: HashMap::new(),
-            names: HashMap::new(),
+            jobs: BTreeMap::new(),
+            names: BTreeMap::new(),
             next_job: 0,
             queue: Queue::default(),
             tenants: BTreeMap::new(),
             unplaced: BTreeSet::new(),
-            homes_at: HashMap::new(),
+            homes_at: BTreeMap::new(),
             outside: BTreeSet::new(),
-            members: HashMap::new(),
+            members: BTreeMap::new(),
             rehome: false,
             reservations: BTreeSet::new(),
             ripe: BTreeSet::new(),
--- a/crates/godwitstep-core/src/planner/adopt.rs
+++ b/crates/godwitstep-core/src/planner/adopt.rs
@@ -56,6 +56,7 @@
                 accelerators: part.accelerators,
                 status: Status::Unheard,
                 settled: false,
+                doubted: false,
             });
         }
         for part in &adopted {
--- a/crates/godwitstep-core/src/planner/claim.rs
+++ b/crates/godwitstep-core/src/planner/claim.rs
@@ -11,7 +11,7 @@
 
 /// Time after which a claim that is still not free is planned anew. Borrowers have 20 s to save
 /// their state and some to stop, 30 s in all.
-const CLAIM_LIFE: Duration = Duration::from_secs(35);
+pub(super) const CLAIM_LIFE: Duration = Duration::from_secs(35);
 
 impl Planner {
     /// Claims the job's guarantee from its borrowers, if that makes room for it. Urgent work also
@@ -149,7 +149,8 @@
         if self.superseded || !self.standing.may_promise() {
             return;
         }
-        for id in std::mem::take(&mut self.ripe) {
+        // Giving way can free what another job waits for.
+        while let Some(id) = self.ripe.pop_first() {
             let Some(entry) = self.jobs.get(&id) else {
                 continue;
             };
--- a/crates/godwitstep-core/src/planner/home.rs
+++ b/crates/godwitstep-core/src/planner/home.rs
@@ -10,7 +10,7 @@
 use crate::guarantee::{self, Claim};
 use crate::id::{Accelerators, WorkspaceId};
 use crate::resource::{Shape, Workspace};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// A guaranteed shape and its home.
 #[derive(Debug, Clone)]
@@ -29,7 +29,7 @@
     /// The same for workers that are lost and may come back.
     away: BTreeMap<Slot, Accelerators>,
     /// Accelerators of its homes by worker, used or not.
-    homed: HashMap<Slot, Accelerators>,
+    homed: BTreeMap<Slot, Accelerators>,
 }
 
 impl Tenant {
@@ -44,7 +44,7 @@
             spec,
             left: Index::default(),
             away: BTreeMap::new(),
-            homed: HashMap::new(),
+            homed: BTreeMap::new(),
         }
     }
 
--- a/crates/godwitstep-core/src/planner/job.rs
+++ b/crates/godwitstep-core/src/planner/job.rs
@@ -40,6 +40,9 @@
     pub status: Status,
     /// Whether the agent is known to have been told that the whole gang runs.
     pub settled: bool,
+    /// Whether its worker announced itself without the part. A new agent does not know what an
+    /// earlier one started, so its word that the part never started is not taken then.
+    pub doubted: bool,
 }
 
 /// Where a run stands.
--- a/crates/godwitstep-core/src/planner/outcome.rs
+++ b/crates/godwitstep-core/src/planner/outcome.rs
@@ -46,6 +46,8 @@
         let Some(part) = run.part_mut(slot).filter(|part| !part.status.is_over()) else {
             return;
         };
+        let believed = !part.doubted && part.status != Status::Started;
+        let end = end.filter(|end| *end != End::NotStarted || believed);
         part.status = Status::Over(end);
         self.free_part(id, slot);
         let worker = self.worker(slot);
--- a/crates/godwitstep-core/src/planner/place.rs
+++ b/crates/godwitstep-core/src/planner/place.rs
@@ -173,6 +173,7 @@
             accelerators: spot.tasks * each,
             status: Status::Asked,
             settled: false,
+            doubted: false,
         });
         let mut parts: Vec<Part> = parts.collect();
         parts.sort_by_key(|part| self.worker(part.slot));
--- a/crates/godwitstep-core/src/planner/reserve.rs
+++ b/crates/godwitstep-core/src/planner/reserve.rs
@@ -1,6 +1,7 @@
 //! Reservations for jobs that would otherwise be overtaken for ever, and what may run meanwhile.
 
 use super::Planner;
+use super::claim::CLAIM_LIFE;
 use super::event::Action;
 use super::job::Stage;
 use super::place::Place;
@@ -144,7 +145,9 @@
                 continue;
             };
             let in_time = end.is_some_and(|end| end <= start);
-            if !soft && !in_time && entry.key > owner.key {
+            // Once it is due, jobs that give way would only be stopped again.
+            let can_give_way = soft && start > now;
+            if !can_give_way && !in_time && entry.key > owner.key {
                 continue;
             }
             let mut idle = Index::default();
@@ -204,6 +207,13 @@
         }
         victims.sort_unstable();
         victims.dedup();
+        let run = self.jobs.get_mut(&id).and_then(|entry| entry.run.as_mut());
+        if let Some(Stage::Pledged { start, .. }) = run.map(|run| &mut run.stage)
+            && *start > now
+        {
+            *start = now;
+            self.wake(id, now + CLAIM_LIFE);
+        }
         self.preempt(now, id, victims, out);
     }
 }
--- a/crates/godwitstep-core/src/planner/worker.rs
+++ b/crates/godwitstep-core/src/planner/worker.rs
@@ -93,10 +93,10 @@
 
     /// Sets a limit for news of a part that an inventory lacks. Its end may be on the way.
     fn expect_missing(&mut self, now: Duration, id: u32, slot: Slot, inventory: &[Running]) {
-        let Some(entry) = self.jobs.get(&id) else {
+        let Some(entry) = self.jobs.get_mut(&id) else {
             return;
         };
-        let Some(run) = &entry.run else {
+        let Some(run) = &mut entry.run else {
             return;
         };
         let listed = inventory.iter();
@@ -108,9 +108,13 @@
         if matches!(run.stage, Stage::Reserving | Stage::Recording) {
             return;
         }
+        let attempt = run.attempt;
+        if let Some(part) = run.part_mut(slot) {
+            part.doubted = true;
+        }
         let timer = Timer::Missing {
             job: id,
-            attempt: run.attempt,
+            attempt,
             slot,
         };
         self.timers
@@ -132,15 +136,12 @@
             let mut parts = run.parts.iter();
             run.attempt == attempt && parts.any(|part| part.slot == slot && !part.status.is_over())
         });
+        // The part counts as gone only once the worker has acknowledged a stop, which bars the run
+        // from it: a commit of an earlier decider may still be on its way.
         if lacks {
-            // Bars the run from the worker, whatever messages are still on their way.
-            out.push(Action::Stop {
-                worker: self.worker(slot),
-                job: entry.name.clone(),
-                attempt,
-                checkpoint: false,
-            });
-            self.part_over(now, id, slot, None, out);
+            let worker = self.worker(slot);
+            let fate = Fate::Requeue(Reason::WorkerLost { worker });
+            self.withdraw(now, id, fate, out);
         }
     }
 
