--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -75,8 +75,8 @@
     rng: fastrand::Rng,
     /// Epoch under which this planner decides; 0 until it is told.
     epoch: Epoch,
-    /// When the epoch was told.
-    since: Duration,
+    /// When the epoch was told or the last new worker was announced.
+    found: Duration,
     standing: Standing,
     /// An agent refused a command because it knows a newer epoch. Nothing starts any more.
     superseded: bool,
@@ -121,7 +121,7 @@
             settings,
             rng: fastrand::Rng::with_seed(seed),
             epoch: 0,
-            since: Duration::ZERO,
+            found: Duration::ZERO,
             standing: Standing::Fresh,
             superseded: false,
             fleet: Fleet::default(),
@@ -230,9 +230,17 @@
 
     fn set_epoch(&mut self, now: Duration, epoch: Epoch) {
         self.epoch = epoch;
-        self.since = now;
         self.superseded = false;
-        let check = now + self.settings.discovery;
-        self.timers.insert((check, Timer::Discovered));
+        self.note_new(now);
+    }
+
+    /// Puts off the moment at which all workers are taken to be known.
+    fn note_new(&mut self, now: Duration) {
+        let settings = self.settings;
+        self.timers
+            .remove(&(self.found + settings.discovery, Timer::Discovered));
+        self.found = now;
+        self.timers
+            .insert((now + settings.discovery, Timer::Discovered));
     }
 }
--- a/crates/godwitstep-core/src/planner/place.rs
+++ b/crates/godwitstep-core/src/planner/place.rs
@@ -51,8 +51,7 @@
             return;
         };
         let (shape, lane) = (entry.spec.shape, entry.lane.clone());
-        let discovered = now >= self.since + self.settings.discovery;
-        if discovered && !self.fleet.could_hold(shape) {
+        if self.discovered(now) && !self.fleet.could_hold(shape) {
             let reason = Reason::CanNeverRun { shape };
             return self.conclude(id, Phase::Failed, reason, out);
         }
@@ -66,6 +65,15 @@
         }
     }
 
+    /// Reports whether the workers can be taken to be known: none was new for some time, and every
+    /// failure domain has some. A job must not be refused for good because links are down.
+    fn discovered(&self, now: Duration) -> bool {
+        let mut zones = self.fleet.zones().filter(|(_, zone)| !zone.id.is_empty());
+        now >= self.found + self.settings.discovery
+            && self.fleet.machines().next().is_some()
+            && zones.all(|(slot, _)| self.fleet.whole(slot) > 0)
+    }
+
     /// Finds free accelerators for a job: in its workspace's homes, in capacity that nobody is
     /// guaranteed, borrowed from others, or in the shadow of a reservation.
     fn find(&self, now: Duration, id: u32) -> Option<Place> {
--- a/crates/godwitstep-core/src/planner/settings.rs
+++ b/crates/godwitstep-core/src/planner/settings.rs
@@ -28,8 +28,9 @@
     /// Number of reservations at the same time. Each takes up to 512 workers out of use for jobs
     /// that run too long, so more would cost more than they give.
     pub reservations: usize,
-    /// Time after a take-over in which workers may still announce themselves. A job is refused as
-    /// too large only afterwards.
+    /// Time after a take-over, and after the last new worker, in which more workers may announce
+    /// themselves. A job is refused as too large only afterwards, because links that are down
+    /// would make the region look small.
     pub discovery: Duration,
     /// Jobs a second that are moved out of a failure domain, or started in one that returned.
     pub pace: u32,
@@ -54,7 +55,7 @@
             inventory_grace: Duration::from_secs(1),
             reservation_life: Duration::from_secs(5),
             reservations: 4,
-            discovery: Duration::from_secs(10),
+            discovery: Duration::from_secs(60),
             pace: 16,
             return_time: Duration::from_secs(30),
             attempts_per_event: 32,
--- a/crates/godwitstep-core/src/planner/worker.rs
+++ b/crates/godwitstep-core/src/planner/worker.rs
@@ -26,6 +26,10 @@
         if let Some(slot) = self.fleet.slot(&worker.id).filter(|slot| moved(*slot)) {
             self.drop_homes_at(slot);
         }
+        let known = self.fleet.slot(&worker.id);
+        if known.is_none_or(|slot| self.fleet.machine(slot).worker.accelerators == 0) {
+            self.note_new(now);
+        }
         let slot = self.fleet.announce(worker);
         if self.quarantine.suspects(slot) {
             self.fleet.set_state(slot, State::Quarantined);
