--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -37,7 +37,7 @@
 use crate::invariant::Violation;
 use crate::quarantine::Quarantine;
 use crate::reason::Reason;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 mod adopt;
@@ -75,26 +75,26 @@
     rng: fastrand::Rng,
     /// Epoch under which this planner decides; 0 until it is told.
     epoch: Epoch,
-    /// When the epoch was told.
-    since: Duration,
+    /// When the epoch was told or the last new worker was announced.
+    found: Duration,
     standing: Standing,
     /// An agent refused a command because it knows a newer epoch. Nothing starts any more.
     superseded: bool,
     fleet: Fleet,
     /// Jobs that are not final.
-    jobs: HashMap<u32, Entry>,
-    names: HashMap<JobId, u32>,
+    jobs: BTreeMap<u32, Entry>,
+    names: BTreeMap<JobId, u32>,
     next_job: u32,
     queue: Queue,
     tenants: BTreeMap<WorkspaceId, Tenant>,
     /// Guaranteed shapes that have no place, by rank, workspace and number.
     unplaced: BTreeSet<(u32, WorkspaceId, usize)>,
     /// Guaranteed shapes by the workers that hold them.
-    homes_at: HashMap<Slot, BTreeSet<(WorkspaceId, usize)>>,
+    homes_at: BTreeMap<Slot, BTreeSet<(WorkspaceId, usize)>>,
     /// Jobs that run outside of the place of a guarantee that could cover them.
     outside: BTreeSet<u32>,
     /// Active jobs by workspace.
-    members: HashMap<WorkspaceId, BTreeSet<u32>>,
+    members: BTreeMap<WorkspaceId, BTreeSet<u32>>,
     /// Whether guarantees are to be placed anew.
     rehome: bool,
     /// Jobs that hold a reservation.
@@ -121,19 +121,19 @@
             settings,
             rng: fastrand::Rng::with_seed(seed),
             epoch: 0,
-            since: Duration::ZERO,
+            found: Duration::ZERO,
             standing: Standing::Fresh,
             superseded: false,
             fleet: Fleet::default(),
-            jobs: HashMap::new(),
-            names: HashMap::new(),
+            jobs: BTreeMap::new(),
+            names: BTreeMap::new(),
             next_job: 0,
             queue: Queue::default(),
             tenants: BTreeMap::new(),
             unplaced: BTreeSet::new(),
-            homes_at: HashMap::new(),
+            homes_at: BTreeMap::new(),
             outside: BTreeSet::new(),
-            members: HashMap::new(),
+            members: BTreeMap::new(),
             rehome: false,
             reservations: BTreeSet::new(),
             ripe: BTreeSet::new(),
@@ -230,9 +230,17 @@
 
     fn set_epoch(&mut self, now: Duration, epoch: Epoch) {
         self.epoch = epoch;
-        self.since = now;
         self.superseded = false;
-        let check = now + self.settings.discovery;
-        self.timers.insert((check, Timer::Discovered));
+        self.note_new(now);
+    }
+
+    /// Puts off the moment at which all workers are taken to be known.
+    fn note_new(&mut self, now: Duration) {
+        let settings = self.settings;
+        self.timers
+            .remove(&(self.found + settings.discovery, Timer::Discovered));
+        self.found = now;
+        self.timers
+            .insert((now + settings.discovery, Timer::Discovered));
     }
 }
--- a/crates/godwitstep-lab/src/main.rs
+++ b/crates/godwitstep-lab/src/main.rs
@@ -5,16 +5,23 @@
 mod load;
 
 use clap::Command;
+use godwitstep_lab::{compare, random, scale};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let matches = Command::new("godwitstep-lab")
-        .about("Load and experiments on the loopback interface")
+        .about("Load on the loopback interface, and experiments with the planner")
         .subcommand_required(true)
+        .subcommand(compare::command())
         .subcommand(load::command())
+        .subcommand(random::command())
+        .subcommand(scale::command())
         .get_matches();
     let result = match matches.subcommand() {
+        Some(("compare", given)) => compare::run(given),
         Some(("load", given)) => load::run(given),
+        Some(("random", given)) => random::run(given),
+        Some(("scale", given)) => scale::run(given),
         _ => Ok(()),
     };
     match result {
