feat(lab): slopes of idle daemons by their links

Cause: docs/CAPACITY.md needs the cost of a link at an entry and at an agent. Change: a sub-command starts the daemons as processes, observes them while idle and fits processor share and memory against the number of links.

--- a/crates/godwitstep-lab/src/load.rs
+++ b/crates/godwitstep-lab/src/load.rs
@@ -5,7 +5,7 @@
 mod arguments;
 mod drive;
 mod path;
-mod process;
+pub(crate) mod process;
 mod tally;
 
 pub use arguments::command;
--- a/crates/godwitstep-lab/src/load/process.rs
+++ b/crates/godwitstep-lab/src/load/process.rs
@@ -10,31 +10,36 @@
 
 /// A process to observe.
 #[derive(Debug, Clone)]
-pub(super) struct Process {
+pub(crate) struct Process {
     name: String,
     pid: u32,
 }
 
 /// Processor time of a process so far.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Usage(Duration);
+pub(crate) struct Usage(Duration);
 
 /// Figures of one process.
 #[derive(Debug, Serialize)]
-pub(super) struct Report<'a> {
+pub(crate) struct Report<'a> {
     process: &'a str,
     pid: u32,
     /// Processor time ÷ time of the run, in percent of one core.
-    core_percent: f64,
+    pub(crate) core_percent: f64,
     /// Resident memory at the end of the run, in MiB.
-    resident_mib: f64,
+    pub(crate) resident_mib: f64,
     /// Greatest resident memory since the process started, in MiB.
     resident_peak_mib: f64,
 }
 
 impl Process {
+    /// Returns a process by its id.
+    pub(crate) const fn new(name: String, pid: u32) -> Self {
+        Self { name, pid }
+    }
+
     /// Parses `NAME=PID`.
-    pub(super) fn parse(text: &str) -> Result<Self, String> {
+    pub(crate) fn parse(text: &str) -> Result<Self, String> {
         let parts = text.split_once('=').ok_or("not NAME=PID")?;
         let pid = parts.1.parse().map_err(|_| "the PID is not a number")?;
         Ok(Self {
@@ -43,7 +48,7 @@
         })
     }
 
-    pub(super) fn usage(&self) -> io::Result<Usage> {
+    pub(crate) fn usage(&self) -> io::Result<Usage> {
         let stat = self.read("stat")?;
         // The command, in parentheses, may itself contain spaces and parentheses. The fields after
         // it start with the third; user and system time are the 14th and the 15th.
@@ -59,7 +64,7 @@
     }
 
     /// Returns the figures of the time since `before`.
-    pub(super) fn report(&self, before: Usage, time: Duration) -> io::Result<Report<'_>> {
+    pub(crate) fn report(&self, before: Usage, time: Duration) -> io::Result<Report<'_>> {
         let used = self.usage()?.0.saturating_sub(before.0);
         let status = self.read("status")?;
         let mib = |name: &str| {
--- a/crates/godwitstep-lab/src/main.rs
+++ b/crates/godwitstep-lab/src/main.rs
@@ -3,6 +3,7 @@
 //! Each sub-command is a module with `command`, which declares its arguments, and `run`.
 
 mod load;
+mod slopes;
 
 use clap::Command;
 use godwitstep_lab::{compare, random, scale};
@@ -16,12 +17,14 @@
         .subcommand(load::command())
         .subcommand(random::command())
         .subcommand(scale::command())
+        .subcommand(slopes::command())
         .get_matches();
     let result = match matches.subcommand() {
         Some(("compare", given)) => compare::run(given),
         Some(("load", given)) => load::run(given),
         Some(("random", given)) => random::run(given),
         Some(("scale", given)) => scale::run(given),
+        Some(("slopes", given)) => slopes::run(given),
         _ => Ok(()),
     };
     match result {
--- a/crates/godwitstep-lab/src/scale/frame.rs
+++ b/crates/godwitstep-lab/src/scale/frame.rs
@@ -29,6 +29,7 @@
         version: 1_234_567,
         out: vec!["karratha-shed".into()],
         epoch: 1_234_000,
+        deciding: false,
     };
     let from_entry = Heartbeat {
         busy_accelerators: None,
