--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -97,6 +97,8 @@
     members: BTreeMap<WorkspaceId, BTreeSet<u32>>,
     /// Whether guarantees are to be placed anew.
     rehome: bool,
+    /// When unused homes may next be planned anew.
+    repacked: Duration,
     /// Jobs that hold a reservation.
     reservations: BTreeSet<u32>,
     /// Jobs whose promised accelerators may have become free.
@@ -135,6 +137,7 @@
             outside: BTreeSet::new(),
             members: BTreeMap::new(),
             rehome: false,
+            repacked: Duration::ZERO,
             reservations: BTreeSet::new(),
             ripe: BTreeSet::new(),
             moves: BTreeSet::new(),
@@ -151,7 +154,7 @@
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         self.fire(now, out);
         self.take(now, event, out);
-        self.place_homes();
+        self.place_homes(now);
         self.ripen(now, out);
         self.plan(now, out);
     }
--- a/crates/godwitstep-core/src/planner/gang.rs
+++ b/crates/godwitstep-core/src/planner/gang.rs
@@ -257,6 +257,7 @@
         };
         let (since, settings) = (run.since, self.settings);
         match run.stage {
+            Stage::Pledged { claim: false, .. } => self.review(now, id, out),
             Stage::Pledged { .. } => {
                 self.drop_pledge(id);
                 self.enqueue(id, out);
--- a/crates/godwitstep-core/src/planner/home.rs
+++ b/crates/godwitstep-core/src/planner/home.rs
@@ -6,11 +6,18 @@
 
 use super::Planner;
 use super::job::Stage;
+use super::timer::Timer;
 use crate::fleet::{Charge, Index, Seat, Slot, Spot};
 use crate::guarantee::{self, Claim};
 use crate::id::{Accelerators, WorkspaceId};
 use crate::resource::{Shape, Workspace};
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Least time between two plans of all unused homes for lesser causes than a declaration or a
+/// failure domain. One takes tens of milliseconds with 32,000 workers, which all announce
+/// themselves within seconds after a take-over.
+const REPACK_PAUSE: Duration = Duration::from_secs(1);
 
 /// A guaranteed shape and its home.
 #[derive(Debug, Clone)]
@@ -94,6 +101,7 @@
             }
         }
         self.rehome = true;
+        self.repacked = Duration::ZERO;
         self.freed = true;
         self.order_anew(id);
     }
@@ -134,7 +142,7 @@
     }
 
     /// Gives homes to the guaranteed shapes that lack one, as far as they fit.
-    pub(super) fn place_homes(&mut self) {
+    pub(super) fn place_homes(&mut self, now: Duration) {
         if !std::mem::take(&mut self.rehome) {
             return;
         }
@@ -153,7 +161,13 @@
                 None => refused.push(shape),
             }
         }
-        if !self.unplaced.is_empty() {
+        if self.unplaced.is_empty() {
+            return;
+        }
+        if now < self.repacked {
+            self.timers.insert((self.repacked, Timer::Repack));
+        } else {
+            self.repacked = now + REPACK_PAUSE;
             self.repack();
         }
     }
--- a/crates/godwitstep-core/src/planner/job.rs
+++ b/crates/godwitstep-core/src/planner/job.rs
@@ -131,6 +131,8 @@
     /// Worker that refused its last reservation.
     pub avoid: Option<Slot>,
     pub wake: Option<Duration>,
+    /// Before this time no place for a reservation is looked for, because there was none.
+    pub search_after: Duration,
 }
 
 impl Entry {
--- a/crates/godwitstep-core/src/planner/place.rs
+++ b/crates/godwitstep-core/src/planner/place.rs
@@ -76,7 +76,7 @@
 
     /// Finds free accelerators for a job: in its workspace's homes, in capacity that nobody is
     /// guaranteed, borrowed from others, or in the shadow of a reservation.
-    fn find(&self, now: Duration, id: u32) -> Option<Place> {
+    pub(super) fn find(&self, now: Duration, id: u32) -> Option<Place> {
         let entry = self.jobs.get(&id)?;
         let mut avoid = entry.failed_on.clone();
         avoid.extend(entry.avoid);
@@ -130,7 +130,7 @@
     }
 
     /// Sends the reservations of a new run.
-    fn begin(&mut self, now: Duration, id: u32, place: &Place, out: &mut Vec<Action>) {
+    pub(super) fn begin(&mut self, now: Duration, id: u32, place: &Place, out: &mut Vec<Action>) {
         let mut run = self.new_run(now, id, &place.spots, place.charge, Stage::Reserving);
         run.borrowed = place.borrowed;
         run.shadow = place.shadow;
--- a/crates/godwitstep-core/src/planner/reserve.rs
+++ b/crates/godwitstep-core/src/planner/reserve.rs
@@ -9,9 +9,13 @@
 use crate::fleet::{Charge, Index, Machine, Seat, Slot, Spot, State};
 use crate::id::Accelerators;
 use crate::resource::{Adjacency, Shape};
-use std::collections::BTreeMap;
+
 use std::time::Duration;
 
+/// Time until a place for a reservation is looked for again after there was none. The search looks
+/// at all workers, about 5 ms with 32,000.
+const SEARCH_PAUSE: Duration = Duration::from_secs(30);
+
 /// A worker as a candidate for a reservation, ordered by when it is expected to be free.
 type Candidate = (Duration, Slot, Accelerators);
 
@@ -23,7 +27,7 @@
             return false;
         };
         let shape = entry.spec.shape;
-        if shape.accelerators() == 1 {
+        if shape.accelerators() == 1 || now < entry.search_after {
             return false;
         }
         let (soft, key) = (entry.lane.soft, entry.key);
@@ -41,6 +45,9 @@
         }
         let charge = if soft { Charge::Soft } else { Charge::Firm };
         let Some((start, spots)) = self.earliest(shape, soft, key) else {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.search_after = now + SEARCH_PAUSE;
+            }
             return false;
         };
         self.yield_to(&spots, replaced, out);
@@ -52,10 +59,45 @@
         };
         self.pledge(now, id, &spots, charge, stage);
         self.reservations.insert(id);
-        self.wake(id, now + self.settings.reservation_life);
+        self.wake(id, now + self.settings.review);
         true
     }
 
+    /// Starts the holder of a reservation elsewhere if there is room by now. Otherwise the
+    /// reservation stays where it is until it has become old: planning it anew looks at all
+    /// workers.
+    pub(super) fn review(&mut self, now: Duration, id: u32, out: &mut Vec<Action>) {
+        let Some(run) = self.jobs.get(&id).and_then(|entry| entry.run.clone()) else {
+            return;
+        };
+        self.drop_pledge(id);
+        if now >= run.since + self.settings.reservation_life {
+            return self.enqueue(id, out);
+        }
+        if let Some(place) = self.find(now, id) {
+            return self.begin(now, id, &place, out);
+        }
+        for part in &run.parts {
+            self.fleet.pledge(part.slot, id, part.accelerators);
+        }
+        let busy = run
+            .parts
+            .iter()
+            .map(|part| self.fleet.machine(part.slot).busy_until);
+        let expected = busy.max().unwrap_or(now).max(now);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            let run = entry.run.insert(run);
+            if let Stage::Pledged { start, .. } = &mut run.stage
+                && *start > now
+            {
+                *start = expected;
+            }
+        }
+        self.reservations.insert(id);
+        self.ripe.insert(id);
+        self.wake(id, now + self.settings.review);
+    }
+
     /// Lets the holders of reservations wait again that a more important job replaces.
     fn yield_to(&mut self, spots: &[Spot], replaced: Option<Key>, out: &mut Vec<Action>) {
         let mut yielding: Vec<u32> = replaced.map(|key| key.job).into_iter().collect();
@@ -72,7 +114,7 @@
 
     /// Finds the place that is expected to be free first, and when.
     fn earliest(&self, shape: Shape, soft: bool, key: Key) -> Option<(Duration, Vec<Spot>)> {
-        let mut groups: BTreeMap<(u32, u32), Vec<Candidate>> = BTreeMap::new();
+        let mut candidates: Vec<((u32, u32), Candidate)> = Vec::new();
         for machine in self.fleet.machines() {
             let Some(amount) = self.drained(machine, soft, key) else {
                 continue;
@@ -88,14 +130,11 @@
                 idle if idle >= amount => Duration::ZERO,
                 _ => machine.busy_until,
             };
-            groups
-                .entry(group)
-                .or_default()
-                .push((free_at, seat.slot, amount));
+            candidates.push((group, (free_at, seat.slot, amount)));
         }
+        candidates.sort_unstable();
         let mut best: Option<(Duration, Vec<Spot>)> = None;
-        for group in groups.values_mut() {
-            group.sort_unstable();
+        for group in candidates.chunk_by(|one, next| one.0 == next.0) {
             if let Some(found) = gather(group, shape)
                 && best.as_ref().is_none_or(|best| found.0 < best.0)
             {
@@ -219,10 +258,10 @@
 }
 
 /// Takes workers in the order in which they become free until the shape fits.
-fn gather(group: &[Candidate], shape: Shape) -> Option<(Duration, Vec<Spot>)> {
+fn gather(group: &[((u32, u32), Candidate)], shape: Shape) -> Option<(Duration, Vec<Spot>)> {
     let mut left = shape.tasks;
     let mut spots = Vec::new();
-    for (free_at, slot, amount) in group {
+    for (_, (free_at, slot, amount)) in group {
         let tasks = (amount / shape.accelerators).min(left);
         if tasks > 0 {
             left -= tasks;
--- a/crates/godwitstep-core/src/planner/settings.rs
+++ b/crates/godwitstep-core/src/planner/settings.rs
@@ -23,6 +23,8 @@
     pub lease: Duration,
     /// Time after an announcement in which the end of a part that it lacks may still be reported.
     pub inventory_grace: Duration,
+    /// Time between two looks for room elsewhere for the holder of a reservation.
+    pub review: Duration,
     /// Time after which a reservation is planned anew.
     pub reservation_life: Duration,
     /// Number of reservations at the same time. Each takes up to 512 workers out of use for jobs
@@ -53,7 +55,8 @@
             stop_repeat: Duration::from_secs(1),
             lease: Duration::from_secs(10),
             inventory_grace: Duration::from_secs(1),
-            reservation_life: Duration::from_secs(5),
+            review: Duration::from_secs(5),
+            reservation_life: Duration::from_secs(60),
             reservations: 4,
             discovery: Duration::from_secs(60),
             pace: 16,
--- a/crates/godwitstep-core/src/planner/submit.rs
+++ b/crates/godwitstep-core/src/planner/submit.rs
@@ -60,6 +60,7 @@
             failures: 0,
             avoid: None,
             wake: None,
+            search_after: Duration::ZERO,
         };
         self.members
             .entry(entry.spec.workspace.clone())
--- a/crates/godwitstep-core/src/planner/timer.rs
+++ b/crates/godwitstep-core/src/planner/timer.rs
@@ -25,6 +25,8 @@
     Move,
     /// A failure domain that returned takes more starts.
     Credit(u32),
+    /// Unused homes of guarantees are planned anew.
+    Repack,
     /// All workers can be taken to be known.
     Discovered,
 }
@@ -50,6 +52,7 @@
                 Timer::Probe(slot) => self.probe(slot),
                 Timer::Move => self.move_next(now, out),
                 Timer::Credit(zone) => self.refill(now, zone),
+                Timer::Repack => self.rehome = true,
                 Timer::Discovered => self.freed = true,
             }
         }
--- a/crates/godwitstep-core/src/planner/zone.rs
+++ b/crates/godwitstep-core/src/planner/zone.rs
@@ -27,6 +27,7 @@
         self.fleet.zone_mut(zone).in_service = in_service;
         self.freed = true;
         self.rehome = true;
+        self.repacked = Duration::ZERO;
         if in_service {
             self.returning.insert(zone, now + self.settings.return_time);
             return self.refill(now, zone);
