--- a/crates/godwitstep-standin/src/target.rs
+++ b/crates/godwitstep-standin/src/target.rs
@@ -194,6 +194,13 @@
         lock(&self.shared.state).ledger.page(0).entries
     }
 
+    /// Stops the target at once and returns the ledger as it stood then.
+    #[must_use]
+    pub fn stop(self) -> Vec<Entry> {
+        drop(self.thread);
+        lock(&self.shared.state).ledger.page(0).entries
+    }
+
     /// Waits until the target ends.
     pub fn join(self) {
         self.thread.join();
