fix(agent): announce a target only once its agent can take requests

Cause: the key table refuses each non-idempotent request that was accepted less than 1.5 s after the agent started or earlier, because a fence may have reached an earlier life of the agent. The age grows as fast as the uptime, so such a request was refused every 500 ms until its deadline. Change: an agent announces its target once it is older than a request can be on its way. Ruled out: passing the refusal to the caller, who would have to come back although other targets could take the request. Before: requests in the first 1.5 s of all agents ended after 20 s with 504.

--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -5,6 +5,7 @@
 use crate::link::{self, Event, HEARTBEAT, LinkId};
 use godwitstep_core::clock::Clock;
 use godwitstep_core::hold::Command;
+use godwitstep_core::key::Limits;
 use godwitstep_wire::Frame;
 use smol::channel::Receiver;
 use smol::{LocalExecutor, Timer};
@@ -170,8 +171,13 @@
 }
 
 /// Watches the target's health and announces its changes.
+///
+/// The target is announced once this life of the agent is older than a request can be on its way.
+/// The key table refuses every non-idempotent request that was accepted earlier, however often it
+/// is sent again, so a request sent to a younger agent would come back until its deadline.
 async fn watch(agent: Rc<Agent>) {
     let Some(target) = &agent.target else { return };
+    Timer::after(Limits::default().transit).await;
     loop {
         if let Some(health) = target.health().await {
             let before = agent.health.replace(health);
