fix(entry): tell the decider of workers that their agents have lost

Cause: an agent that loses its worker announces itself without one. The decider passed such an announcement over, so the parts of that worker counted as running for good. Change: an announcement without a worker counts as the loss of the worker. Ruled out: the loss of the link, which was handled; the agent, which announced the loss in time. Before: a gang whose worker was killed was not requeued in 80 s, and its other part ran to its end.

--- a/crates/godwitstep/src/decider/inform.rs
+++ b/crates/godwitstep/src/decider/inform.rs
@@ -61,13 +61,15 @@
 
 /// Takes in what an agent says about its worker. An announcement made under an older epoch is
 /// passed over: the agent may have started parts for an earlier decider since. It announces itself
-/// again when it hears of the new epoch.
-pub(crate) fn announced(state: &Rc<State>, told: &Announce) {
+/// again when it hears of the new epoch. An agent that announces no worker has lost it.
+pub(crate) fn announced(state: &Rc<State>, agent: &Name, told: &Announce) {
+    let Some(worker) = told.worker.clone() else {
+        return lost(state, agent);
+    };
     let epoch = state.decider.borrow().as_ref().map(|decider| decider.epoch);
-    let current = epoch.is_some_and(|epoch| told.epoch >= epoch);
-    let Some(worker) = told.worker.clone().filter(|_| current) else {
+    if epoch.is_none_or(|epoch| told.epoch < epoch) {
         return;
-    };
+    }
     let id = worker.id.clone();
     let inventory = told.inventory.clone();
     tell(state, Event::WorkerUp { worker, inventory });
--- a/crates/godwitstep/src/entry/serve.rs
+++ b/crates/godwitstep/src/entry/serve.rs
@@ -94,7 +94,7 @@
         agent.announce.replace(told.clone())
     };
     requests::announced(state, before.as_ref(), told);
-    decider::announced(state, told);
+    decider::announced(state, name, told);
 }
 
 fn beat(state: &Rc<State>, name: &Name, told: &Heartbeat) {
