feat(lab): memory of the registry and the key table, size of records

Cause: docs/CAPACITY.md needs the bytes of a job, of an idempotency key and of the log's records; the bound of 100,000 keys was set without a measurement. Change: the scale sub-command measures them; the key table holds 40,000 keys and 4 MiB of answers. Conclusion: a full table is 21 MB before larger answers and an agent stays within 32 MB; a table of 40,000 keys still admits 66 requests a second on one target.

--- a/crates/godwitstep-core/src/key.rs
+++ b/crates/godwitstep-core/src/key.rs
@@ -125,13 +125,15 @@
     pub transit: Duration,
 }
 
+/// A key takes about 530 bytes with a small answer, so that a full table and all kept answers fit
+/// into the 32 MB of an agent. 40,000 keys in 10 minutes are 66 requests a second on one target.
 impl Default for Limits {
     fn default() -> Self {
         Self {
             window: Duration::from_secs(600),
-            keys: 100_000,
+            keys: 40_000,
             answer: 64 * 1024,
-            answers: 8 * 1024 * 1024,
+            answers: 4 * 1024 * 1024,
             transit: Duration::from_millis(1_500),
         }
     }
--- a/crates/godwitstep-lab/src/scale.rs
+++ b/crates/godwitstep-lab/src/scale.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod memory;
 mod region;
+mod state;
 
 use fit::Fit;
 use region::Region;
@@ -37,6 +38,20 @@
         encode_us: f64,
         decode_us: f64,
     },
+    /// Memory of folded or remembered state.
+    State {
+        what: &'static str,
+        count: u64,
+        bytes: usize,
+        per_item: usize,
+    },
+    /// One envelope in the log.
+    Record {
+        kind: &'static str,
+        /// Workers that the record names.
+        parts: u32,
+        bytes: usize,
+    },
     Fit {
         series: &'static str,
         figure: &'static str,
@@ -123,7 +138,7 @@
             print(&row, json)?;
         }
     }
-    for row in frame::rows() {
+    for row in frame::rows().into_iter().chain(state::rows()) {
         print(&row, json)?;
     }
     Ok(())
