test(cli): ports of a cluster that are never given twice

Cause: a port that was found free was released before the next was looked for, and the system gave the same one again: an entry could not listen in 1 of 60 clusters. Change: each cluster counts up the ports of a loopback address of its own.

--- a/crates/godwitstep-cli/tests/proofs/rig/cluster.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/cluster.rs
@@ -6,6 +6,7 @@
 use godwitstep_standin::{log, target, worker};
 use serde_json::{Value, json};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::ops::RangeFrom;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -47,17 +48,26 @@
     _slot: slot::Slot,
 }
 
-/// Returns an address that no other cluster on this machine uses, so that a port that was found
-/// free there stays free until it is used, and can be used again after a restart.
-fn own_address(number: u32) -> IpAddr {
-    let value = (std::process::id() & 0x1_ffff) << 6 | (number % 62 + 1);
-    let [_, high, middle, low] = value.to_be_bytes();
-    Ipv4Addr::new(127, high | 0x80, middle, low).into()
+/// Addresses that nothing else on this machine uses, so that they can be used again after a
+/// restart: a loopback address for each cluster, with ports of which none is given twice.
+struct Addresses {
+    ip: IpAddr,
+    ports: RangeFrom<u16>,
 }
 
-fn free(ip: IpAddr) -> SocketAddr {
-    let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("a bound address")
+impl Addresses {
+    fn of_cluster(number: u32) -> Self {
+        let value = (std::process::id() & 0x1_ffff) << 6 | (number % 62 + 1);
+        let [_, high, middle, low] = value.to_be_bytes();
+        let ip = Ipv4Addr::new(127, high | 0x80, middle, low).into();
+        let ports = 20_000..;
+        Self { ip, ports }
+    }
+
+    fn next(&mut self) -> SocketAddr {
+        let port = self.ports.next().expect("a cluster has few ports");
+        (self.ip, port).into()
+    }
 }
 
 impl Cluster {
@@ -66,12 +76,12 @@
         static NUMBER: AtomicU32 = AtomicU32::new(0);
         let slot = slot::take();
         let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let ip = own_address(number);
+        let mut addresses = Addresses::of_cluster(number);
         let name = format!("proofs-{}-{number}", std::process::id());
         let directory = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&directory).expect("the target directory takes files");
         let log = log::Server::start(log::Settings::default()).expect("a port is free");
-        let links: Vec<_> = (0..plan.entries).map(|_| free(ip)).collect();
+        let links: Vec<_> = (0..plan.entries).map(|_| addresses.next()).collect();
         let mut cluster = Self {
             entries: Vec::new(),
             agents: Vec::new(),
@@ -81,11 +91,11 @@
             _slot: slot,
         };
         for index in 0..plan.entries {
-            let entry = cluster.entry(ip, index, &links);
+            let entry = cluster.entry(&mut addresses, index, &links);
             cluster.entries.push(entry);
         }
         for index in 0..plan.agents {
-            let agent = cluster.agent(ip, index, &links);
+            let agent = cluster.agent(&mut addresses, index, &links);
             cluster.agents.push(agent);
         }
         cluster.settle();
@@ -101,9 +111,9 @@
         cluster
     }
 
-    fn entry(&self, ip: IpAddr, index: usize, links: &[SocketAddr]) -> Entry {
+    fn entry(&self, free: &mut Addresses, index: usize, links: &[SocketAddr]) -> Entry {
         let name = format!("entry-{index}");
-        let (callers, operators) = (free(ip), free(ip));
+        let (callers, operators) = (free.next(), free.next());
         let log = way(self.log.address);
         let others = links
             .iter()
@@ -128,11 +138,11 @@
         }
     }
 
-    fn agent(&self, ip: IpAddr, index: usize, links: &[SocketAddr]) -> Agent {
+    fn agent(&self, free: &mut Addresses, index: usize, links: &[SocketAddr]) -> Agent {
         let name = format!("agent-{index}");
         let domain = DOMAINS[index % 3].to_owned();
         let target = target::Settings {
-            listen: free(ip),
+            listen: free.next(),
             ..self.target_settings()
         };
         let target = target::Server::start(target).expect("the address is free");
