fix(entry): an entry that starts in an outage takes its state from ready peers

Cause: entries passed the tail on only while it was at most 2 s old, and an entry asks for records only when it hears of a tail. An entry that started later in an outage stayed without configuration, and not ready, until the log came back, although design section 6 has it take the records from peers. Change: ready entries pass on tails of any age, and an entry is ready when it holds all that its ready peers know and they are, with it, more than half of the entries: the rule for going on without the log. Evidence from before a process's start is not counted as new any more; it counted from the start, so that 2 s old evidence seemed fresh. Ruled out: keeping the tail fresh in peers, which would hide the outage. After: ready with the changed configuration while the log is away (test r9, an_entry_restarted_in_an_outage_serves_nothing_older).

--- a/crates/godwitstep-cli/tests/proofs/r9.rs
+++ b/crates/godwitstep-cli/tests/proofs/r9.rs
@@ -103,6 +103,10 @@
         mode: Some(Mode::Down),
         ..Control::default()
     });
+    wait_until("the outage is noticed", PATIENCE, || {
+        let away = |entry: &Entry| entry.status()["evidence_age_ms"].as_u64() > Some(4_000);
+        cluster.entries.iter().all(away)
+    });
     cluster.entries[2].node.process.kill();
     cluster.entries[2].node.restart();
     let entry = &cluster.entries[2];
@@ -113,7 +117,7 @@
             shown["version"] == changed["version"] || !entry.ready(),
             "{shown}"
         );
-        shown["version"] == changed["version"]
+        shown["version"] == changed["version"] && entry.ready()
     };
     wait_until("the peers pass the configuration on", PATIENCE, check);
     let out = DOMAINS[0];
--- a/crates/godwitstep/src/entry/links.rs
+++ b/crates/godwitstep/src/entry/links.rs
@@ -1,7 +1,7 @@
 //! Which agents and peer entries are linked, and what they said last.
 
 use crate::link::{Link, LinkId};
-use godwitstep_core::id::Name;
+use godwitstep_core::id::{Name, Offset};
 use godwitstep_core::router::Target;
 use godwitstep_wire::{Announce, Frame, Role};
 use std::collections::{BTreeMap, HashMap};
@@ -20,6 +20,8 @@
     /// When it last showed evidence for each stream, on this entry's clock, with the evidence's
     /// age taken off.
     pub(super) evidence: [Option<Duration>; 2],
+    /// Its last position in each stream, once it was ready.
+    pub(super) positions: [Option<Offset>; 2],
     /// Targets that are linked to it.
     pub(super) targets: Vec<Target>,
 }
@@ -46,6 +48,7 @@
                 let peer = Peer {
                     link,
                     evidence: [None, None],
+                    positions: [None, None],
                     targets: Vec::new(),
                 };
                 self.peers.insert(id, peer);
--- a/crates/godwitstep/src/entry/peers.rs
+++ b/crates/godwitstep/src/entry/peers.rs
@@ -6,10 +6,11 @@
 use super::State;
 use super::follow;
 use crate::link::{Link, LinkId};
-use godwitstep_core::authority::EVIDENCE_LIMIT;
+use godwitstep_core::id::Offset;
 use godwitstep_core::registry::Stream;
 use godwitstep_core::router;
 use godwitstep_wire::{Frame, Heartbeat, Records};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -36,12 +37,14 @@
     }));
 }
 
-/// Returns a frame with the newest tail and no records, if that tail is fresh.
+/// Returns a frame with the newest tail and no records, once the state is complete up to a tail.
+/// An old one is passed on too: a peer that starts while the log is away needs the records before
+/// it.
 fn evidence(state: &State, stream: Stream) -> Option<Frame> {
     let position = state.registry.borrow().position(stream);
     let known = state.stream(stream);
     let evidence = known.evidence(state.now(), position)?;
-    (evidence.age <= EVIDENCE_LIMIT).then(|| {
+    known.is_ready().then(|| {
         Frame::Records(Records {
             stream: known.name.as_str().into(),
             tail: evidence.tail,
@@ -57,16 +60,26 @@
     let Some(stream) = stream_of(state, &told.stream) else {
         return;
     };
-    let at = state.now().saturating_sub(told.age);
+    // Evidence from before the start of this process has no time on its clock; it is too old, or
+    // soon replaced.
+    let at = state.now().checked_sub(told.age);
     if let Some(peer) = state.links.borrow_mut().peer_of(id) {
-        peer.evidence[stream as usize] = Some(at);
+        peer.evidence[stream as usize] = at;
+        if told.records.is_empty() {
+            peer.positions[stream as usize] = Some(told.next);
+        }
     }
     let known = state.stream(stream);
-    known.pass(told.tail, at);
+    if let Some(at) = at {
+        known.pass(told.tail, at);
+    }
     if let Err(gap) = follow::take_all(state, stream, &told.records) {
         tracing::debug!(%gap, "records of a peer do not follow the position");
     }
     let position = state.registry.borrow().position(stream);
+    if covers_peers(state, stream, position) {
+        known.set_ready(position);
+    }
     let own = known.tip.evidence();
     let unread = own.is_none_or(|evidence| evidence.age > STALE);
     if unread && position < told.tail {
@@ -80,6 +93,19 @@
     }
 }
 
+/// Reports whether the folded state holds all that the peers know, and they, with this entry, are
+/// more than half of the entries: the same that lets them go on while the log is away.
+fn covers_peers(state: &State, stream: Stream, position: Offset) -> bool {
+    let links = state.links.borrow();
+    let told: BTreeMap<_, _> = links
+        .peers()
+        .filter_map(|peer| Some((&peer.link.peer().name, peer.positions[stream as usize]?)))
+        .collect();
+    (told.len() + 1) * 2 > state.settings.peers.len()
+        && !told.is_empty()
+        && told.values().all(|known| *known <= position)
+}
+
 /// Answers a peer that lacks records. What is not kept any more can't be passed on; the peer then
 /// waits until it can read the log.
 pub(super) fn pass(state: &State, id: LinkId, name: &str, from: u64) {
--- a/crates/godwitstep/src/entry/stream.rs
+++ b/crates/godwitstep/src/entry/stream.rs
@@ -85,9 +85,15 @@
     /// Notes that the folded state covers a tail that is known to be recent.
     pub(super) fn judge_ready(&self, now: Duration, position: Offset) {
         let fresh = |evidence: Evidence| evidence.age <= EVIDENCE_LIMIT;
-        if !self.ready.get() && self.evidence(now, position).is_some_and(fresh) {
+        if self.evidence(now, position).is_some_and(fresh) {
+            self.set_ready(position);
+        }
+    }
+
+    /// Notes that the folded state covers all that is known of the stream.
+    pub(super) fn set_ready(&self, position: Offset) {
+        if !self.ready.replace(true) {
             tracing::info!(stream = self.name, position, "folded up to the tail");
-            self.ready.set(true);
         }
     }
 
