feat(core): keep 4,000 ended jobs instead of 10,000

Cause: by the measured 1.25 KB a job, 10,000 ended jobs take 12 MB of the 32 MB of an entry. Change: 4,000 are kept, about 16 hours of a region at the two-year size.

--- a/crates/godwitstep-core/src/registry/jobs.rs
+++ b/crates/godwitstep-core/src/registry/jobs.rs
@@ -13,9 +13,9 @@
 /// Jobs that are kept after their end, newest first.
 ///
 /// The bound is a count, not a time: readers' clocks differ, and all readers must forget a job at
-/// the same record. At 30,000 jobs a day a job is kept for about 8 hours. A name can be submitted
-/// again once it is forgotten.
-pub const MAX_FINAL_JOBS: usize = 10_000;
+/// the same record. At 6,000 jobs a day in a region a job is kept for about 16 hours. A job takes
+/// about 1.2 KB, and an entry may use 32 MB. A name can be submitted again once it is forgotten.
+pub const MAX_FINAL_JOBS: usize = 4_000;
 
 /// A job as folded.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
