perf(core): bound the timers that one event handles

Cause: a profile of planner_scale showed that ticks over 1 ms repeat the settles of thousands of jobs that had started at the same instant. Change: at most 128 timers are handled on one event; the rest follows on the next.

--- a/crates/godwitstep-core/src/planner/timer.rs
+++ b/crates/godwitstep-core/src/planner/timer.rs
@@ -6,6 +6,10 @@
 use crate::id::Attempt;
 use std::time::Duration;
 
+/// Timers that are handled on one event. Jobs that started together repeat their settles together;
+/// what is over the limit follows on the next event.
+const FIRED: usize = 128;
+
 /// Something that is due at a later time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Timer {
@@ -34,10 +38,12 @@
 impl Planner {
     /// Does what has become due. Costs nothing if nothing has.
     pub(super) fn fire(&mut self, now: Duration, out: &mut Vec<Action>) {
-        while let Some((at, timer)) = self.timers.first().copied()
-            && at <= now
-        {
-            self.timers.pop_first();
+        for _ in 0..FIRED {
+            let due = self.timers.first().copied().filter(|(at, _)| *at <= now);
+            let Some((at, timer)) = due else {
+                return;
+            };
+            self.timers.remove(&(at, timer));
             match timer {
                 Timer::Job(id) => {
                     if let Some(entry) = self.jobs.get_mut(&id) {
