perf(core): a new planner takes over in linear time

Cause: each announcement and each adopted run had all runs outside of a guarantee looked at, so a take-over grew with the square of the region. Ruled out: the fleet's index (10,000 instructions an announcement, whatever the size), by counting instructions; a profile showed the loop over runs. Change: news of workers and runs lead to that look at most once a second. Tests of the core pass.

--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -99,6 +99,8 @@
     rehome: bool,
     /// When unused homes may next be planned anew.
     repacked: Duration,
+    /// When an announcement may next lead to guarantees being placed anew.
+    surveyed: Duration,
     /// Jobs that are to be told why they wait.
     unexplained: VecDeque<u32>,
     /// Before this time no worker is searched for a reservation.
@@ -142,6 +144,7 @@
             members: BTreeMap::new(),
             rehome: false,
             repacked: Duration::ZERO,
+            surveyed: Duration::ZERO,
             unexplained: VecDeque::new(),
             search_after: Duration::ZERO,
             reservations: BTreeSet::new(),
--- a/crates/godwitstep-core/src/planner/adopt.rs
+++ b/crates/godwitstep-core/src/planner/adopt.rs
@@ -83,7 +83,7 @@
             });
         }
         self.outside.insert(id);
-        self.rehome = true;
+        self.rehome_soon(now);
     }
 
     /// Takes over a run once all its workers have told about it: a whole settled gang goes on, and
--- a/crates/godwitstep-core/src/planner/home.rs
+++ b/crates/godwitstep-core/src/planner/home.rs
@@ -172,6 +172,17 @@
         }
     }
 
+    /// Has guarantees placed anew after news of workers or runs, at most once a pause. A new planner
+    /// hears of thousands of workers and runs at once, and looks at all runs each time.
+    pub(super) fn rehome_soon(&mut self, now: Duration) {
+        if now < self.surveyed {
+            self.timers.insert((self.surveyed, Timer::Repack));
+        } else {
+            self.surveyed = now + REPACK_PAUSE;
+            self.rehome = true;
+        }
+    }
+
     /// Makes the workers of jobs that run outside of their guarantee its home.
     fn bind_running(&mut self) {
         for job in self.outside.clone() {
--- a/crates/godwitstep-core/src/planner/worker.rs
+++ b/crates/godwitstep-core/src/planner/worker.rs
@@ -36,7 +36,7 @@
         }
         self.show_homes(slot);
         self.freed = true;
-        self.rehome = true;
+        self.rehome_soon(now);
         for running in inventory {
             self.reconcile(slot, running, out);
         }
