--- a/crates/godwitstep-core/src/planner.rs
+++ b/crates/godwitstep-core/src/planner.rs
@@ -37,7 +37,7 @@
 use crate::invariant::Violation;
 use crate::quarantine::Quarantine;
 use crate::reason::Reason;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 mod adopt;
@@ -97,6 +97,12 @@
     members: BTreeMap<WorkspaceId, BTreeSet<u32>>,
     /// Whether guarantees are to be placed anew.
     rehome: bool,
+    /// When unused homes may next be planned anew.
+    repacked: Duration,
+    /// Jobs that are to be told why they wait.
+    unexplained: VecDeque<u32>,
+    /// Before this time no worker is searched for a reservation.
+    search_after: Duration,
     /// Jobs that hold a reservation.
     reservations: BTreeSet<u32>,
     /// Jobs whose promised accelerators may have become free.
@@ -135,6 +141,9 @@
             outside: BTreeSet::new(),
             members: BTreeMap::new(),
             rehome: false,
+            repacked: Duration::ZERO,
+            unexplained: VecDeque::new(),
+            search_after: Duration::ZERO,
             reservations: BTreeSet::new(),
             ripe: BTreeSet::new(),
             moves: BTreeSet::new(),
@@ -151,9 +160,10 @@
     pub fn handle(&mut self, now: Duration, event: Event, out: &mut Vec<Action>) {
         self.fire(now, out);
         self.take(now, event, out);
-        self.place_homes();
+        self.place_homes(now);
         self.ripen(now, out);
         self.plan(now, out);
+        self.explain_others(out);
     }
 
     /// Returns the first invariant that broke, if any.
--- a/crates/godwitstep-core/src/planner/reserve.rs
+++ b/crates/godwitstep-core/src/planner/reserve.rs
@@ -9,9 +9,17 @@
 use crate::fleet::{Charge, Index, Machine, Seat, Slot, Spot, State};
 use crate::id::Accelerators;
 use crate::resource::{Adjacency, Shape};
-use std::collections::BTreeMap;
+
 use std::time::Duration;
 
+/// Time until a place for a reservation is looked for again after there was none. The search looks
+/// at all workers, about 5 ms with 32,000.
+const SEARCH_PAUSE: Duration = Duration::from_secs(30);
+
+/// Least time between two such searches, for each worker of the region: 5 ms with 10 workers, 16 s
+/// with 32,000. Keeps the searches out of the 99th percentile of decisions.
+const PAUSE_PER_WORKER: Duration = Duration::from_micros(500);
+
 /// A worker as a candidate for a reservation, ordered by when it is expected to be free.
 type Candidate = (Duration, Slot, Accelerators);
 
@@ -23,7 +31,7 @@
             return false;
         };
         let shape = entry.spec.shape;
-        if shape.accelerators() == 1 {
+        if shape.accelerators() == 1 || now < entry.search_after || now < self.search_after {
             return false;
         }
         let (soft, key) = (entry.lane.soft, entry.key);
@@ -40,7 +48,12 @@
             return false;
         }
         let charge = if soft { Charge::Soft } else { Charge::Firm };
+        let workers = u32::try_from(self.fleet.machines().count()).unwrap_or(u32::MAX);
+        self.search_after = now + PAUSE_PER_WORKER * workers;
         let Some((start, spots)) = self.earliest(shape, soft, key) else {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.search_after = now + SEARCH_PAUSE;
+            }
             return false;
         };
         self.yield_to(&spots, replaced, out);
@@ -52,10 +65,46 @@
         };
         self.pledge(now, id, &spots, charge, stage);
         self.reservations.insert(id);
-        self.wake(id, now + self.settings.reservation_life);
+        self.wake(id, now + self.settings.review);
         true
     }
 
+    /// Starts the holder of a reservation elsewhere if there is room by now. Otherwise the
+    /// reservation stays where it is until it has become old: planning it anew looks at all
+    /// workers.
+    pub(super) fn review(&mut self, now: Duration, id: u32, out: &mut Vec<Action>) {
+        let Some(run) = self.jobs.get(&id).and_then(|entry| entry.run.clone()) else {
+            return;
+        };
+        self.drop_pledge(id);
+        let old = now >= run.since + self.settings.reservation_life;
+        if old && now >= self.search_after {
+            return self.enqueue(id, out);
+        }
+        if let Some(place) = self.find(now, id) {
+            return self.begin(now, id, &place, out);
+        }
+        for part in &run.parts {
+            self.fleet.pledge(part.slot, id, part.accelerators);
+        }
+        let busy = run
+            .parts
+            .iter()
+            .map(|part| self.fleet.machine(part.slot).busy_until);
+        let expected = busy.max().unwrap_or(now).max(now);
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            let run = entry.run.insert(run);
+            if let Stage::Pledged { start, .. } = &mut run.stage
+                && *start > now
+            {
+                *start = expected;
+            }
+        }
+        self.reservations.insert(id);
+        self.ripe.insert(id);
+        self.wake(id, now + self.settings.review);
+    }
+
     /// Lets the holders of reservations wait again that a more important job replaces.
     fn yield_to(&mut self, spots: &[Spot], replaced: Option<Key>, out: &mut Vec<Action>) {
         let mut yielding: Vec<u32> = replaced.map(|key| key.job).into_iter().collect();
@@ -72,7 +121,7 @@
 
     /// Finds the place that is expected to be free first, and when.
     fn earliest(&self, shape: Shape, soft: bool, key: Key) -> Option<(Duration, Vec<Spot>)> {
-        let mut groups: BTreeMap<(u32, u32), Vec<Candidate>> = BTreeMap::new();
+        let mut candidates: Vec<((u32, u32), Candidate)> = Vec::new();
         for machine in self.fleet.machines() {
             let Some(amount) = self.drained(machine, soft, key) else {
                 continue;
@@ -88,14 +137,11 @@
                 idle if idle >= amount => Duration::ZERO,
                 _ => machine.busy_until,
             };
-            groups
-                .entry(group)
-                .or_default()
-                .push((free_at, seat.slot, amount));
+            candidates.push((group, (free_at, seat.slot, amount)));
         }
+        candidates.sort_unstable();
         let mut best: Option<(Duration, Vec<Spot>)> = None;
-        for group in groups.values_mut() {
-            group.sort_unstable();
+        for group in candidates.chunk_by(|one, next| one.0 == next.0) {
             if let Some(found) = gather(group, shape)
                 && best.as_ref().is_none_or(|best| found.0 < best.0)
             {
@@ -150,9 +196,14 @@
             if !can_give_way && !in_time && entry.key > owner.key {
                 continue;
             }
+            let parts = run.parts.iter().map(|part| self.unneeded(part.slot, soft));
+            let unneeded: Vec<_> = parts.filter(|(_, amount)| *amount > 0).collect();
+            let sum: Accelerators = unneeded.iter().map(|(_, amount)| amount).sum();
+            if sum < spec.shape.accelerators() {
+                continue;
+            }
             let mut idle = Index::default();
-            for part in &run.parts {
-                let (seat, amount) = self.unneeded(part.slot, soft);
+            for (seat, amount) in unneeded {
                 idle.set(seat, amount);
             }
             let startable = |zone| self.fleet.startable(zone);
@@ -219,10 +270,10 @@
 }
 
 /// Takes workers in the order in which they become free until the shape fits.
-fn gather(group: &[Candidate], shape: Shape) -> Option<(Duration, Vec<Spot>)> {
+fn gather(group: &[((u32, u32), Candidate)], shape: Shape) -> Option<(Duration, Vec<Spot>)> {
     let mut left = shape.tasks;
     let mut spots = Vec::new();
-    for (free_at, slot, amount) in group {
+    for (_, (free_at, slot, amount)) in group {
         let tasks = (amount / shape.accelerators).min(left);
         if tasks > 0 {
             left -= tasks;
