--- a/crates/godwitstep-lab/src/scale.rs
+++ b/crates/godwitstep-lab/src/scale.rs
@@ -9,6 +9,7 @@
 mod frame;
 mod memory;
 mod region;
+mod registry;
 mod state;
 
 use fit::Fit;
@@ -38,9 +39,8 @@
         encode_us: f64,
         decode_us: f64,
     },
-    /// Memory of folded or remembered state.
-    State {
-        what: &'static str,
+    /// Memory of the key table.
+    Keys {
         count: u64,
         bytes: usize,
         per_item: usize,
@@ -52,6 +52,14 @@
         parts: u32,
         bytes: usize,
     },
+    Registry {
+        kind: &'static str,
+        count: usize,
+        bytes: usize,
+        bytes_each: usize,
+        /// Mean time to fold a record. Unit: microseconds.
+        fold_us: f64,
+    },
     Fit {
         series: &'static str,
         figure: &'static str,
@@ -138,7 +146,8 @@
             print(&row, json)?;
         }
     }
-    for row in frame::rows().into_iter().chain(state::rows()) {
+    let others = frame::rows().into_iter().chain(registry::rows());
+    for row in others.chain(state::rows()) {
         print(&row, json)?;
     }
     Ok(())
--- a/crates/godwitstep-lab/src/scale/state.rs
+++ b/crates/godwitstep-lab/src/scale/state.rs
@@ -1,16 +1,14 @@
-//! Memory of the registry and of the key table, and size of records in the log.
+//! Memory of the agents' key table, and size of records in the log.
 
 use super::{Row, memory};
 use bytes::Bytes;
 use godwitstep_core::key::{Ask, End, Owner, Table};
 use godwitstep_core::reason::Reason;
 use godwitstep_core::record::{Envelope, Event, Expect, Part, Spec};
-use godwitstep_core::registry::{Registry, Stream};
 use godwitstep_core::resource::{Adjacency, Guarantee, Job, Kind, Priority, Shape, Workspace};
 use std::time::Duration;
 
 /// Sizes at which memory is counted.
-const JOBS: [u64; 4] = [500, 1_000, 2_000, 4_000];
 const KEYS: [u64; 4] = [5_000, 10_000, 20_000, 40_000];
 /// Workers of the gangs whose records are measured. A gang of 512 tasks takes 64 workers of 8.
 const PARTS: [u32; 4] = [1, 4, 16, 64];
@@ -19,12 +17,10 @@
 
 /// Returns all rows.
 pub(super) fn rows() -> Vec<Row> {
-    let jobs = JOBS.map(|count| state("registry_jobs", count, memory::bytes_of(registry(count))));
-    let keys = KEYS.map(|count| state("keys", count, memory::bytes_of(table(count))));
-    let mut rows = Vec::from(jobs);
-    rows.extend(keys);
-    rows.push(record("submit", 0, submit(0)));
-    rows.extend(PARTS.map(|parts| record("start", parts, start(0, parts))));
+    let keys = KEYS.map(|count| memory_of(count, memory::bytes_of(table(count))));
+    let mut rows = Vec::from(keys);
+    rows.push(record("submit", 0, submit()));
+    rows.extend(PARTS.map(|parts| record("start", parts, start(parts))));
     rows.push(record("end", 0, end()));
     let renew = Event::Renew {
         region: "pilbara-coast".into(),
@@ -35,10 +31,9 @@
     rows
 }
 
-fn state(what: &'static str, count: u64, bytes: usize) -> Row {
+fn memory_of(count: u64, bytes: usize) -> Row {
     let per_item = bytes / usize::try_from(count).unwrap_or(1);
-    Row::State {
-        what,
+    Row::Keys {
         count,
         bytes,
         per_item,
@@ -56,29 +51,6 @@
     Row::Record { kind, parts, bytes }
 }
 
-/// Returns a registry with running jobs of four parts each.
-fn registry(jobs: u64) -> Registry {
-    let mut registry = Registry::new("pilbara-coast");
-    let claim = Event::Claim {
-        region: "pilbara-coast".into(),
-        holder: "entry-karratha".into(),
-        incarnation: 1,
-        replaces: 0,
-    };
-    // A claim at offset 0 has no effect, because epoch 0 stands for the absence of a claim.
-    let mut events = vec![claim.clone(), claim];
-    for number in 0..jobs {
-        events.push(submit(number));
-        events.push(start(number, 4));
-    }
-    for (offset, event) in (0_u64..).zip(events) {
-        let envelope = Envelope::new("entry-karratha", 1, offset + 1, vec![event]);
-        let folded = registry.fold(Stream::Jobs, offset, &envelope, Duration::ZERO);
-        debug_assert!(folded.is_ok(), "offsets have no gap");
-    }
-    registry
-}
-
 fn table(keys: u64) -> Table {
     let mut table = Table::new(Duration::ZERO);
     let now = Duration::from_secs(60);
@@ -101,7 +73,7 @@
     table
 }
 
-fn submit(number: u64) -> Event {
+fn submit() -> Event {
     let job = Job::new("airfield-socks", "pattern-nesting", 32, 1)
         .adjacency(Adjacency::Domain)
         .run(Duration::from_secs(4 * 3600))
@@ -109,12 +81,12 @@
         .checkpointable(true)
         .preemptible(true);
     Event::Submit {
-        job: name(number),
+        job: name(),
         spec: job,
     }
 }
 
-fn start(number: u64, parts: u32) -> Event {
+fn start(parts: u32) -> Event {
     let workers = (0..parts).map(|worker| format!("karratha-shed-worker-{worker:04}"));
     let parts = workers.clone().map(|worker| Part {
         worker: worker.into(),
@@ -122,7 +94,7 @@
         accelerators: 8,
     });
     Event::Start {
-        job: name(number),
+        job: name(),
         attempt: 1,
         epoch: 1,
         parts: parts.collect(),
@@ -135,7 +107,7 @@
 
 fn end() -> Event {
     Event::End {
-        job: name(0),
+        job: name(),
         attempt: 1,
         epoch: 1,
         phase: godwitstep_core::resource::Phase::Done,
@@ -162,6 +134,6 @@
     }
 }
 
-fn name(number: u64) -> std::sync::Arc<str> {
-    format!("airfield-nesting-{number:06}").into()
+fn name() -> std::sync::Arc<str> {
+    "airfield-nesting-000417".into()
 }
