feat(cli): demo of both deployments (in progress)

Cause: the path is not shown in one command. Change: every role on its own thread over loopback sockets, with checks from the ledgers of the stand-ins and of the callers. One settings type for agents.

--- a/crates/godwitstep-cli/src/client.rs
+++ b/crates/godwitstep-cli/src/client.rs
@@ -46,6 +46,12 @@
         Ok(Self { servers })
     }
 
+    /// Returns a client of the given servers.
+    pub fn of(servers: &[SocketAddr]) -> Self {
+        let servers = servers.iter().copied().map(http::Client::new).collect();
+        Self { servers }
+    }
+
     /// Returns the addresses of the servers, in the order in which they are tried.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.servers.iter().map(http::Client::peer).collect()
--- a/crates/godwitstep-cli/src/daemon.rs
+++ b/crates/godwitstep-cli/src/daemon.rs
@@ -25,43 +25,9 @@
     let settings: Agent = load(matches)?;
     start(settings.log_format, settings.log_level)?;
     let clock = Arc::new(clock::System::new());
-    let settings = beside(settings)?;
     run(|stop| godwitstep::agent::run(settings, clock, stop))
 }
 
-fn beside(settings: Agent) -> Result<godwitstep::agent::Settings, Failure> {
-    use godwitstep::agent;
-    let key = String::from_utf8_lossy(settings.link_key.expose()).into_owned();
-    let link_key = godwitstep_wire::auth::Key::new(key);
-    Ok(agent::Settings {
-        name: settings.name,
-        region: settings.region,
-        domain: settings.domain,
-        rack: settings.rack,
-        entries: settings.entries,
-        link_key: link_key.map_err(|error| Failure::Failed(error.to_string()))?,
-        target: settings.target.map(|target| agent::Target {
-            service: target.service,
-            slots: target.slots,
-            address: target.address,
-        }),
-        worker: settings.worker.map(|worker| agent::Worker {
-            address: worker.address,
-            accelerators: worker.accelerators,
-        }),
-        stop_limit_ms: u64::try_from(settings.stop_limit.as_millis()).unwrap_or(u64::MAX),
-    })
-}
-
-/// Runs all roles in one process over loopback sockets.
-pub fn demo() -> Result<(), Failure> {
-    Err(missing("demo"))
-}
-
-fn missing(role: &str) -> Failure {
-    Failure::Failed(format!("the role {role} is not part of this build"))
-}
-
 /// Runs a role on this thread until the process is told to stop.
 fn run<F, E>(role: impl FnOnce(Receiver<()>) -> F) -> Result<(), Failure>
 where
--- a/crates/godwitstep-cli/src/main.rs
+++ b/crates/godwitstep-cli/src/main.rs
@@ -4,8 +4,10 @@
 mod client;
 mod command;
 mod daemon;
+mod demo;
 mod failure;
 mod output;
+mod report;
 mod verb;
 
 use clap::ArgMatches;
@@ -30,7 +32,7 @@
     match name {
         "entry" => daemon::entry(matches),
         "agent" => daemon::agent(matches),
-        "demo" => daemon::demo(),
+        "demo" => demo::run(),
         "check" => check::run(matches),
         "reference" => output::print(&godwitstep::settings::reference()),
         verb => smol::block_on(verb::run(verb, matches)),
--- a/crates/godwitstep/src/agent.rs
+++ b/crates/godwitstep/src/agent.rs
@@ -5,17 +5,15 @@
 //! entry allow it.
 //!
 //! ```
-//! use godwitstep::agent::Settings;
+//! use godwitstep::settings::{self, Agent};
 //!
-//! let settings: Settings = serde_json::from_str(
-//!     r#"{
-//!         "name": "runner-1", "region": "dk-vest", "domain": "dk-vest-a", "rack": "r1",
-//!         "entries": ["127.0.0.1:7001"], "link_key": "an example of a key",
-//!         "target": {"service": "bookingsted", "slots": 8, "address": "127.0.0.1:8001"}
-//!     }"#,
-//! )?;
-//! assert!(settings.faults().is_empty());
-//! # Ok::<(), serde_json::Error>(())
+//! let text = r#"{
+//!     "name": "runner-1", "region": "dk-vest", "domain": "dk-vest-a", "rack": "r1",
+//!     "entries": ["127.0.0.1:7001"], "link_key": "an example of a key",
+//!     "target": {"service": "bookingsted", "slots": 8, "address": "127.0.0.1:8001"}
+//! }"#;
+//! let settings: Agent = settings::read(text, &[]).expect("legal settings");
+//! assert_eq!(settings.stop_limit.as_secs(), 30);
 //! ```
 
 mod launch;
@@ -27,31 +25,16 @@
 mod requests;
 mod rules;
 mod run;
-mod settings;
 mod state;
 mod target;
 mod task;
 mod worker;
 
 pub use run::run;
-pub use settings::{Settings, Target, Worker};
-
-use godwitstep_core::resource::Fault;
-
 /// Why an agent can't run.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The settings hold values that are not allowed.
-    #[error("settings of agent {agent} are not allowed: {}", list(.faults))]
-    Settings {
-        /// Name of the agent.
-        agent: String,
-        /// Every such value.
-        faults: Vec<Fault>,
-    },
-}
-
-fn list(faults: &[Fault]) -> String {
-    let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    texts.join("; ")
+    /// The link key is too short.
+    #[error("link_key: {0}")]
+    Key(#[from] godwitstep_wire::auth::KeyTooShort),
 }
--- a/crates/godwitstep/src/agent/parts.rs
+++ b/crates/godwitstep/src/agent/parts.rs
@@ -72,7 +72,7 @@
 impl Beside {
     /// Returns the worker's side of an agent, and what is to be done on the worker.
     pub(super) fn new(
-        settings: &super::settings::Worker,
+        settings: &crate::settings::Worker,
         domain: &DomainId,
     ) -> (Self, Receiver<Job>) {
         let (jobs, todo) = smol::channel::unbounded();
--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -1,11 +1,13 @@
 //! The tasks of an agent.
 
 use super::state::Agent;
-use super::{Error, Settings, launch, lease, orders, parts, reconcile, requests};
+use super::{Error, launch, lease, orders, parts, reconcile, requests};
 use crate::link::{self, Event, HEARTBEAT, LinkId};
+use crate::settings;
 use godwitstep_core::clock::Clock;
 use godwitstep_core::hold::Command;
 use godwitstep_wire::Frame;
+use godwitstep_wire::auth::Key;
 use smol::channel::Receiver;
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
@@ -30,17 +32,13 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the settings hold values that are not allowed.
+/// Returns an error if the link key is too short.
 pub async fn run(
-    settings: Settings,
+    settings: settings::Agent,
     clock: Arc<dyn Clock>,
     stop: Receiver<()>,
 ) -> Result<(), Error> {
-    let faults = settings.faults();
-    if !faults.is_empty() {
-        let agent = settings.name.to_string();
-        return Err(Error::Settings { agent, faults });
-    }
+    let key = Key::new(String::from_utf8_lossy(settings.link_key.expose()).into_owned())?;
     let (agent, jobs) = Agent::new(settings, clock);
     let agent = Rc::new(agent);
     let executor = LocalExecutor::new();
@@ -50,8 +48,7 @@
         .entries
         .iter()
         .map(|&entry| {
-            let key = agent.settings.link_key.clone();
-            let dial = link::dial(entry, agent.identity.clone(), key, events.clone());
+            let dial = link::dial(entry, agent.identity.clone(), key.clone(), events.clone());
             executor.spawn(dial)
         })
         .collect();
@@ -189,7 +186,7 @@
     tracing::info!("the agent stops");
     agent.stopping.set(true);
     agent.announce();
-    let end = agent.now() + agent.settings.stop_limit();
+    let end = agent.now() + agent.settings.stop_limit;
     let has_work = || {
         let worker = agent.worker.as_ref();
         agent.requests.borrow().busy() > 0
--- a/crates/godwitstep/src/agent/state.rs
+++ b/crates/godwitstep/src/agent/state.rs
@@ -4,9 +4,9 @@
 use super::parts::{self, Beside, Job};
 use super::requests::Requests;
 use super::rules::Rules;
-use super::settings::Settings;
 use super::target::{self, Health};
 use crate::link::{Link, LinkId};
+use crate::settings;
 use godwitstep_core::clock::Clock;
 use godwitstep_core::id::Incarnation;
 use godwitstep_core::reason::Reason;
@@ -25,7 +25,7 @@
 
 /// Everything that the tasks of one agent share. Never borrowed across an await.
 pub(super) struct Agent {
-    pub(super) settings: Settings,
+    pub(super) settings: settings::Agent,
     pub(super) identity: Peer,
     clock: Arc<dyn Clock>,
     seen: Cell<Duration>,
@@ -42,7 +42,10 @@
 
 impl Agent {
     /// Returns an agent, and what is to be done on its worker if it has one.
-    pub(super) fn new(settings: Settings, clock: Arc<dyn Clock>) -> (Self, Option<Receiver<Job>>) {
+    pub(super) fn new(
+        settings: settings::Agent,
+        clock: Arc<dyn Clock>,
+    ) -> (Self, Option<Receiver<Job>>) {
         let identity = Peer {
             name: settings.name.clone(),
             role: Role::Agent,
--- a/crates/godwitstep/src/agent/target.rs
+++ b/crates/godwitstep/src/agent/target.rs
@@ -1,7 +1,7 @@
 //! The target's HTTP interface.
 
-use super::settings;
 use crate::http::{Cause, Client, Error, Options};
+use crate::settings;
 use bytes::Bytes;
 use godwitstep_core::reason::Reason;
 use godwitstep_wire::{MAX_BODY, Outcome, Request};
--- a/crates/godwitstep/src/entry.rs
+++ b/crates/godwitstep/src/entry.rs
@@ -16,6 +16,7 @@
 mod error;
 mod follow;
 mod links;
+mod listeners;
 mod peers;
 mod requests;
 mod run;
@@ -26,5 +27,6 @@
 mod stream;
 
 pub use error::{Error, Step};
-pub use run::run;
+pub use listeners::Listeners;
+pub use run::{run, serve_at};
 pub(crate) use state::State;
--- a/crates/godwitstep/src/entry/run.rs
+++ b/crates/godwitstep/src/entry/run.rs
@@ -1,6 +1,7 @@
 //! Puts the parts of an entry together and stops them in order.
 
-use super::error::{Error, Step};
+use super::error::Error;
+use super::listeners::Listeners;
 use super::stream::Stream;
 use super::{State, follow, requests, serve, standing};
 use crate::http::Shutdown;
@@ -15,7 +16,6 @@
 use godwitstep_wire::auth::Key;
 use godwitstep_wire::{Peer, Role};
 use smol::channel::Receiver;
-use smol::net::TcpListener;
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::net::SocketAddr;
@@ -43,9 +43,26 @@
     clock: Arc<dyn Clock>,
     stop: Receiver<()>,
 ) -> Result<(), Error> {
-    let callers = listen(Step::Callers, settings.callers).await?;
-    let operators = listen(Step::Operators, settings.operators).await?;
-    let links = listen(Step::Links, settings.links).await?;
+    let listeners = Listeners::bind(&settings).await?;
+    serve_at(settings, listeners, clock, stop).await
+}
+
+/// Runs an entry as [`run`] does, at sockets that listen already.
+///
+/// # Errors
+///
+/// Returns an error if the link key is too short or metrics can't be recorded.
+pub async fn serve_at(
+    settings: settings::Entry,
+    listeners: Listeners,
+    clock: Arc<dyn Clock>,
+    stop: Receiver<()>,
+) -> Result<(), Error> {
+    let Listeners {
+        callers,
+        operators,
+        links,
+    } = listeners;
     let key = Key::new(String::from_utf8_lossy(settings.link_key.expose()).into_owned())?;
     let metrics = telemetry::metrics()?;
     let executor = Rc::new(LocalExecutor::new());
@@ -115,16 +132,6 @@
     Ok(())
 }
 
-async fn listen(step: Step, address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|cause| Error::Listen {
-            step,
-            address,
-            cause,
-        })
-}
-
 fn identity(settings: &settings::Entry, clock: &dyn Clock) -> Peer {
     Peer {
         name: settings.name.clone(),
--- a/crates/godwitstep/src/entry/store.rs
+++ b/crates/godwitstep/src/entry/store.rs
@@ -283,6 +283,7 @@
         let ledger = front.ledger();
         json!({
             "entry": &*self.identity.name,
+            "entries": self.settings.peers.len(),
             "lines": ledger.lines(self.clock.wall()),
             "ledger": ledger,
         })
--- a/crates/godwitstep/tests/rig/mod.rs
+++ b/crates/godwitstep/tests/rig/mod.rs
@@ -5,9 +5,10 @@
 pub mod worker;
 
 use bytes::Bytes;
-use godwitstep::agent::{self, Settings};
+use godwitstep::agent;
 use godwitstep::http::{self, Limits, Shutdown};
 use godwitstep::link::{self, Event, Link};
+use godwitstep::settings;
 use godwitstep_core::authority::Standing;
 use godwitstep_core::clock::{Clock, System};
 use godwitstep_wire::auth::Key;
@@ -177,7 +178,8 @@
         });
         let fields = settings.as_object_mut().expect("an object");
         fields.extend(beside.as_object().expect("an object").clone());
-        let settings: Settings = serde_json::from_value(settings).expect("legal settings");
+        let settings: settings::Agent =
+            settings::read(&settings.to_string(), &[]).expect("legal settings");
         let (stop, stopped) = smol::channel::bounded(1);
         let clock = Arc::new(Leap::default());
         let agent = executor.spawn(agent::run(settings, clock.clone(), stopped));
