--- a/crates/godwitstep/src/entry/serve.rs
+++ b/crates/godwitstep/src/entry/serve.rs
@@ -73,6 +73,7 @@
             decider::part_event(state, &name, frame);
         }
         (Role::Entry, Frame::Heartbeat(told)) => peers::hear(state, id, told),
+        (Role::Entry, Frame::Gone(gone)) => peers::lose(state, gone),
         (Role::Entry, Frame::Records(told)) => peers::take(state, id, &told),
         (Role::Entry, Frame::Want { stream, from }) => peers::pass(state, id, &stream, from),
         (role, frame) => tracing::debug!(peer = %name, ?role, ?frame, "frame is not for an entry"),
@@ -94,7 +95,7 @@
         agent.announce.replace(told.clone())
     };
     requests::announced(state, before.as_ref(), told);
-    decider::announced(state, told);
+    decider::announced(state, name, told);
 }
 
 fn beat(state: &Rc<State>, name: &Name, told: &Heartbeat) {
--- a/crates/godwitstep/tests/rig/mod.rs
+++ b/crates/godwitstep/tests/rig/mod.rs
@@ -126,6 +126,7 @@
         standing: Standing::Fresh,
         version: 10,
         out: Vec::new(),
+        deciding: true,
         epoch: 5,
     }
 }
