fix(core): requests and claims that never proceeded

A non-idempotent request that arrived in the first 1.5 s of all agents was sent to them again and again until its deadline, and each refusal kept its target from other requests until the next heartbeat. A waiting borrower's reservation took the worker that a claim on a guarantee had made free; the claim waited 35 s. A guarantee was given its home again in the failure domain that its job was about to leave, so nothing gave way elsewhere. Change: agents refuse such requests with a reason of its own, the router asks each agent once and then answers not run; a reservation leaves what a claim has freed; a run in a domain out of service gives no home. Conclusion: one test for each fault; the test of the key table names the new reason.

--- a/crates/godwitstep-core/src/key/table.rs
+++ b/crates/godwitstep-core/src/key/table.rs
@@ -107,8 +107,7 @@
         let full = self.entries.len() >= self.limits.keys;
         if !ask.idempotent && ask.age + self.limits.transit > uptime {
             // A fence may have reached the previous life of this agent only.
-            let detail = "the request may be older than this agent".to_owned();
-            return Admit::Refuse(Reason::Other { detail });
+            return Admit::Refuse(Reason::AgentTooYoung);
         }
         if full && !ask.idempotent {
             return Admit::Refuse(Reason::LimitReached);
--- a/crates/godwitstep-core/src/planner/claim.rs
+++ b/crates/godwitstep-core/src/planner/claim.rs
@@ -174,10 +174,18 @@
             run.parts.iter().all(|part| {
                 let machine = self.fleet.machine(part.slot);
                 let taken = machine.homed + machine.firm + part.accelerators;
+                // What a claim has made borrowers give up is not for a reservation on the same
+                // worker.
+                let others = machine
+                    .pledges
+                    .iter()
+                    .filter(|(job, _)| self.is_claim(**job));
+                let kept: Accelerators = others.map(|(_, amount)| *amount).sum();
+                let kept = if self.is_claim(id) { 0 } else { kept };
                 let allowed = run.charge != Charge::Firm || taken <= machine.worker.accelerators;
                 allowed
                     && machine.state == State::Up
-                    && machine.idle() >= part.accelerators
+                    && machine.idle() >= part.accelerators + kept
                     && self.fleet.startable(machine.seat.domain)
             })
         })
--- a/crates/godwitstep-core/src/planner/home.rs
+++ b/crates/godwitstep-core/src/planner/home.rs
@@ -177,7 +177,9 @@
                 continue;
             };
             let in_books = |slot| self.fleet.machine(slot).uses.contains_key(&job);
-            if !run.parts.iter().all(|part| in_books(part.slot)) {
+            // A run that is still to leave a failure domain out of service gives no home there.
+            let in_place = |slot| in_books(slot) && self.takes_work(slot);
+            if !run.parts.iter().all(|part| in_place(part.slot)) {
                 continue;
             }
             let spots = run.parts.iter().map(|part| Spot {
--- a/crates/godwitstep-core/src/reason.rs
+++ b/crates/godwitstep-core/src/reason.rs
@@ -100,6 +100,9 @@
     Halted,
     /// The process is stopping.
     Stopping,
+    /// The request may be older than the agent, which may have missed a fence of its key. It will
+    /// never start there.
+    AgentTooYoung,
     /// A limit of the workspace or of the service is reached.
     LimitReached,
     /// No target of the service is in service and reachable.
@@ -153,6 +156,7 @@
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::Halted => "halted",
             Self::Stopping => "stopping",
+            Self::AgentTooYoung => "agent_too_young",
             Self::LimitReached => "limit_reached",
             Self::NoTarget => "no_target",
             Self::TargetLost => "target_lost",
@@ -225,6 +229,7 @@
                 f.write_str("this entry may be cut off from the log and starts nothing")
             }
             Self::Stopping => f.write_str("this process is stopping"),
+            Self::AgentTooYoung => f.write_str("the request may be older than the agent"),
             Self::LimitReached => f.write_str("a limit is reached"),
             Self::NoTarget => f.write_str("no target of the service is available"),
             Self::TargetLost => f.write_str("the target was lost"),
--- a/crates/godwitstep-core/src/router/dispatch.rs
+++ b/crates/godwitstep-core/src/router/dispatch.rs
@@ -39,7 +39,7 @@
         let any = self.fleet.choose(now, service, limit, domain, |_| true)?;
         queue.order().find_map(|sequence| {
             let item = self.items.get(&sequence)?;
-            if item.fences.is_none() {
+            if item.allows_all() {
                 return Some((sequence, any.clone()));
             }
             let target = self.fleet.choose(now, service, limit, domain, |member| {
--- a/crates/godwitstep-core/src/router/item.rs
+++ b/crates/godwitstep-core/src/router/item.rs
@@ -43,6 +43,8 @@
     /// Whether an earlier request with the key, or an earlier send of this one, may have run.
     /// While set, the request can't be answered as not run.
     pub doubt: bool,
+    /// Lives of targets whose agents will never start this request.
+    pub refused: BTreeSet<(TargetId, Incarnation)>,
 }
 
 impl Item {
@@ -54,6 +56,7 @@
             phase: Phase::Idle,
             fences: None,
             doubt: false,
+            refused: BTreeSet::new(),
         }
     }
 
@@ -67,11 +70,20 @@
         matches!(self.phase, Phase::Idle | Phase::Queued) && !self.doubt
     }
 
-    /// Reports whether the target may be sent this request: if its key is fenced, only a target
-    /// whose present life holds the fence.
+    /// Reports whether the target may be sent this request: not one whose present life has refused
+    /// it for good, and if its key is fenced, only one whose present life holds the fence.
     pub fn allows(&self, target: &TargetId, incarnation: Incarnation) -> bool {
-        self.fences
+        let refused =
+            !self.refused.is_empty() && self.refused.contains(&(target.clone(), incarnation));
+        let held = self
+            .fences
             .as_ref()
-            .is_none_or(|fences| fences.held.get(target) == Some(&incarnation))
+            .is_none_or(|fences| fences.held.get(target) == Some(&incarnation));
+        held && !refused
+    }
+
+    /// Reports whether any usable target will do.
+    pub fn allows_all(&self) -> bool {
+        self.fences.is_none() && self.refused.is_empty()
     }
 }
--- a/crates/godwitstep-core/src/router/reply.rs
+++ b/crates/godwitstep-core/src/router/reply.rs
@@ -6,6 +6,10 @@
 use crate::reason::Reason;
 use std::time::Duration;
 
+/// Time to come back if all agents are younger than the request: agents take requests that are
+/// accepted from 1.5 s after their start on.
+const YOUNG_RETRY: Duration = Duration::from_millis(1_500);
+
 impl Router {
     pub(super) fn target_up(&mut self, now: Duration, target: &Target, actions: &mut Vec<Action>) {
         let reliable = now >= self.reliable_from;
@@ -119,7 +123,10 @@
             Reply::Failed => self.answer(now, sequence, Outcome::Failed { target }, actions),
             Reply::NotStarted(reason) if sent.is_some() => {
                 let budgeted = !is_refusal(&reason);
-                if reason == Reason::Cancelled {
+                if reason == Reason::AgentTooYoung && !self.has_other(sequence, &target) {
+                    let back = self.come_back(YOUNG_RETRY);
+                    self.give_up(now, sequence, reason, back, actions);
+                } else if reason == Reason::Cancelled {
                     // A newer request of the caller owns the key and may run.
                     self.doubt(sequence);
                     self.give_up(now, sequence, reason, None, actions);
@@ -133,6 +140,22 @@
         }
     }
 
+    /// Notes that a target's present life will never start the request, and reports whether another
+    /// target may.
+    fn has_other(&mut self, sequence: Sequence, refuser: &TargetId) -> bool {
+        let Some(item) = self.items.get_mut(&sequence) else {
+            return false;
+        };
+        if let Some(member) = self.fleet.members.get(refuser) {
+            let life = (refuser.clone(), member.target.incarnation);
+            item.refused.insert(life);
+        }
+        let mut members = self.fleet.of(&item.request.service);
+        members.any(|member| {
+            !member.leaving && item.allows(&member.target.id, member.target.incarnation)
+        })
+    }
+
     /// The earlier request that an agent reported as running did not start: from now on the key
     /// is fenced there.
     fn fenced_late(
@@ -161,7 +184,7 @@
         match reply {
             Reply::Answered => member.succeed(),
             Reply::NotStarted(Reason::Stopping) => member.leaving = true,
-            Reply::NotStarted(Reason::Cancelled) => {}
+            Reply::NotStarted(Reason::Cancelled | Reason::AgentTooYoung) => {}
             Reply::NotStarted(reason) if is_refusal(reason) => member.refuse(),
             Reply::NotStarted(_) => {
                 member.refuse();
--- a/crates/godwitstep-core/tests/key.rs
+++ b/crates/godwitstep-core/tests/key.rs
@@ -87,7 +87,7 @@
     };
     assert!(matches!(
         table.admit(START, &old),
-        Admit::Refuse(Reason::Other { .. })
+        Admit::Refuse(Reason::AgentTooYoung)
     ));
     assert_eq!(
         table.admit(
--- a/crates/godwitstep-core/tests/planner_domain.rs
+++ b/crates/godwitstep-core/tests/planner_domain.rs
@@ -4,7 +4,7 @@
 
 use driver::{World, ms, s, worker, workspace};
 use godwitstep_core::Reason;
-use godwitstep_core::resource::{Job, Phase};
+use godwitstep_core::resource::{Adjacency, Job, Phase, Shape};
 
 fn region(seed: u64, workers: u32) -> World {
     let mut world = World::new(seed);
@@ -154,3 +154,53 @@
             .all(|(_, _, worker)| worker.starts_with('c'))
     );
 }
+
+/// Guards against a guarantee whose workers stay those of a domain that is out, so that its job
+/// waits although borrowers could give way elsewhere.
+#[test]
+fn a_guarantee_moves_with_its_job() {
+    let mut world = region(4, 2);
+    let rack16 = Shape::new(16, 1).adjacency(Adjacency::Rack);
+    world.declare("owner", workspace(0, &[(rack16, 1)]));
+    let gang = Job::new("owner", "normal", 16, 1).adjacency(Adjacency::Rack);
+    let gang = gang.preemptible(true).checkpointable(true);
+    world.submit("gang", gang.idempotent(true), s(3_600));
+    world.run(s(2));
+    let soft = Job::new("ws", "normal", 8, 1).adjacency(Adjacency::Worker);
+    for number in 0..6 {
+        let soft = soft.clone().preemptible(true).checkpointable(true);
+        world.submit(&format!("soft{number}"), soft, s(3_600));
+    }
+    world.run(s(5));
+    let domain = world.places("gang")[0][..1].to_owned();
+    world.domain(&domain, false);
+    world.run(s(40));
+    assert_eq!(world.phase("gang"), Phase::Running);
+    let places = world.places("gang");
+    assert!(places.iter().all(|place| !place.starts_with(&domain)));
+}
+
+/// Guards against a waiting borrower whose reservation takes what a claim has freed.
+#[test]
+fn a_claim_goes_before_a_reservation() {
+    let mut world = World::new(5);
+    for number in 0..2 {
+        world.add(worker(&format!("a{number}"), "a", "r", 8));
+    }
+    let whole = Shape::new(8, 1).adjacency(Adjacency::Worker);
+    world.declare("owner", workspace(0, &[(whole, 2)]));
+    world.declare("ws", workspace(1, &[]));
+    let job = |of: &str| Job::new(of, "normal", 8, 1).adjacency(Adjacency::Worker);
+    for number in 0..4 {
+        let soft = job("ws").preemptible(true).checkpointable(true);
+        world.submit(&format!("soft{number}"), soft, s(3_600));
+    }
+    world.run(s(5));
+    for name in ["one", "two"] {
+        world.submit(name, job("owner"), s(3_600));
+    }
+    world.run(s(30));
+    for name in ["one", "two"] {
+        assert_eq!(world.phase(name), Phase::Running, "{name}");
+    }
+}
--- a/crates/godwitstep-core/tests/router_policy.rs
+++ b/crates/godwitstep-core/tests/router_policy.rs
@@ -484,3 +484,37 @@
         }
     }
 }
+
+/// Guards against a request that is sent for ever to agents that will never start it, and against
+/// targets that others can't use meanwhile.
+#[test]
+fn a_request_older_than_all_agents_is_refused() {
+    let mut bench = Bench::new();
+    for id in ["t1", "t2"] {
+        bench.up(id, "a", 2);
+    }
+    let mut actions = bench.arrive("patient", 900);
+    let mut asked = Vec::new();
+    while let Some(Action::Send { sequence, target }) = actions.first().cloned() {
+        asked.push(target.clone());
+        assert!(asked.len() <= 2, "sent again to {target}");
+        let reply = Reply::NotStarted(Reason::AgentTooYoung);
+        actions = bench.on(Event::Reply {
+            sequence,
+            target,
+            reply,
+        });
+    }
+    assert_eq!(asked.len(), 2);
+    let Some(Action::Answer {
+        outcome: Outcome::NotRun(refusal),
+        ..
+    }) = actions.first()
+    else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(refusal.reason, Reason::AgentTooYoung);
+    assert!(refusal.retry_after.is_some());
+    let other = bench.arrive("urgent", 900);
+    assert!(matches!(other.first(), Some(Action::Send { .. })));
+}
