feat(cli): demo, and a report that merges the entries' counters

Cause: the whole path is not shown in one command, and the report of one entry misses the others. Change: `godwitstep demo` runs the stand-ins, entries and agents of both example deployments over loopback sockets, shows requests, a gang, a reclaim, a departure and the report, and checks the ledgers. An order to stop that comes during the last start of a part is carried out at once instead of after the next list of tasks.

--- a/crates/godwitstep-cli/src/demo.rs
+++ b/crates/godwitstep-cli/src/demo.rs
@@ -24,7 +24,7 @@
 /// Runs the demonstration. Fails if a step did not succeed or an invariant did not hold.
 pub fn run() -> Result<(), Failure> {
     // Steps in which domains leave give expected warnings, so only errors are written.
-    telemetry::start(Format::Human, Level::Debug)
+    telemetry::start(Format::Human, Level::Error)
         .map_err(|error| Failure::Failed(error.to_string()))?;
     let show = Show::new();
     let mut broken = Vec::new();
@@ -50,10 +50,10 @@
     let system = system::System::start(deployment)?;
     let callers = callers::Callers::start(deployment, &system)?;
     let mut told = story::Story::new(show, deployment, &system, &callers);
-    let result = smol::block_on(told.run());
+    let results = smol::block_on(async { [told.run().await, told.finish().await] });
     let mut broken = Vec::new();
-    if let Err(failure) = result {
-        failure.print();
+    for failure in results.into_iter().filter_map(Result::err) {
+        show.line(&format!("FAILED {failure}"));
         broken.push(format!("{}: {failure}", deployment.region));
     }
     let facts = told.facts();
--- a/crates/godwitstep-cli/src/demo/operator.rs
+++ b/crates/godwitstep-cli/src/demo/operator.rs
@@ -39,8 +39,8 @@
         let specs: Value = serde_json::from_str(text).unwrap_or_default();
         let mut names = Vec::new();
         for document in documents.iter().filter(|document| pick(&document.name)) {
-            let listed = specs.as_array().into_iter().flatten();
-            let spec = listed.filter(|item| item["name"] == *document.name).next();
+            let mut listed = specs.as_array().into_iter().flatten();
+            let spec = listed.find(|item| item["name"] == *document.name);
             let spec = spec.map_or(Value::Null, |item| item["spec"].clone());
             let path = format!("/v1/{}/{}", document.collection, document.name);
             self.put(&path, &spec).await?;
--- a/crates/godwitstep-cli/src/demo/story.rs
+++ b/crates/godwitstep-cli/src/demo/story.rs
@@ -6,7 +6,7 @@
 use super::show::{Show, millis};
 use super::system::{Host, System};
 use crate::failure::Failure;
-use crate::report;
+use crate::{output, report};
 use godwitstep_standin::worker;
 use serde_json::{Value, json};
 use smol::Timer;
@@ -80,8 +80,7 @@
         self.reclaim().await?;
         self.answered();
         self.depart().await?;
-        self.report().await?;
-        self.finish().await
+        self.report().await
     }
 
     async fn start(&self) -> Result<(), Failure> {
@@ -164,7 +163,27 @@
     /// Waits until all tasks of a job run.
     async fn runs(&self, job: &str) -> Result<(Vec<&Host>, Duration), Failure> {
         let what = format!("all tasks of {job} run");
-        until(&what, STEP, async || Ok(self.whole(job))).await
+        let found = until(&what, STEP, async || Ok(self.whole(job))).await;
+        if let Err(failure) = &found {
+            let status = self.explain(job).await;
+            return Err(Failure::Failed(format!("{failure}: {status}")));
+        }
+        found
+    }
+
+    /// Returns what the deciding entry says about a job.
+    async fn explain(&self, job: &str) -> String {
+        for server in &self.system.operators {
+            let one = Operator::new(&[*server]);
+            let status = one.client.get("/v1/status").await;
+            if !status.is_ok_and(|status| status["deciding"] == true) {
+                continue;
+            }
+            if let Ok(object) = one.client.get(&format!("/v1/jobs/{job}")).await {
+                return output::outline(&object["status"], 0).replace('\n', "; ");
+            }
+        }
+        "no entry decides".to_owned()
     }
 
     async fn gang(&mut self) -> Result<(), Failure> {
@@ -301,7 +320,7 @@
             "failure domain {domain} is out of service, with {gang} on it"
         ));
         let empty = async || Ok((self.running_in(&domain) == 0).then_some(()));
-        let (_, emptied) = until(&format!("nothing runs in {domain}"), STEP, empty).await?;
+        let ((), emptied) = until(&format!("nothing runs in {domain}"), STEP, empty).await?;
         let (moved, took) = self.runs(gang).await?;
         let racks: BTreeSet<&str> = moved.iter().map(|host| host.rack.as_str()).collect();
         self.show.line(&format!(
@@ -379,7 +398,7 @@
         self.answered();
         let servers = &self.system.operators;
         let report = report::Report::gather(servers, SystemTime::now()).await?;
-        println!("{}", report.text());
+        println!("{}", report.text().trim_end());
         let differences = super::audit::compare(&report.lines, &self.callers.sent());
         match differences.as_slice() {
             [] => {
@@ -391,8 +410,8 @@
         }
     }
 
-    /// Cancels what still runs and notes how each job ended.
-    async fn finish(&mut self) -> Result<(), Failure> {
+    /// Cancels what still runs, also after a step that failed, and notes how each job ended.
+    pub async fn finish(&mut self) -> Result<(), Failure> {
         let names: Vec<String> = self.facts.jobs.keys().cloned().collect();
         for name in &names {
             self.operator.delete(&format!("/v1/jobs/{name}")).await?;
--- a/crates/godwitstep/src/agent/launch.rs
+++ b/crates/godwitstep/src/agent/launch.rs
@@ -1,7 +1,7 @@
 //! Starts and stops the tasks of a part on the worker.
 
 use super::lease;
-use super::parts::{Beside, Id, Job, apply};
+use super::parts::{Beside, Id, Job, Parts, apply};
 use super::state::Agent;
 use super::task::Task;
 use super::worker::{Failure, Start};
@@ -40,10 +40,19 @@
         return apply(agent, Event::Ended { job, attempt, end });
     }
     beside.parts.borrow_mut().launched(&id, result.is_ok());
-    match result {
-        Ok(()) => apply(agent, Event::Launched { job, attempt }),
-        // The part ends when the task list shows that none of its tasks runs any more.
-        Err(_) => stop(agent, beside, &id).await,
+    if result.is_ok() {
+        apply(agent, Event::Launched { job, attempt });
+    }
+    // A part that did not start as a whole ends when the task list shows that none of its tasks
+    // runs any more. An order to stop that came during the launch has not reached the worker yet.
+    let to_stop = |parts: &Parts| {
+        parts
+            .driven
+            .get(&id)
+            .is_some_and(|part| part.stop.is_some())
+    };
+    if to_stop(&beside.parts.borrow()) {
+        stop(agent, beside, &id).await;
     }
 }
 
