--- a/crates/godwitstep-core/src/planner/job.rs
+++ b/crates/godwitstep-core/src/planner/job.rs
@@ -40,6 +40,9 @@
     pub status: Status,
     /// Whether the agent is known to have been told that the whole gang runs.
     pub settled: bool,
+    /// Whether its worker announced itself without the part. A new agent does not know what an
+    /// earlier one started, so its word that the part never started is not taken then.
+    pub doubted: bool,
 }
 
 /// Where a run stands.
@@ -128,6 +131,8 @@
     /// Worker that refused its last reservation.
     pub avoid: Option<Slot>,
     pub wake: Option<Duration>,
+    /// Before this time no place for a reservation is looked for, because there was none.
+    pub search_after: Duration,
 }
 
 impl Entry {
--- a/crates/godwitstep-core/src/planner/settings.rs
+++ b/crates/godwitstep-core/src/planner/settings.rs
@@ -26,13 +26,16 @@
     pub silence: Duration,
     /// Time after an announcement in which the end of a part that it lacks may still be reported.
     pub inventory_grace: Duration,
+    /// Time between two looks for room elsewhere for the holder of a reservation.
+    pub review: Duration,
     /// Time after which a reservation is planned anew.
     pub reservation_life: Duration,
     /// Number of reservations at the same time. Each takes up to 512 workers out of use for jobs
     /// that run too long, so more would cost more than they give.
     pub reservations: usize,
-    /// Time after a take-over in which workers may still announce themselves. A job is refused as
-    /// too large only afterwards.
+    /// Time after a take-over, and after the last new worker, in which more workers may announce
+    /// themselves. A job is refused as too large only afterwards, because links that are down
+    /// would make the region look small.
     pub discovery: Duration,
     /// Jobs a second that are moved out of a failure domain, or started in one that returned.
     pub pace: u32,
@@ -56,9 +59,10 @@
             lease: Duration::from_secs(10),
             silence: Duration::from_secs(90),
             inventory_grace: Duration::from_secs(1),
-            reservation_life: Duration::from_secs(5),
+            review: Duration::from_secs(5),
+            reservation_life: Duration::from_secs(60),
             reservations: 4,
-            discovery: Duration::from_secs(10),
+            discovery: Duration::from_secs(60),
             pace: 16,
             return_time: Duration::from_secs(30),
             attempts_per_event: 32,
