feat(cli): report over all entries, with burn, refunds, steps and plots

Cause: the report of one entry shows a part of the requests and says nothing of the rest. Entries that did not answer, were not named or started within the hour are told. Conclusion: the test of the text that the report passed through is replaced by one of the figures.

--- a/crates/godwitstep-cli/src/command.rs
+++ b/crates/godwitstep-cli/src/command.rs
@@ -171,9 +171,20 @@
 
 fn report() -> Command {
     Command::new("report")
-        .about("Show completion times, late answers and their cost")
-        .arg(output())
-        .arg(server())
+        .about("Show late answers, their cost, and the pace at which the allowance is used up")
+        .long_about(
+            "Show late answers, their cost, and the pace at which the allowance is used up.\n\n\
+             Each entry counts its own requests, so name all entries. The report says what it \
+             could not see.",
+        )
+        .arg(output().value_parser(PossibleValuesParser::new(["table", "json", "html"])))
+        .arg(
+            Arg::new("file")
+                .long("file")
+                .value_name("FILE")
+                .help("File for -o html; the standard output if left out"),
+        )
+        .arg(server().help("Operators' addresses of all entries, with commas or repeated"))
 }
 
 fn settings() -> Arg {
@@ -222,6 +233,7 @@
         .env("GODWITSTEP_SERVER")
         .required(true)
         .value_delimiter(',')
+        .action(ArgAction::Append)
         .value_parser(clap::value_parser!(std::net::SocketAddr))
         .help("Operators' address of any entry; several with commas are tried in turn")
 }
--- a/crates/godwitstep-cli/src/report/text.rs
+++ b/crates/godwitstep-cli/src/report/text.rs
@@ -11,16 +11,10 @@
 impl Report {
     /// Returns the report as tables for people.
     pub fn text(&self) -> String {
-        let mut text = format!(
-            "Requests of the last {} min; objective: {} % on time\n\n",
-            KEPT.as_secs() / 60,
-            OBJECTIVE * 100.0
-        );
-        text.push_str(&output::table(&self.outcomes()));
-        text.push_str("\nBurn rate of the allowance by window (1 uses it up exactly)\n");
-        text.push_str(&output::table(&self.burns()));
-        text.push_str("\nSteps: mean / p50 / p99 in ms; percentiles are upper bounds\n");
-        text.push_str(&output::table(&self.steps()));
+        let mut text = format!("{}\n", Self::scope());
+        for (title, rows) in self.tables() {
+            let _ = write!(text, "\n{title}\n{}", output::table(&rows));
+        }
         text.push('\n');
         for line in self.sight() {
             let _ = writeln!(text, "{line}");
@@ -28,6 +22,30 @@
         text
     }
 
+    /// Returns what the figures are about.
+    pub fn scope() -> String {
+        format!(
+            "Requests of the last {} min; objective: {} % on time",
+            KEPT.as_secs() / 60,
+            OBJECTIVE * 100.0
+        )
+    }
+
+    /// Returns the tables with their titles.
+    pub fn tables(&self) -> Vec<(String, Vec<Vec<String>>)> {
+        vec![
+            ("Requests and refunds".to_owned(), self.outcomes()),
+            (
+                "Burn rate of the allowance by window (1 uses it up exactly)".to_owned(),
+                self.burns(),
+            ),
+            (
+                "Steps: mean / p50 / p99 in ms; percentiles are upper bounds".to_owned(),
+                self.steps(),
+            ),
+        ]
+    }
+
     fn outcomes(&self) -> Vec<Vec<String>> {
         let head = [
             "WORKSPACE",
--- a/crates/godwitstep-cli/src/verb.rs
+++ b/crates/godwitstep-cli/src/verb.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use crate::failure::Failure;
-use crate::output;
+use crate::{output, report};
 use clap::ArgMatches;
 use godwitstep::resources::Collection;
 use hyper::Method;
@@ -18,6 +18,9 @@
     if let ("domain", Some((way, matches))) = (verb, matches.subcommand()) {
         return domain::run(&Client::new(matches)?, way == "in", matches).await;
     }
+    if verb == "report" {
+        return report::run(matches).await;
+    }
     let client = Client::new(matches)?;
     match verb {
         "apply" => apply::run(&client, matches).await,
@@ -25,7 +28,6 @@
         "describe" => get::describe(&client, matches).await,
         "watch" => watch::run(&client, matches).await,
         "cancel" => cancel(&client, matches).await,
-        "report" => report(&client, matches).await,
         other => Err(Failure::Usage(format!("unknown command {other}"))),
     }
 }
@@ -55,15 +57,6 @@
     failure.map_or(Ok(()), Err)
 }
 
-async fn report(client: &Client, matches: &ArgMatches) -> Result<(), Failure> {
-    let report = client.get("/v1/report").await?;
-    if wants_json(matches) {
-        output::json(&report)
-    } else {
-        output::print(&output::outline(&report, 0))
-    }
-}
-
 fn wants_json(matches: &ArgMatches) -> bool {
     matches
         .get_one::<String>("output")
--- a/crates/godwitstep-cli/tests/cli.rs
+++ b/crates/godwitstep-cli/tests/cli.rs
@@ -2,6 +2,7 @@
 
 use godwitstep::http::{self, Limits, Shutdown, Signal};
 use godwitstep::resources::{self, Store, Unrecorded};
+use godwitstep_core::burn::{Ledger, Observation, Verdict};
 use godwitstep_core::id::Offset;
 use godwitstep_core::reason::Reason;
 use godwitstep_core::record::{Envelope, Event};
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_godwitstep");
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
@@ -68,10 +69,20 @@
     }
 
     fn report(&self) -> Value {
-        json!({"late": {"count": 3}})
+        json!({"entry": "entry-1", "entries": 2, "ledger": ledger("entry-1", 3)})
     }
 }
 
+/// Returns the counters of an entry that gave some late answers and one on time.
+fn ledger(entry: &str, late: u64) -> Ledger {
+    let mut ledger = Ledger::new(entry, 1);
+    for verdict in (0..late).map(|_| Verdict::Late).chain([Verdict::OnTime]) {
+        let observation = Observation::new("council-flags", "seam-check", verdict);
+        ledger.record(SystemTime::now(), &observation.refund(4.0));
+    }
+    ledger
+}
+
 struct Server {
     address: SocketAddr,
     store: Rc<Fake>,
@@ -208,7 +219,54 @@
         let (_, out, _) = run(server.address, list).await;
         let list: Value = serde_json::from_str(&out).expect("JSON");
         assert_eq!(list["items"].as_array().map(Vec::len), Some(2));
-        assert!(run(server.address, "report").await.1.contains("count: 3"));
+    });
+}
+
+/// Guards against a report that counts a request twice, or hides what it could not see.
+#[test]
+fn report_merges_entries_and_tells_what_it_could_not_see() {
+    with_server(async |server| {
+        let gone = "127.0.0.1:1";
+        let line = format!(
+            "report --server {0} --server {0},{gone} -o json",
+            server.address
+        );
+        let (code, out, messages) = run(server.address, &line).await;
+        assert_eq!(code, 0, "{messages}");
+        let report: Value = serde_json::from_str(&out).expect("JSON");
+        let lines = report["lines"].as_array().expect("lines");
+        let counts: Vec<_> = [
+            "on_time",
+            "late",
+            "refused",
+            "failed",
+            "unknown",
+            "refund_due",
+        ]
+        .map(|name| lines[0][name].as_f64().expect("a number"))
+        .into();
+        assert_eq!(
+            (lines.len(), counts),
+            (1, vec![1.0, 3.0, 0.0, 0.0, 0.0, 12.0])
+        );
+        assert_eq!(report["seen"].as_array().map(Vec::len), Some(1));
+        assert_eq!(report["missing"][0]["server"], gone);
+        let (_, out, _) = run(server.address, "report").await;
+        assert!(
+            out.contains("Not seen: 1 of the region's 2 entries"),
+            "{out}"
+        );
+        assert!(out.contains("fast"), "{out}");
+        let (_, page, _) = run(server.address, "report -o html").await;
+        assert_eq!(page.matches("<svg").count(), 3, "{page}");
+        assert!(!page.contains("href=") && page.contains("not declared"));
+        assert_eq!(run(server.address, "report --file x").await.0, 2);
+        let line = format!("report --server {gone}");
+        let (code, _, messages) = run(server.address, &line).await;
+        assert!(
+            code == 1 && messages.contains("no entry could be asked"),
+            "{messages}"
+        );
     });
 }
 
--- a/crates/godwitstep-core/src/burn/ledger.rs
+++ b/crates/godwitstep-core/src/burn/ledger.rs
@@ -190,6 +190,16 @@
         }
     }
 
+    /// Returns the counters in order of time, with the start of their bucket, the workspace and the
+    /// kind.
+    pub fn buckets(&self) -> impl Iterator<Item = (SystemTime, &WorkspaceId, &KindId, &Counts)> {
+        self.cells.iter().map(|(place, counts)| {
+            let since = Duration::from_secs(place.bucket * BUCKET.as_secs());
+            let start = SystemTime::UNIX_EPOCH + since;
+            (start, &place.workspace, &place.kind, counts)
+        })
+    }
+
     /// Drops buckets that are older than [`KEPT`].
     pub fn trim(&mut self, now: SystemTime) {
         let first = bucket(now).saturating_sub(KEPT.as_secs() / BUCKET.as_secs());
