--- a/crates/godwitstep-cli/src/command.rs
+++ b/crates/godwitstep-cli/src/command.rs
@@ -2,6 +2,7 @@
 
 use clap::builder::PossibleValuesParser;
 use clap::{Arg, ArgAction, Command};
+use godwitstep::resources::Collection;
 use godwitstep::settings::{Agent, Entry, Form, Key, Settings, flags};
 
 const AFTER: &str = "\
@@ -103,7 +104,7 @@
         .about("List resources, or show one")
         .arg(kind())
         .arg(name().required(false))
-        .arg(workspace())
+        .args(filters())
         .arg(output())
         .arg(server())
 }
@@ -132,7 +133,7 @@
                 .value_parser(clap::value_parser!(u64))
                 .help("Version of a list or of an earlier line; from now on if left out"),
         )
-        .arg(workspace())
+        .args(filters())
         .arg(output())
         .arg(server())
 }
@@ -162,10 +163,18 @@
         .about("Take a failure domain out of service, or bring it back")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(verb(
-            "out",
-            "Start nothing more in a failure domain, and move what runs there",
-        ))
+        .subcommand(
+            verb(
+                "out",
+                "Start nothing more in a failure domain, and move what runs there",
+            )
+            .arg(
+                Arg::new("force")
+                    .long("force")
+                    .action(ArgAction::SetTrue)
+                    .help("Also if no other failure domain of the region is in service"),
+            ),
+        )
         .subcommand(verb("in", "Let work start in a failure domain again"))
 }
 
@@ -242,15 +251,10 @@
     Arg::new("kind")
         .value_name("KIND")
         .required(true)
-        .value_parser(PossibleValuesParser::new([
-            "domains",
-            "domain",
-            "workspaces",
-            "workspace",
-            "jobs",
-            "job",
-        ]))
-        .hide_possible_values(true)
+        .value_parser(|text: &str| match text.parse::<Collection>() {
+            Ok(_) => Ok(text.to_owned()),
+            Err(error) => Err(format!("{error}")),
+        })
         .help("domains, workspaces or jobs")
 }
 
@@ -261,11 +265,15 @@
         .help("Name of the resource")
 }
 
-fn workspace() -> Arg {
-    Arg::new("workspace")
-        .long("workspace")
-        .value_name("NAME")
-        .help("Only jobs of this workspace")
+fn filters() -> [Arg; 3] {
+    let filter = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("NAME").help(help)
+    };
+    [
+        filter("workspace", "Only jobs of this workspace"),
+        filter("kind-of-work", "Only jobs of this kind of work"),
+        filter("domain", "Only jobs with a part in this failure domain"),
+    ]
 }
 
 fn output() -> Arg {
--- a/crates/godwitstep-cli/src/failure.rs
+++ b/crates/godwitstep-cli/src/failure.rs
@@ -45,6 +45,19 @@
     Output(io::Error),
 }
 
+/// Returns what an operator can do about a refusal.
+fn hint(code: &str) -> &'static str {
+    match code {
+        "conflict" => {
+            "; read it with `godwitstep get -o json`, and apply your change to that version"
+        }
+        "not_found" => "; `godwitstep get` with the kind alone lists the names",
+        "refused" => "; ask for less, or bring failure domains or workers back first",
+        "unknown" => "; `godwitstep get` shows whether it took effect",
+        _ => "",
+    }
+}
+
 impl Failure {
     /// Reads the error body of an entry.
     pub fn refused(what: &str, status: u16, body: &Value) -> Self {
@@ -56,7 +69,7 @@
         let code = error["code"].as_str().unwrap_or("error");
         Self::Refused {
             what: what.to_owned(),
-            message: format!("{message} ({status} {code}){retry}"),
+            message: format!("{message} ({status} {code}){retry}{}", hint(code)),
             faults: serde_json::from_value(error["faults"].clone()).unwrap_or_default(),
         }
     }
--- a/crates/godwitstep-cli/src/verb.rs
+++ b/crates/godwitstep-cli/src/verb.rs
@@ -8,7 +8,9 @@
 use hyper::Method;
 
 mod apply;
+mod describe;
 mod domain;
+mod filter;
 mod get;
 mod row;
 mod watch;
@@ -25,7 +27,7 @@
     match verb {
         "apply" => apply::run(&client, matches).await,
         "get" => get::run(&client, matches).await,
-        "describe" => get::describe(&client, matches).await,
+        "describe" => describe::run(&client, matches).await,
         "watch" => watch::run(&client, matches).await,
         "cancel" => cancel(&client, matches).await,
         other => Err(Failure::Usage(format!("unknown command {other}"))),
--- a/crates/godwitstep-cli/src/verb/get.rs
+++ b/crates/godwitstep-cli/src/verb/get.rs
@@ -1,5 +1,6 @@
 //! Lists and single resources.
 
+use super::filter::Filter;
 use super::row::{head, row};
 use super::{collection, wants_json};
 use crate::client::Client;
@@ -8,7 +9,6 @@
 use clap::ArgMatches;
 use godwitstep::resources::Collection;
 use serde_json::{Value, json};
-use std::fmt::Write;
 
 /// Shows a list or one resource.
 pub async fn run(client: &Client, matches: &ArgMatches) -> Result<(), Failure> {
@@ -18,7 +18,9 @@
         let object = client.get(&format!("/v1/{collection}/{name}")).await?;
         (object.clone(), vec![object])
     } else {
-        let (version, items) = list(client, collection, matches).await?;
+        let filter = Filter::new(collection, matches)?;
+        let (version, mut items) = list(client, collection, &filter).await?;
+        items.retain(|item| filter.takes(item));
         (json!({"version": version, "items": items}), items)
     };
     if wants_json(matches) {
@@ -29,24 +31,14 @@
     output::print(&output::table(&rows))
 }
 
-/// Shows everything about one resource.
-pub async fn describe(client: &Client, matches: &ArgMatches) -> Result<(), Failure> {
-    let collection = collection(matches)?;
-    let name = matches.get_one::<String>("name").map_or("", String::as_str);
-    let object = client.get(&format!("/v1/{collection}/{name}")).await?;
-    output::print(&output::outline(&object, 0))
-}
-
 /// Reads all pages. The version is that of the first page, from which a watch misses nothing.
-async fn list(
+pub async fn list(
     client: &Client,
     collection: Collection,
-    matches: &ArgMatches,
+    filter: &Filter,
 ) -> Result<(Value, Vec<Value>), Failure> {
     let mut path = format!("/v1/{collection}?limit=1000");
-    if let Some(workspace) = matches.get_one::<String>("workspace") {
-        let _ = write!(path, "&workspace={workspace}");
-    }
+    path.push_str(&filter.query());
     let mut page = client.get(&path).await?;
     let version = page["version"].take();
     let mut items = Vec::new();
--- a/crates/godwitstep-cli/src/verb/watch.rs
+++ b/crates/godwitstep-cli/src/verb/watch.rs
@@ -1,5 +1,6 @@
 //! A watch that outlives its connections.
 
+use super::filter::Filter;
 use super::row::text;
 use super::{collection, wants_json};
 use crate::client::{Client, End, Lines};
@@ -8,7 +9,6 @@
 use clap::ArgMatches;
 use serde_json::Value;
 use smol::Timer;
-use std::fmt::Write;
 use std::time::Duration;
 
 /// First and longest delay between attempts to connect.
@@ -16,10 +16,9 @@
 
 /// Follows changes until the command is stopped.
 pub async fn run(client: &Client, matches: &ArgMatches) -> Result<(), Failure> {
-    let mut path = format!("/v1/{}?watch=true", collection(matches)?);
-    if let Some(workspace) = matches.get_one::<String>("workspace") {
-        let _ = write!(path, "&workspace={workspace}");
-    }
+    let collection = collection(matches)?;
+    let filter = Filter::new(collection, matches)?;
+    let path = format!("/v1/{collection}?watch=true{}", filter.query());
     let json = wants_json(matches);
     let mut from = matches.get_one::<u64>("from").copied();
     let mut delay = DELAY.0;
@@ -31,7 +30,10 @@
                     Ok(event) => {
                         delay = DELAY.0;
                         from = event["version"].as_u64().or(from);
-                        show(&event, json)?;
+                        let put = event["type"] == "put";
+                        if !put || filter.takes(&event["object"]) {
+                            show(&event, json)?;
+                        }
                     }
                     Err(end) => break end,
                 }
--- a/crates/godwitstep/src/caller/front.rs
+++ b/crates/godwitstep/src/caller/front.rs
@@ -261,6 +261,9 @@
                 let given = given.filter(|given| given.sequence == sequence);
                 let served = given.and_then(|given| given.served);
                 if let Some(observation) = pending.observe(now, &outcome, served) {
+                    if let (Some(queue), Some(link)) = (observation.queue, observation.link) {
+                        metrics::histogram!("godwitstep_added_seconds").record(queue + link);
+                    }
                     self.ledger.record(wall, &observation);
                 }
                 let body = given.map(|given| given.body.clone()).unwrap_or_default();
--- a/crates/godwitstep/src/entry.rs
+++ b/crates/godwitstep/src/entry.rs
@@ -11,10 +11,12 @@
 //! | `peers` | passes evidence and records between entries |
 //! | `standing` | judges whether work may start, and tells the agents |
 //! | `requests` | connects the callers' front to the links |
+//! | `gauges` | brings the gauges of the metrics up to date |
 //! | `store` | connects the operators' interface to the registry and the log |
 
 mod error;
 mod follow;
+mod gauges;
 mod links;
 mod listeners;
 mod peers;
--- /dev/null
+++ b/crates/godwitstep/src/entry/gauges.rs
@@ -0,0 +1,62 @@
+//! Gauges that are brought up to date when the metrics are read.
+
+use super::{State, standing};
+use godwitstep_core::authority::Standing;
+use godwitstep_core::registry::Stream;
+use godwitstep_core::resource::Phase;
+use metrics::gauge;
+
+/// All phases of a job, with their names in the metrics.
+const PHASES: [(Phase, &str); 6] = [
+    (Phase::Queued, "queued"),
+    (Phase::Running, "running"),
+    (Phase::Done, "done"),
+    (Phase::Failed, "failed"),
+    (Phase::Cancelled, "cancelled"),
+    (Phase::Unknown, "unknown"),
+];
+
+/// All standings, with their names in the metrics.
+const STANDINGS: [(Standing, &str); 3] = [
+    (Standing::Fresh, "fresh"),
+    (Standing::Coasting, "coasting"),
+    (Standing::Halted, "halted"),
+];
+
+/// Sets the gauges to what stands now.
+#[allow(clippy::cast_precision_loss)]
+pub(super) fn update(state: &State) {
+    if let Some(front) = state.front() {
+        let (waiting, open) = front.inspect(|router| (router.waiting(), router.open()));
+        gauge!("godwitstep_requests_waiting").set(waiting as f64);
+        gauge!("godwitstep_requests_open").set(open as f64);
+    }
+    let links = state.links.borrow();
+    gauge!("godwitstep_links", "peer" => "agent").set(links.agents().count() as f64);
+    gauge!("godwitstep_links", "peer" => "entry").set(links.peers().count() as f64);
+    for (standing, name) in STANDINGS {
+        let stands = state.standing.get() == standing;
+        gauge!("godwitstep_standing", "standing" => name).set(f64::from(u8::from(stands)));
+    }
+    if let Some(evidence) = standing::oldest(state, state.now()) {
+        gauge!("godwitstep_evidence_age_seconds").set(evidence.age.as_secs_f64());
+    }
+    let deciding = state.decider.borrow().is_some();
+    gauge!("godwitstep_decider").set(f64::from(u8::from(deciding)));
+    let registry = state.registry.borrow();
+    for (stream, name) in [(Stream::Config, "config"), (Stream::Jobs, "jobs")] {
+        gauge!("godwitstep_position", "stream" => name).set(registry.position(stream) as f64);
+    }
+    let mut jobs = [0_u64; PHASES.len()];
+    for (_, job) in registry.jobs() {
+        let at = PHASES
+            .iter()
+            .position(|(phase, _)| *phase == job.status.phase);
+        if let Some(count) = at.and_then(|at| jobs.get_mut(at)) {
+            *count += 1;
+        }
+    }
+    for ((_, name), count) in PHASES.into_iter().zip(jobs) {
+        gauge!("godwitstep_jobs", "phase" => name).set(count as f64);
+    }
+}
--- a/crates/godwitstep/src/entry/store.rs
+++ b/crates/godwitstep/src/entry/store.rs
@@ -1,7 +1,7 @@
 //! The operators' interface as this entry provides it.
 
 use super::State;
-use super::standing;
+use super::{gauges, standing};
 use crate::http::Signal;
 use crate::log;
 use crate::resources::{Collection, Proposal, Review, Spec, Store, Unrecorded};
@@ -34,7 +34,14 @@
     ) -> Result<Vec<Outcome>, Unrecorded> {
         let count = events.len();
         let known = self.stream(stream);
-        match known.writer.append(events, limit).await {
+        let appended = known.writer.append(events, limit).await;
+        let outcome = match appended {
+            log::Outcome::Appended { .. } => "appended",
+            log::Outcome::NotAppended => "not_appended",
+            log::Outcome::Unknown => "unknown",
+        };
+        metrics::counter!("godwitstep_appends_total", "outcome" => outcome).increment(1);
+        match appended {
             log::Outcome::Appended { offset, index } => {
                 let folded = async {
                     self.passed(stream, offset).await;
@@ -84,6 +91,20 @@
             .is_some_and(|item| item.spec.in_service)
     }
 
+    /// Returns the failure domains in which a job runs, as far as its workers are linked.
+    fn domains_of(&self, job: &str) -> Vec<String> {
+        let links = self.links.borrow();
+        let registry = self.registry.borrow();
+        let parts = registry.job(job).map_or(&[][..], |job| &job.parts);
+        let agents = parts.iter().filter_map(|part| links.agent(&part.worker));
+        let mut domains: Vec<_> = agents
+            .map(|agent| agent.link.peer().domain.to_string())
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        domains
+    }
+
     /// Returns the guarantees that would not fit if one workspace had the given spec.
     fn lacking(&self, name: &Name, spec: &Workspace) -> Vec<guarantee::Lack> {
         let workers = self.workers(|domain| self.in_service(domain));
@@ -193,6 +214,9 @@
 
     fn status(&self, collection: Collection, name: &str) -> Map<String, Value> {
         let mut status = Map::new();
+        if collection == Collection::Jobs {
+            status.insert("domains".to_owned(), self.domains_of(name).into());
+        }
         let slot = self.decider.borrow();
         let Some(decider) = slot.as_ref() else {
             return status;
@@ -248,6 +272,7 @@
     }
 
     fn metrics(&self) -> String {
+        gauges::update(self);
         self.metrics.render()
     }
 
