--- a/crates/godwitstep-cli/tests/cli.rs
+++ b/crates/godwitstep-cli/tests/cli.rs
@@ -1,11 +1,13 @@
 //! The command against files, and against servers whose store folds each record at once.
 
 use godwitstep::http::{self, Limits, Shutdown, Signal};
-use godwitstep::resources::{self, Store, Unrecorded};
+use godwitstep::resources::{self, Proposal, Review, Store, Unrecorded};
+use godwitstep_core::burn::{Ledger, Observation, Verdict};
 use godwitstep_core::id::Offset;
 use godwitstep_core::reason::Reason;
 use godwitstep_core::record::{Envelope, Event};
 use godwitstep_core::registry::{Outcome, Registry, Stream};
+use godwitstep_core::resource::Fault;
 use serde_json::{Value, json};
 use smol::Timer;
 use smol::net::TcpListener;
@@ -14,7 +16,7 @@
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_godwitstep");
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
@@ -51,6 +53,16 @@
         }
     }
 
+    fn review(&self, proposal: Proposal<'_>) -> Review {
+        let greedy = matches!(proposal, Proposal::Put(document) if &*document.name == "greedy");
+        let allowed = "guarantees that fit the capacity in service: 80 accelerators";
+        let fault = Fault::new("spec.guarantees", 500, allowed);
+        Review {
+            faults: greedy.then_some(fault).into_iter().collect(),
+            effect: Value::Null,
+        }
+    }
+
     fn signal(&self) -> Signal {
         self.signal.clone()
     }
@@ -68,8 +80,18 @@
     }
 
     fn report(&self) -> Value {
-        json!({"late": {"count": 3}})
+        json!({"entry": "entry-1", "entries": 2, "ledger": ledger("entry-1", 3)})
+    }
+}
+
+/// Returns the counters of an entry that gave some late answers and one on time.
+fn ledger(entry: &str, late: u64) -> Ledger {
+    let mut ledger = Ledger::new(entry, 1);
+    for verdict in (0..late).map(|_| Verdict::Late).chain([Verdict::OnTime]) {
+        let observation = Observation::new("council-flags", "seam-check", verdict);
+        ledger.record(SystemTime::now(), &observation.refund(4.0));
     }
+    ledger
 }
 
 struct Server {
@@ -145,7 +167,11 @@
                 "callers: \"here\"",
             ),
             (format!("apply -f {entry}"), 2, "kind: a missing value"),
-            ("get pods".to_owned(), 2, "invalid value"),
+            (
+                "get pods".to_owned(),
+                2,
+                "not one of domains, workspaces, jobs",
+            ),
             ("get jobs absent".to_owned(), 1, "there is no job absent"),
             (
                 "get jobs --server 127.0.0.1:1".to_owned(),
@@ -187,7 +213,7 @@
         }
         // Both runs appended 7 records to the stream of declared resources.
         let (_, out, _) = run(server.address, "domain out karratha-shed --dry-run").await;
-        assert!(out.contains("change: update"), "{out}");
+        assert!(out.contains("would go out of service"), "{out}");
         let (code, out, _) = run(server.address, "domain out karratha-shed").await;
         assert_eq!(
             (code, &*out),
@@ -208,7 +234,117 @@
         let (_, out, _) = run(server.address, list).await;
         let list: Value = serde_json::from_str(&out).expect("JSON");
         assert_eq!(list["items"].as_array().map(Vec::len), Some(2));
-        assert!(run(server.address, "report").await.1.contains("count: 3"));
+    });
+}
+
+/// Guards against mistakes whose message does not say what to do, and against a region that is
+/// taken out of service as a whole by mistake.
+#[test]
+fn mistakes_are_told_in_one_line_that_says_what_to_do() {
+    with_server(async |server| {
+        let files = ["domains", "workspaces"]
+            .map(|name| format!("-f examples/windsock-works/resources/{name}.json"))
+            .join(" ");
+        assert_eq!(run(server.address, &format!("apply {files}")).await.0, 0);
+        for domain in ["dampier-depot", "roebourne-annex"] {
+            assert_eq!(
+                run(server.address, &format!("domain out {domain}")).await.0,
+                0
+            );
+        }
+        let own = "crates/godwitstep-cli/tests/mistakes";
+        for (line, code, message) in [
+            (
+                "get jos".to_owned(),
+                2,
+                "not one of domains, workspaces, jobs",
+            ),
+            (
+                format!("apply -f {own}/kind.json"),
+                1,
+                "a kind of the workspace: pattern-nesting, seam-check, dye-fade-review",
+            ),
+            (
+                format!("apply -f {own}/stale.json"),
+                1,
+                "with version 0 (409 conflict); read it with `godwitstep get -o json`",
+            ),
+            (
+                format!("apply -f {own}/greedy.json"),
+                1,
+                "ask for less, or bring failure domains or workers back first",
+            ),
+            (
+                "domain out karratha-shed".to_owned(),
+                1,
+                "bring another one in first, or repeat with --force",
+            ),
+            (
+                "cancel absent".to_owned(),
+                1,
+                "there is no job absent (404 not_found); `godwitstep get`",
+            ),
+            (
+                "get domains --kind-of-work x".to_owned(),
+                2,
+                "are for jobs, not domains",
+            ),
+        ] {
+            let (got, _, messages) = run(server.address, &line).await;
+            assert_eq!(got, code, "{line}: {messages}");
+            let told = messages.lines().find(|told| told.contains(message));
+            assert!(told.is_some(), "{line}: {messages}");
+        }
+        let (code, out, _) = run(server.address, "domain out karratha-shed --force").await;
+        assert_eq!(code, 0, "{out}");
+    });
+}
+
+/// Guards against a report that counts a request twice, or hides what it could not see.
+#[test]
+fn report_merges_entries_and_tells_what_it_could_not_see() {
+    with_server(async |server| {
+        let gone = "127.0.0.1:1";
+        let line = format!(
+            "report --server {0} --server {0},{gone} -o json",
+            server.address
+        );
+        let (code, out, messages) = run(server.address, &line).await;
+        assert_eq!(code, 0, "{messages}");
+        let report: Value = serde_json::from_str(&out).expect("JSON");
+        let lines = report["lines"].as_array().expect("lines");
+        let counts: Vec<_> = [
+            "on_time",
+            "late",
+            "refused",
+            "failed",
+            "unknown",
+            "refund_due",
+        ]
+        .map(|name| lines[0][name].as_f64().expect("a number"))
+        .into();
+        assert_eq!(
+            (lines.len(), counts),
+            (1, vec![1.0, 3.0, 0.0, 0.0, 0.0, 12.0])
+        );
+        assert_eq!(report["seen"].as_array().map(Vec::len), Some(1));
+        assert_eq!(report["missing"][0]["server"], gone);
+        let (_, out, _) = run(server.address, "report").await;
+        assert!(
+            out.contains("Not seen: 1 of the region's 2 entries"),
+            "{out}"
+        );
+        assert!(out.contains("fast"), "{out}");
+        let (_, page, _) = run(server.address, "report -o html").await;
+        assert_eq!(page.matches("<svg").count(), 3, "{page}");
+        assert!(!page.contains("href=") && page.contains("not declared"));
+        assert_eq!(run(server.address, "report --file x").await.0, 2);
+        let line = format!("report --server {gone}");
+        let (code, _, messages) = run(server.address, &line).await;
+        assert!(
+            code == 1 && messages.contains("no entry could be asked"),
+            "{messages}"
+        );
     });
 }
 
--- a/crates/godwitstep/src/entry.rs
+++ b/crates/godwitstep/src/entry.rs
@@ -11,11 +11,14 @@
 //! | `peers` | passes evidence and records between entries |
 //! | `standing` | judges whether work may start, and tells the agents |
 //! | `requests` | connects the callers' front to the links |
+//! | `gauges` | brings the gauges of the metrics up to date |
 //! | `store` | connects the operators' interface to the registry and the log |
 
 mod error;
 mod follow;
+mod gauges;
 mod links;
+mod listeners;
 mod peers;
 mod requests;
 mod run;
@@ -26,5 +29,6 @@
 mod stream;
 
 pub use error::{Error, Step};
-pub use run::run;
+pub use listeners::Listeners;
+pub use run::{run, serve_at};
 pub(crate) use state::State;
