test(cli): parts of gangs that are cut off, and a known fault

Cause: a cut of 4 s does not reach the limits that keep a part from running alone. R5 also resets a way to a target. Ruled out: a relaxed bound.

--- a/crates/godwitstep-cli/tests/proofs/r1.rs
+++ b/crates/godwitstep-cli/tests/proofs/r1.rs
@@ -19,7 +19,7 @@
         "shape": { "tasks": 2, "accelerators": 8, "adjacency": "any" }, "count": 1,
     }]);
     let more = json!([workspace("council-flags", 2, &guarantee)]);
-    cluster.apply(&cluster.declarations(&more));
+    cluster.apply(&Cluster::declarations(&more));
     let jobs: Vec<_> = (0..12)
         .map(|number| {
             job(
--- a/crates/godwitstep-cli/tests/proofs/r2.rs
+++ b/crates/godwitstep-cli/tests/proofs/r2.rs
@@ -144,3 +144,63 @@
         "it was started again"
     );
 }
+
+/// Waits until both parts run, and returns an agent that has one of them.
+fn started(cluster: &Cluster, name: &str) -> usize {
+    wait_until("both parts run", PATIENCE, || {
+        attempts(cluster, name).values().any(|runs| runs.len() == 2)
+    });
+    attempts(cluster, name)[&1][1].0
+}
+
+/// Cuts an agent off from all entries for a time.
+fn cut_off(cluster: &Cluster, agent: usize, seconds: u64) {
+    let since = wall_us();
+    cluster.agents[agent].entries.iter().for_each(cut);
+    wait_until("the cut is long", PATIENCE, || {
+        wall_us() > since + seconds * 1_000_000
+    });
+    cluster.agents[agent].entries.iter().for_each(heal);
+}
+
+/// Guards against a committed part that never hears whether its gang runs.
+#[test]
+fn a_part_that_is_cut_off_before_it_is_settled_stops_itself() {
+    let cluster = Cluster::serving(Plan::default());
+    let slow = DirectionControl {
+        delay_ms: Some(300),
+        ..DirectionControl::default()
+    };
+    let slow = Control {
+        forward: slow,
+        backward: slow,
+        ..Control::default()
+    };
+    for way in cluster.agents.iter().flat_map(|agent| &agent.entries) {
+        way.control(&slow);
+    }
+    cluster.apply(&json!([job("unsettled", "airfield-socks", (2, 8), 20)]));
+    // The report of the start and the settlement take 600 ms from here.
+    let agent = started(&cluster, "unsettled");
+    cut_off(&cluster, agent, 16);
+    cluster
+        .agents
+        .iter()
+        .flat_map(|agent| &agent.entries)
+        .for_each(heal);
+    check(&cluster, "unsettled", BOUND);
+}
+
+/// Guards against a settled part that goes on behind a cut while its gang starts elsewhere.
+#[test]
+fn a_part_that_is_cut_off_after_it_was_settled_does_not_go_on_alone() {
+    let cluster = Cluster::serving(Plan::default());
+    cluster.apply(&json!([job("settled", "airfield-socks", (2, 8), 36)]));
+    let agent = started(&cluster, "settled");
+    let since = wall_us();
+    wait_until("the gang is settled", PATIENCE, || {
+        wall_us() > since + 3_000_000
+    });
+    cut_off(&cluster, agent, 30);
+    check(&cluster, "settled", LOSS_BOUND);
+}
--- a/crates/godwitstep-cli/tests/proofs/r5.rs
+++ b/crates/godwitstep-cli/tests/proofs/r5.rs
@@ -31,7 +31,12 @@
         let node = &mut cluster.agents[2].node;
         node.process.kill();
         node.restart();
-        let way = &cluster.agents[0].entries[round as usize % 3];
+        let agent = &cluster.agents[0];
+        let way = if round.is_multiple_of(2) {
+            &agent.target_link
+        } else {
+            &agent.entries[0]
+        };
         way.control(&godwitstep_standin::proxy::Control {
             reset: true,
             ..godwitstep_standin::proxy::Control::default()
--- a/crates/godwitstep-cli/tests/proofs/r9.rs
+++ b/crates/godwitstep-cli/tests/proofs/r9.rs
@@ -34,8 +34,8 @@
         let shown = get(cluster.entries[0].operators, PATH);
         let version = shown["version"].as_u64().expect("a version");
         wait_until("all entries show it", PATIENCE, || {
-            let shows = |entry: &Entry| get(entry.operators, PATH)["version"] == version;
-            cluster.entries.iter().all(shows)
+            let agrees = |entry: &Entry| get(entry.operators, PATH)["version"] == version;
+            cluster.entries.iter().all(agrees)
         });
         let in_service = shown["spec"]["in_service"] != true;
         // Both wish for the same state, so that the first is no hindrance but by its version.
--- a/crates/godwitstep-cli/tests/proofs/rig/cluster.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/cluster.rs
@@ -1,7 +1,7 @@
 //! A whole cluster: log, entries, agents, targets and workers.
 
 use super::caller::{Ask, ask};
-use super::node::{Agent, Entry, Node, cut, heal, way};
+use super::node::{Agent, Entry, Node, cut, way};
 use super::{PATIENCE, godwitstep, slot, wait_until};
 use godwitstep_standin::{log, target, worker};
 use serde_json::{Value, json};
@@ -106,7 +106,7 @@
     /// entry.
     pub fn serving(plan: Plan) -> Self {
         let cluster = Self::start(plan);
-        cluster.apply(&cluster.declarations(&json!([])));
+        cluster.apply(&Self::declarations(&json!([])));
         cluster.warm();
         cluster
     }
@@ -140,7 +140,7 @@
 
     fn agent(&self, free: &mut Addresses, index: usize, links: &[SocketAddr]) -> Agent {
         let name = format!("agent-{index}");
-        let domain = DOMAINS[index % 3].to_owned();
+        let domain = DOMAINS[index % 3];
         let target = target::Settings {
             listen: free.next(),
             ..self.target_settings()
@@ -164,11 +164,10 @@
         });
         Agent {
             node: Node::start("agent", &name, &settings, &self.directory),
-            domain,
             target: Some(target),
             worker: Some(worker),
             target_link,
-            worker_link,
+            _worker_link: worker_link,
             entries,
             past_runs: Vec::new(),
             past_tasks: Vec::new(),
@@ -194,7 +193,7 @@
     }
 
     /// Returns the domains, one workspace without guarantees, and some more workspaces.
-    pub fn declarations(&self, more: &Value) -> Value {
+    pub fn declarations(more: &Value) -> Value {
         let domain = |name: &&str| {
             json!({
                 "kind": "domain", "name": name,
@@ -269,12 +268,6 @@
         self.for_peer_ways(index, cut);
     }
 
-    /// Ends what [`Cluster::isolate`] did.
-    pub fn rejoin(&self, index: usize) {
-        heal(&self.entries[index].log);
-        self.for_peer_ways(index, heal);
-    }
-
     fn for_peer_ways(&self, index: usize, change: fn(&godwitstep_standin::proxy::Handle)) {
         for (other, entry) in self.entries.iter().enumerate() {
             if other == index {
--- a/crates/godwitstep-cli/tests/proofs/rig/jobs.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/jobs.rs
@@ -24,6 +24,6 @@
         .entries
         .iter()
         .map(|entry| get(entry.operators, &path));
-    let phase = shown.filter_map(|job| Some(job["status"]["phase"].as_str()?.to_owned()));
-    phase.last().unwrap_or_default()
+    let mut phase = shown.filter_map(|job| Some(job["status"]["phase"].as_str()?.to_owned()));
+    phase.next_back().unwrap_or_default()
 }
--- a/crates/godwitstep-cli/tests/proofs/rig/load.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/load.rs
@@ -25,8 +25,6 @@
     pub outcomes: Vec<String>,
     /// Names of the attempts that were told not to have run.
     pub not_run: Vec<String>,
-    /// Status of the last attempt; 0 if no whole answer came.
-    pub status: u16,
     /// Whether an answer that came is that of the request.
     pub whole: bool,
     pub sent: u64,
@@ -125,12 +123,11 @@
     let sent = wall_us();
     let mut ask = first.clone();
     let (mut outcomes, mut not_run) = (Vec::new(), Vec::new());
-    let (mut status, mut whole) = (0, true);
+    let mut whole = true;
     for attempt in 0..ATTEMPTS {
         let client = &clients[(start + attempt) % clients.len()];
         match exchange(client, &ask).await {
             Ok(reply) => {
-                status = reply.status;
                 whole &= is_whole(&ask, &reply);
                 if reply.outcome == "not_run" {
                     not_run.push(reply.request);
@@ -138,7 +135,6 @@
                 outcomes.push(reply.outcome);
             }
             Err(error) => {
-                status = 0;
                 let end = if error.sent { "broken" } else { "refused" };
                 outcomes.push(end.to_owned());
             }
@@ -157,7 +153,6 @@
         ask: first,
         outcomes,
         not_run,
-        status,
         whole,
         sent,
         done: wall_us(),
--- a/crates/godwitstep-cli/tests/proofs/rig/node.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/node.rs
@@ -73,13 +73,12 @@
 /// An agent with its target and its worker.
 pub struct Agent {
     pub node: Node,
-    pub domain: String,
     pub target: Option<target::Handle>,
     pub worker: Option<worker::Handle>,
     /// Its way to the target.
     pub target_link: proxy::Handle,
     /// Its way to the worker.
-    pub worker_link: proxy::Handle,
+    pub _worker_link: proxy::Handle,
     /// Its ways to the entries.
     pub entries: Vec<proxy::Handle>,
     /// Ledgers of targets that were killed.
