fix(entry): tell agents at once when the standing changes

Cause: an entry that had lost the log told its agents with the next heartbeat, up to 0.5 s later, and agents act on its last word meanwhile. Change: a change of the standing is told at once. Conclusion: the last start behind a cut-off entry is bounded by the age of the evidence alone.

--- a/crates/godwitstep/src/entry/standing.rs
+++ b/crates/godwitstep/src/entry/standing.rs
@@ -91,6 +91,8 @@
         }
         Standing::Halted => tracing::warn!("may be cut off from the log; nothing new starts"),
     }
+    // Agents act on the last word of an entry until the next one comes.
+    announce(state);
     if let Some(front) = state.front() {
         front.handle(router::Event::Standing(standing));
     }
