fix(http): answer callers who are connected when a shutdown begins

Cause: a closed listener resets the connections that wait in its queue, and a connection whose first request was on its way was closed at once. Ruled out: the order of drain and shutdown alone; the earlier order had the same gap with fewer callers in it. Change: the queue is emptied before the listener is closed, and a connection without a request gets 200 ms for its first one. The harness tries again to bind the port of a restarted target, which another process's connection may hold for a moment. Conclusion: what is left is the instant between the last accept and the close.

--- a/crates/godwitstep-cli/tests/proofs/rig/node.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/node.rs
@@ -1,6 +1,6 @@
 //! An entry or an agent with all that stands beside it.
 
-use super::{Process, operator, wall_us};
+use super::{PATIENCE, Process, operator, wait_until, wall_us};
 use godwitstep_standin::proxy::{self, Control, Proxy};
 use godwitstep_standin::{target, worker};
 use hyper::Method;
@@ -112,7 +112,13 @@
 
     /// Starts a new target in the place of one that was killed.
     pub fn restart_target(&mut self, settings: target::Settings) {
-        self.target = Some(target::Server::start(settings).expect("the address is free"));
+        // Another process's outgoing connection may have been given the port meanwhile.
+        let mut started = None;
+        wait_until("the address is free", PATIENCE, || {
+            started = target::Server::start(settings).ok();
+            started.is_some()
+        });
+        self.target = started;
     }
 
     /// Ends the worker at once, with all that it runs.
--- a/crates/godwitstep/src/http/server.rs
+++ b/crates/godwitstep/src/http/server.rs
@@ -10,9 +10,10 @@
 use hyper::{Request, Response, StatusCode};
 use smol::Timer;
 use smol::channel::{self, Receiver, Sender};
-use smol::future::FutureExt;
+use smol::future::{FutureExt, poll_once};
 use smol::net::{TcpListener, TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -25,6 +26,8 @@
 /// Delay after a failed accept. Without it, a process that has run out of file descriptors would
 /// spin on the error.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Wait for the first request of a connection that was open when the shutdown began.
+const FIRST_REQUEST: Duration = Duration::from_millis(200);
 /// Connections beyond the limit that are told so; further ones wait in the accept queue.
 const MAX_REFUSED: usize = 64;
 
@@ -135,11 +138,7 @@
                     refused += 1;
                     (None, Role::Refused)
                 };
-                let signal = signal.clone();
-                connections.push(async move {
-                    connection(stream, limits, signal, handler).await;
-                    role
-                });
+                connections.push(attend(stream, limits, signal.clone(), handler, role));
             }
             Event::Accepted(Err(error)) => {
                 tracing::warn!(%error, "accepting a connection failed");
@@ -147,6 +146,18 @@
             }
         }
     }
+    // Callers that were connected before the shutdown get an answer; closing the listener would
+    // reset those that wait in its queue.
+    while let Some(Ok((stream, _))) = poll_once(listener.accept()).await {
+        let handler = Some(handler.clone());
+        connections.push(attend(
+            stream,
+            limits,
+            signal.clone(),
+            handler,
+            Role::Served,
+        ));
+    }
     drop(listener);
     while connections.next().await.is_some() {}
 }
@@ -173,6 +184,20 @@
     response
 }
 
+async fn attend<H>(
+    stream: TcpStream,
+    limits: Limits,
+    signal: Signal,
+    handler: Option<Rc<H>>,
+    role: Role,
+) -> Role
+where
+    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
+{
+    connection(stream, limits, signal, handler).await;
+    role
+}
+
 async fn connection<H>(stream: TcpStream, limits: Limits, signal: Signal, handler: Option<Rc<H>>)
 where
     H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
@@ -180,8 +205,11 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "connection without TCP_NODELAY");
     }
+    let begun = Rc::new(Cell::new(false));
+    let flag = begun.clone();
     let service = service_fn(move |request| {
         let handler = handler.clone();
+        flag.set(true);
         async move {
             Ok::<_, Infallible>(match handler {
                 Some(handler) => handler(request).await,
@@ -201,10 +229,25 @@
     let result = match select(serving.as_mut(), pin!(signal.wait())).await {
         Either::Left((result, _)) => result,
         Either::Right(((), _)) => {
+            // The first request of a new connection may be on its way, and is answered.
+            if !begun.get() {
+                let wait = async {
+                    Timer::after(FIRST_REQUEST).await;
+                    None
+                };
+                let ended = async { Some(serving.as_mut().await) }.or(wait).await;
+                if let Some(result) = ended {
+                    return report(result);
+                }
+            }
             serving.as_mut().graceful_shutdown();
             serving.await
         }
     };
+    report(result);
+}
+
+fn report(result: hyper::Result<()>) {
     if let Err(error) = result {
         tracing::debug!(%error, "connection ended early");
     }
--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -250,3 +250,25 @@
         assert!(started.elapsed() < TIME);
     });
 }
+
+/// Guards against a shutdown that resets callers who were connected before it: those that the server
+/// has not accepted yet, and those whose first request is on its way.
+#[test]
+fn shutdown_answers_callers_who_are_connected() {
+    smol::block_on(async {
+        let (listener, address) = listen().await;
+        let (shutdown, signal) = Shutdown::new();
+        // Not accepted before the shutdown, because the server is not polled yet.
+        let mut caller = TcpStream::connect(address).await.unwrap();
+        shutdown.start();
+        let call = async {
+            smol::Timer::after(Duration::from_millis(50)).await;
+            let request = b"GET / HTTP/1.1\r\nhost: server\r\n\r\n";
+            caller.write_all(request).await.unwrap();
+            let mut answer = Vec::new();
+            caller.read_to_end(&mut answer).await.unwrap();
+            assert!(answer.starts_with(b"HTTP/1.1 200"), "{answer:?}");
+        };
+        zip(echo(listener, Limits::default(), signal), call).await;
+    });
+}
