test: the rate while the log is away does not follow the machine's processor time

A trace by entry and second shows that all requests were answered and that all three entries were slower in the same seconds, also with the log: 24 callers with 20 ms of service load the processor, whose share varies on a shared machine. Ruled out: refusals or an entry that halts (none refused; all three were coasting after 1.4 s). Change: 6 callers with 100 ms of service; the check, its bound of 80 % and the demand that nothing is refused stay.

--- a/crates/godwitstep-cli/tests/proofs/outage.rs
+++ b/crates/godwitstep-cli/tests/proofs/outage.rs
@@ -9,8 +9,10 @@
 #[test]
 fn requests_are_served_at_the_normal_rate_while_the_log_is_away() {
     let cluster = Cluster::serving(Plan::default());
-    let load = Load::start(&cluster.direct(), 24, false, |number| {
-        Ask::new(format!("outage-{number}"), 20).deadline_ms(2_000)
+    // Most of a request's time is the target's, so that the rate does not follow the processor time
+    // that the machine happens to give.
+    let load = Load::start(&cluster.direct(), 6, false, |number| {
+        Ask::new(format!("outage-{number}"), 100).deadline_ms(2_000)
     });
     let answered_in = |millis: u64| {
         let (start, before) = (wall_us(), load.answered());
