--- /dev/null
+++ b/crates/godwitstep-batch/src/agent/seat.rs
@@ -0,0 +1,143 @@
+//! The worker beside an agent: its current life, its clock, its lease and its lists.
+
+use super::Key;
+use crate::bounds::WORKER_DRIFT;
+use crate::demand::Demand;
+use crate::id::{Domain, Life, Pool};
+use crate::message::{Ended, Running};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Looks without an answer after which a worker counts as silent.
+const MISSES: u32 = 2;
+
+/// What a worker says of itself.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Registration {
+    /// Current life.
+    pub life: Life,
+    /// Rises within a life; an older registration changes nothing.
+    pub sequence: u64,
+    /// Pool that it serves.
+    pub pool: Pool,
+    /// Failure domain.
+    pub domain: Domain,
+    /// Everything that it has.
+    pub room: Demand,
+    /// Labels.
+    pub labels: Vec<Arc<str>>,
+    /// Rack; `None` where it names none.
+    pub rack: Option<Arc<str>>,
+    /// Whether it is about to leave.
+    pub draining: bool,
+}
+
+/// What a worker lists.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Lists {
+    /// Its clock in milliseconds.
+    pub clock: u64,
+    /// Runs under way.
+    pub running: Vec<Running>,
+    /// Ended runs that it has not forgotten, by number.
+    pub ended: Vec<Ended>,
+}
+
+/// One life of the worker.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub life: Life,
+    pub about: Registration,
+    pub running: Vec<Running>,
+    pub ended: Vec<Ended>,
+    /// Ends up to this number are recorded.
+    pub recorded: u64,
+    /// Whether the lists were read.
+    pub seen: bool,
+    /// Looks in a row without an answer.
+    pub misses: u32,
+    /// The worker's clock and when it was read.
+    reading: Option<(Duration, u64)>,
+    /// Latest end of a lease that a call asked for, on the worker's clock.
+    lease: u64,
+}
+
+impl Seat {
+    pub fn new(about: Registration) -> Self {
+        Self {
+            life: about.life.clone(),
+            about,
+            running: Vec::new(),
+            ended: Vec::new(),
+            recorded: 0,
+            seen: false,
+            misses: 0,
+            reading: None,
+            lease: 0,
+        }
+    }
+
+    /// Takes a newer registration of the same life. Draining never ends within a life.
+    pub fn refresh(&mut self, registration: Registration) {
+        if registration.sequence >= self.about.sequence {
+            let draining = self.about.draining || registration.draining;
+            self.about = registration;
+            self.about.draining = draining;
+        }
+    }
+
+    /// Returns the worker's clock, a little behind its true value at most.
+    pub fn clock(&mut self, now: Duration) -> Option<u64> {
+        let (at, clock) = self.reading?;
+        Some(clock + super::millis(now.saturating_sub(at)))
+    }
+
+    /// Notes that a call was sent that may prolong the lease up to this time.
+    pub fn note_deadline(&mut self, deadline: Option<u64>) {
+        self.lease = self.lease.max(deadline.unwrap_or_default());
+    }
+
+    /// Tells whether the worker answers.
+    pub const fn answers(&self) -> bool {
+        self.seen && self.misses < MISSES
+    }
+
+    /// Tells whether the lease has surely ended since the worker last answered.
+    pub fn lapsed(&self, now: Duration) -> bool {
+        let Some((at, clock)) = self.reading.filter(|_| self.seen && !self.answers()) else {
+            return false;
+        };
+        let least = now.saturating_sub(at).mul_f64(1.0 - 2.0 * WORKER_DRIFT);
+        clock + super::millis(least) > self.lease
+    }
+
+    /// Takes new lists. Returns whether they show something new.
+    pub fn look(&mut self, now: Duration, lists: Lists) -> bool {
+        let runs = |rows: &[Running]| rows.iter().map(|row| (row.task, row.run)).collect::<Vec<_>>();
+        let changed = !self.seen
+            || self.misses > 0
+            || runs(&self.running) != runs(&lists.running)
+            || self.ended != lists.ended;
+        self.seen = true;
+        self.misses = 0;
+        self.reading = Some((now, lists.clock));
+        self.running = lists.running;
+        self.ended = lists.ended;
+        changed
+    }
+
+    /// Tells whether a run is listed as under way.
+    pub fn lists(&self, key: &Key) -> bool {
+        self.running.iter().any(|row| (row.task, row.run) == *key)
+    }
+
+    /// Tells whether a run is listed as ended.
+    pub fn ended(&self, key: &Key) -> bool {
+        self.ended.iter().any(|row| (row.task, row.run) == *key)
+    }
+
+    /// Tells whether an end is listed that has not been recorded.
+    pub fn unrecorded(&self) -> bool {
+        self.ended.iter().any(|row| row.number > self.recorded)
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -0,0 +1,70 @@
+//! Who decides: claims and renewals in the log, fenced by their epoch.
+//!
+//! The log refuses the records of an epoch below the highest that it has seen, so a decider whose
+//! place was taken can't record anything any more. Entries watch the records go by; one that has read
+//! the log without a record of the decider for [`SILENCE`] claims the place.
+//!
+//! ```
+//! use godwitstep_batch::claim::{self, Watch};
+//! use std::time::Duration;
+//!
+//! let mut watch = Watch::new(Duration::from_millis(100));
+//! assert!(!watch.should_claim(Duration::ZERO, None, Duration::MAX));
+//! let fresh = Duration::ZERO;
+//! assert!(watch.should_claim(Duration::from_secs(1), None, fresh));
+//! assert!(claim::next(7, 3) > 7);
+//! ```
+
+use crate::bounds::SILENCE;
+use crate::id::Epoch;
+use crate::record::Claim;
+use std::time::Duration;
+
+/// Age of the view of the log up to which silence of a decider counts.
+const FRESH: Duration = Duration::from_millis(1_200);
+/// Bits of an epoch that tell claimants of the same moment apart.
+const CLAIMANT_BITS: u32 = 20;
+
+/// Returns an epoch above another one. Two claimants get different ones as long as their numbers
+/// differ in the lowest 20 bits, so the log orders them.
+#[must_use]
+pub const fn next(after: Epoch, claimant: u64) -> Epoch {
+    let own = claimant & ((1 << CLAIMANT_BITS) - 1);
+    (((after >> CLAIMANT_BITS) + 1) << CLAIMANT_BITS) | own
+}
+
+/// An entry's watch on the decider.
+#[derive(Debug)]
+pub struct Watch {
+    /// Delay of this entry's claims, which keeps entries from claiming at the same time.
+    delay: Duration,
+    /// Newest moment at which the decider was heard of, or the log was not.
+    heard: Option<Duration>,
+}
+
+impl Watch {
+    /// Returns a watch that waits `delay` longer than the shortest silence.
+    #[must_use]
+    pub const fn new(delay: Duration) -> Self {
+        Self { delay, heard: None }
+    }
+
+    /// Notes a record of the decider.
+    pub fn heard(&mut self, now: Duration) {
+        self.heard = Some(now);
+    }
+
+    /// Tells whether to claim the place: given the newest claim and the age of the view of the log.
+    pub fn should_claim(&mut self, now: Duration, claim: Option<&Claim>, age: Duration) -> bool {
+        if age > FRESH {
+            self.heard = Some(now);
+            return false;
+        }
+        let heard = *self.heard.get_or_insert(now);
+        let silence = match claim {
+            Some(claim) if !claim.released => SILENCE,
+            _ => Duration::ZERO,
+        };
+        now.saturating_sub(heard) >= silence + self.delay
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -0,0 +1,274 @@
+//! Where tasks run: the decisions of the decider.
+//!
+//! The planner reads the ledger and the agents' reports, and returns records. Nothing that it decides
+//! takes effect before its record is in the log: [`Planner::directive`] orders only what the ledger
+//! shows.
+//!
+//! ```
+//! use godwitstep_batch::{ledger::Ledger, planner::{Orders, Planner}, policy::Policy, Bounds};
+//! use std::time::Duration;
+//!
+//! let mut planner = Planner::new(1 << 20, Duration::ZERO, Bounds::default());
+//! let policy = Policy::default();
+//! let orders = Orders { policy: &policy, out: &Default::default(), age: Duration::ZERO };
+//! let plan = planner.decide(Duration::ZERO, 0, &Ledger::default(), &orders);
+//! assert!(plan.records.is_empty());
+//! ```
+
+mod directive;
+mod draft;
+mod ends;
+mod fleet;
+mod floor;
+mod health;
+mod order;
+mod place;
+mod preempt;
+
+use crate::bounds::{Bounds, VIEW_LIFE};
+use crate::id::{Domain, Epoch, JobId, Life, Run, Task};
+use crate::ledger::Ledger;
+use crate::message::Report;
+use crate::policy::Policy;
+use crate::progress::Outcome;
+use crate::record::Record;
+use directive::Assignment;
+use draft::Draft;
+use fleet::Fleet;
+use floor::Floor;
+use health::Health;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+/// What operators declared and ordered, as the decider knows it.
+#[derive(Debug, Clone, Copy)]
+pub struct Orders<'a> {
+    /// Newest policy.
+    pub policy: &'a Policy,
+    /// Failure domains that are out of service.
+    pub out: &'a BTreeSet<Domain>,
+    /// Age of this knowledge.
+    pub age: Duration,
+}
+
+/// One decision, for the process's log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Decision {
+    /// A task was assigned to a worker.
+    Placed {
+        /// Task.
+        task: Task,
+        /// Number of the run.
+        run: Run,
+        /// Worker.
+        life: Life,
+        /// Time since the decider first saw the job.
+        age: Duration,
+    },
+    /// A run ended.
+    Ended {
+        /// Task.
+        task: Task,
+        /// Number of the run.
+        run: Run,
+        /// Worker.
+        life: Life,
+        /// How, and by which evidence.
+        how: &'static str,
+    },
+    /// A run is stopped for the sake of another job.
+    Preempted {
+        /// Task that is stopped.
+        task: Task,
+        /// Number of the run.
+        run: Run,
+        /// Job that needs the room.
+        by: JobId,
+    },
+    /// A run that makes no progress is stopped, to run elsewhere.
+    Stuck {
+        /// Task that is stopped.
+        task: Task,
+        /// Number of the run.
+        run: Run,
+        /// Time without progress.
+        still: Duration,
+    },
+    /// A job ended.
+    Finished {
+        /// Job.
+        job: JobId,
+        /// How.
+        outcome: Outcome,
+        /// Time since the decider first saw the job.
+        age: Duration,
+    },
+    /// A worker gets no new tasks for a while.
+    Quarantined {
+        /// Worker.
+        life: Life,
+        /// Failures in a row.
+        failures: u32,
+        /// How long.
+        time: Duration,
+    },
+}
+
+/// Result of a round of decisions.
+#[derive(Debug, Default)]
+pub struct Plan {
+    /// Records to append, all or nothing, under the decider's epoch.
+    pub records: Vec<Record>,
+    /// What was decided. Placements hold only once the records are in the log.
+    pub decisions: Vec<Decision>,
+}
+
+/// The decider's state that is not in the log. A successor starts without it.
+#[derive(Debug)]
+pub struct Planner {
+    epoch: Epoch,
+    bounds: Bounds,
+    fleet: Fleet,
+    health: Health,
+    /// When the decider first saw each open job, on its own clock.
+    seen: HashMap<JobId, Duration>,
+    /// When the decider first saw each job ended.
+    ended: HashMap<JobId, Duration>,
+    /// Runs that are stopped although their jobs go on.
+    stopping: HashSet<(Task, Run)>,
+    /// What the ledger assigns to each host.
+    assigned: BTreeMap<crate::id::Host, Vec<Assignment>>,
+}
+
+/// Longest time that a job is taken to have waited before its decider first saw it.
+const MAX_BACKDATE: Duration = Duration::from_secs(60);
+/// Time for which an ended job is kept beyond the time for which callers may ask.
+const KEPT_ENDED: Duration = Duration::from_secs(15);
+/// Most ended jobs that are dropped in one round.
+const MAX_DROPS: usize = 32;
+
+impl Planner {
+    /// Returns a planner that took its place at `now`.
+    #[must_use]
+    pub fn new(epoch: Epoch, now: Duration, bounds: Bounds) -> Self {
+        Self {
+            epoch,
+            fleet: Fleet::new(now, &bounds),
+            bounds,
+            health: Health::default(),
+            seen: HashMap::new(),
+            ended: HashMap::new(),
+            stopping: HashSet::new(),
+            assigned: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the epoch.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Takes an agent's report. Returns whether it is newer than the last one.
+    pub fn report(&mut self, now: Duration, report: Report) -> bool {
+        self.health.report(now, &report);
+        self.fleet.report(now, report)
+    }
+
+    /// Decides on everything that is open.
+    pub fn decide(&mut self, now: Duration, wall: u64, ledger: &Ledger, orders: &Orders) -> Plan {
+        self.note_jobs(now, wall, ledger);
+        let mut plan = Plan::default();
+        let mut draft = Draft::new(ledger);
+        self.settle(now, &mut draft, &mut plan);
+        self.conclude(now, &mut draft, &mut plan);
+        if orders.age < VIEW_LIFE {
+            let mut floor = Floor::new(now, &self.fleet, &self.health, &draft, orders);
+            self.place(now, &mut draft, &mut floor, orders, &mut plan);
+        }
+        self.unstick(now, &draft, &mut plan);
+        plan.records.extend(draft.into_records());
+        self.drop_ended(now, ledger, &mut plan);
+        self.assign(ledger, orders);
+        plan
+    }
+
+    fn note_jobs(&mut self, now: Duration, wall: u64, ledger: &Ledger) {
+        for (id, entry) in ledger.open() {
+            self.seen.entry(id).or_insert_with(|| {
+                let waited = Duration::from_millis(wall.saturating_sub(entry.job.accepted));
+                now.saturating_sub(waited.min(MAX_BACKDATE))
+            });
+        }
+        if self.seen.len() > 2 * ledger.open().count() + MAX_DROPS {
+            self.seen
+                .retain(|id, _| ledger.job(*id).is_some_and(|entry| !entry.settled()));
+        }
+    }
+
+    /// Returns how long ago a job was accepted, as far as the decider knows.
+    fn age(&self, now: Duration, job: JobId) -> Duration {
+        self.seen
+            .get(&job)
+            .map_or(Duration::ZERO, |seen| now.saturating_sub(*seen))
+    }
+
+    /// Ends jobs that are done, given up or cancelled.
+    fn conclude(&self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
+        for (id, entry) in draft.ledger().open() {
+            let progress = draft.progress(id, entry);
+            let outcome = match progress.outcome {
+                Some(outcome) => Some(outcome),
+                None if entry.cancelled => Some(Outcome::Cancelled),
+                None if progress.done() => Some(Outcome::Completed),
+                None if ends::exhausted(&entry.job, progress) => Some(Outcome::Failed),
+                None => None,
+            };
+            let Some(outcome) = outcome else {
+                continue;
+            };
+            let new = progress.outcome.is_none();
+            let idle = progress.idle() && !progress.steps.is_empty();
+            if new {
+                let age = self.age(now, id);
+                plan.decisions.push(Decision::Finished {
+                    job: id,
+                    outcome,
+                    age,
+                });
+            }
+            if new || idle {
+                let progress = draft.edit(id);
+                progress.outcome = Some(outcome);
+                if idle {
+                    progress.steps.clear();
+                }
+            }
+        }
+    }
+
+    /// Drops jobs that nobody may ask for any more.
+    fn drop_ended(&mut self, now: Duration, ledger: &Ledger, plan: &mut Plan) {
+        let kept = self.bounds.status + KEPT_ENDED;
+        if self.ended.len() + self.seen.len() < ledger.jobs().len() {
+            for (id, entry) in ledger.jobs() {
+                if entry.settled() {
+                    self.ended.entry(id).or_insert(now);
+                }
+            }
+        }
+        let over: Vec<JobId> = self
+            .ended
+            .iter()
+            .filter(|(_, since)| **since + kept < now)
+            .map(|(id, _)| *id)
+            .take(MAX_DROPS)
+            .collect();
+        for job in over {
+            self.ended.remove(&job);
+            if ledger.job(job).is_some() {
+                plan.records.push(Record::Dropped { job });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/draft.rs
@@ -0,0 +1,64 @@
+//! The ledger with the changes of the round of decisions under way.
+
+use crate::id::JobId;
+use crate::ledger::{Entry, Ledger};
+use crate::progress::Progress;
+use crate::record::Record;
+use std::collections::BTreeMap;
+
+/// A ledger that is being changed.
+#[derive(Debug)]
+pub(super) struct Draft<'a> {
+    ledger: &'a Ledger,
+    changed: BTreeMap<JobId, Progress>,
+}
+
+impl<'a> Draft<'a> {
+    pub const fn new(ledger: &'a Ledger) -> Self {
+        Self {
+            ledger,
+            changed: BTreeMap::new(),
+        }
+    }
+
+    pub const fn ledger(&self) -> &'a Ledger {
+        self.ledger
+    }
+
+    /// Returns the state of a job with the changes of this round.
+    pub fn progress<'b>(&'b self, job: JobId, entry: &'b Entry) -> &'b Progress {
+        self.changed.get(&job).unwrap_or(&entry.progress)
+    }
+
+    /// Returns the state of a job to change it. An unknown job gets an empty state, which is never
+    /// written for a job that the ledger does not hold.
+    pub fn edit(&mut self, job: JobId) -> &mut Progress {
+        let ledger = self.ledger;
+        self.changed.entry(job).or_insert_with(|| {
+            ledger
+                .job(job)
+                .map(|entry| entry.progress.clone())
+                .unwrap_or_default()
+        })
+    }
+
+    /// Returns the open jobs with their state.
+    pub fn open(&self) -> impl Iterator<Item = (JobId, &Entry, &Progress)> {
+        self.ledger
+            .open()
+            .map(|(id, entry)| (id, entry, self.progress(id, entry)))
+    }
+
+    /// Returns the changes as records.
+    pub fn into_records(self) -> impl Iterator<Item = Record> {
+        let ledger = self.ledger;
+        self.changed
+            .into_iter()
+            .filter(|(job, progress)| {
+                ledger
+                    .job(*job)
+                    .is_some_and(|entry| entry.progress != *progress)
+            })
+            .map(|(job, progress)| Record::Progressed { job, progress })
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -0,0 +1,193 @@
+//! What the ends of runs mean for their jobs.
+
+use super::draft::Draft;
+use super::fleet::Fate;
+use super::{Decision, Plan, Planner};
+use crate::id::{JobId, Life, Run, Task};
+use crate::job::Job;
+use crate::message::{How, Refusal};
+use crate::progress::{Progress, State, Step};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Tells whether a task or a gang of the job has failed as often as its queue allows.
+pub(super) fn exhausted(job: &Job, progress: &Progress) -> bool {
+    let attempts = job.queue.attempts.max(1);
+    progress
+        .steps
+        .iter()
+        .flat_map(|step| &step.tasks)
+        .any(|task| task.failures >= attempts)
+}
+
+/// A run that has ended.
+struct End {
+    task: Task,
+    run: Run,
+    life: Life,
+    fate: Fate,
+}
+
+impl Planner {
+    /// Enters all ends that the reports show.
+    pub(super) fn settle(&mut self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
+        for end in self.ends(now, draft) {
+            self.enter(now, draft, &end);
+            plan.decisions.push(Decision::Ended {
+                task: end.task,
+                run: end.run,
+                how: name(&end.fate),
+                life: end.life,
+            });
+        }
+        self.enter_late(now, draft, plan);
+    }
+
+    fn ends(&self, now: Duration, draft: &Draft) -> Vec<End> {
+        let mut ends = Vec::new();
+        for (job, _, progress) in draft.open() {
+            for (step, index, placed, life) in progress.placed() {
+                let task = Task { job, step, index };
+                if let Some(fate) = self.fleet.fate(now, life, task, placed.run) {
+                    ends.push(End {
+                        task,
+                        run: placed.run,
+                        life: life.clone(),
+                        fate,
+                    });
+                }
+            }
+        }
+        ends
+    }
+
+    fn enter(&mut self, now: Duration, draft: &mut Draft, end: &End) {
+        let Some(entry) = draft.ledger().job(end.task.job) else {
+            return;
+        };
+        let gang = entry
+            .job
+            .steps
+            .get(usize::from(end.task.step))
+            .is_some_and(|step| step.gang);
+        self.stopping.remove(&(end.task, end.run));
+        self.health.ended(now, &end.life, end.task.job, &end.fate);
+        let saved = match &end.fate {
+            Fate::Ended(_, saved) => saved.clone(),
+            // What the last report showed of a run that is lost.
+            _ => self.health.saved(end.task, end.run),
+        };
+        let progress = draft.edit(end.task.job);
+        let Some(step) = progress.steps.get_mut(usize::from(end.task.step)) else {
+            return;
+        };
+        enter_end(step, gang, end, &saved);
+    }
+
+    /// Enters results of runs that were taken for lost. The task is done, whatever else was started
+    /// for it meanwhile.
+    fn enter_late(&self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
+        let mut late: Vec<(JobId, Task, Run, Life)> = Vec::new();
+        for (_, worker) in self.fleet.workers(now) {
+            for end in worker.ended.iter().filter(|end| end.how == How::Done) {
+                let Some(entry) = draft.ledger().job(end.task.job) else {
+                    continue;
+                };
+                let progress = draft.progress(end.task.job, entry);
+                let open = progress
+                    .task(end.task.step, end.task.index)
+                    .is_some_and(|task| task.state != State::Done);
+                if open && progress.outcome.is_none() {
+                    late.push((end.task.job, end.task, end.run, worker.life.clone()));
+                }
+            }
+        }
+        for (job, task, run, life) in late {
+            let gang = draft
+                .ledger()
+                .job(job)
+                .and_then(|entry| entry.job.steps.get(usize::from(task.step)))
+                .is_some_and(|step| step.gang);
+            if let Some(step) = draft.edit(job).steps.get_mut(usize::from(task.step)) {
+                finish(step, gang, usize::from(task.index));
+            }
+            plan.decisions.push(Decision::Ended {
+                task,
+                run,
+                life,
+                how: "done, after it was taken for lost",
+            });
+        }
+    }
+}
+
+fn enter_end(step: &mut Step, gang: bool, end: &End, saved: &Arc<str>) {
+    let index = usize::from(end.task.index);
+    let fate = &end.fate;
+    if matches!(fate, Fate::Ended(How::Done, _)) {
+        finish(step, gang, index);
+        return;
+    }
+    if matches!(fate, Fate::Ended(How::Failed, _)) {
+        count_failure(step, gang, index, end.run);
+    }
+    if let Some(task) = step.tasks.get_mut(index)
+        && task.place().is_some()
+    {
+        task.state = State::Waiting;
+    }
+    if !saved.is_empty() {
+        let members = if gang {
+            &mut step.tasks[..]
+        } else {
+            step.tasks.get_mut(index..=index).unwrap_or_default()
+        };
+        for task in members {
+            task.saved = saved.clone();
+        }
+    }
+}
+
+/// Marks a task as done, or all members of its gang: they end together.
+fn finish(step: &mut Step, gang: bool, index: usize) {
+    for (number, task) in step.tasks.iter_mut().enumerate() {
+        if gang || number == index {
+            task.state = State::Done;
+            task.saved = "".into();
+        }
+    }
+}
+
+/// Counts a failed run: for a gang once a run, at its first member.
+fn count_failure(step: &mut Step, gang: bool, index: usize, run: Run) {
+    if gang {
+        if run <= step.failed_run {
+            return;
+        }
+        step.failed_run = run;
+    }
+    let counted = if gang { 0 } else { index };
+    if let Some(task) = step.tasks.get_mut(counted) {
+        task.failures += 1;
+    }
+}
+
+/// Names a fate for the log.
+const fn name(fate: &Fate) -> &'static str {
+    match fate {
+        Fate::Ended(How::Done, _) => "done",
+        Fate::Ended(How::Failed, _) => "failed",
+        Fate::Ended(How::Stopped, _) => "stopped",
+        Fate::Ended(How::Lapsed, _) => "lapsed",
+        Fate::Ended(How::Broken, _) => "broken with its gang",
+        Fate::Ended(How::Alone, _) => "waited alone for its gang",
+        Fate::Refused(Refusal::Unhealthy) => "refused by an unhealthy worker",
+        Fate::Refused(Refusal::Room) => "refused for want of room",
+        Fate::Refused(Refusal::Malformed) => "refused as malformed",
+        Fate::Refused(Refusal::Superseded) => "superseded before it began",
+        Fate::Refused(Refusal::Withdrawn) => "withdrawn before it began",
+        Fate::Lapsed => "lease ended out of the agent's reach",
+        Fate::Gone => "worker is gone",
+        Fate::Silent => "agent silent for longer than any lease",
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/fleet.rs
@@ -0,0 +1,118 @@
+//! Agents' newest reports, and what they tell of a run.
+
+use crate::bounds::{Bounds, VOICE};
+use crate::id::{Host, Life, Run, Task};
+use crate::message::{Ended, How, Refusal, Report, Worker};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Age of a report up to which its worker gets new tasks.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// How a run ended, and by which evidence.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) enum Fate {
+    /// The worker listed its end.
+    Ended(How, Arc<str>),
+    /// It never began.
+    Refused(Refusal),
+    /// The worker's lease ended while its agent could not reach it.
+    Lapsed,
+    /// The worker left, or its place was taken by another life.
+    Gone,
+    /// Its agent was silent for longer than any lease.
+    Silent,
+}
+
+#[derive(Debug)]
+struct Seen {
+    at: Duration,
+    report: Report,
+}
+
+/// All agents.
+#[derive(Debug)]
+pub(super) struct Fleet {
+    hosts: BTreeMap<Host, Seen>,
+    /// Time from which the silence of an agent that never reported counts: until then an earlier
+    /// decider may have answered it.
+    since: Duration,
+    silence: Duration,
+}
+
+impl Fleet {
+    pub fn new(now: Duration, bounds: &Bounds) -> Self {
+        Self {
+            hosts: BTreeMap::new(),
+            since: now + VOICE,
+            silence: bounds.silence(),
+        }
+    }
+
+    pub fn report(&mut self, now: Duration, report: Report) -> bool {
+        let stale = self.hosts.get(&report.host).is_some_and(|seen| {
+            let order = |report: &Report| (report.incarnation, report.sequence);
+            order(&seen.report) >= order(&report)
+        });
+        if stale {
+            return false;
+        }
+        self.hosts
+            .insert(report.host.clone(), Seen { at: now, report });
+        true
+    }
+
+    /// Returns the newest report of a host.
+    pub fn get(&self, host: &str) -> Option<&Report> {
+        self.hosts.get(host).map(|seen| &seen.report)
+    }
+
+    /// Returns the workers with the age of what is known of them.
+    pub fn workers(&self, now: Duration) -> impl Iterator<Item = (Duration, &Worker)> {
+        self.hosts.values().filter_map(move |seen| {
+            let worker = seen.report.worker.as_ref()?;
+            Some((now.saturating_sub(seen.at), worker))
+        })
+    }
+
+    /// Tells whether knowledge of this age is good enough for new tasks.
+    pub fn fresh(age: Duration) -> bool {
+        age < FRESH
+    }
+
+    /// Returns how a run on a life of a worker ended, if it is known to have ended.
+    pub fn fate(&self, now: Duration, life: &Life, task: Task, run: Run) -> Option<Fate> {
+        let Some(seen) = self.hosts.get(&life.host) else {
+            return (now > self.since + self.silence).then_some(Fate::Silent);
+        };
+        if let Some(worker) = &seen.report.worker {
+            if worker.life == *life {
+                if let Some(fate) = listed(worker, task, run) {
+                    return Some(fate);
+                }
+            } else if worker.life.born >= life.born {
+                return Some(Fate::Gone);
+            }
+        }
+        if seen.report.left.as_ref() == Some(life) {
+            return Some(Fate::Gone);
+        }
+        (now > seen.at + self.silence).then_some(Fate::Silent)
+    }
+}
+
+fn listed(worker: &Worker, task: Task, run: Run) -> Option<Fate> {
+    let same = |row: &&Ended| row.task == task && row.run == run;
+    if let Some(end) = worker.ended.iter().find(same) {
+        return Some(Fate::Ended(end.how, end.saved.clone()));
+    }
+    let refused = worker
+        .refused
+        .iter()
+        .find(|refused| refused.task == task && refused.run == run);
+    if let Some(refused) = refused {
+        return Some(Fate::Refused(refused.why));
+    }
+    worker.lapsed.then_some(Fate::Lapsed)
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -0,0 +1,151 @@
+//! The room of all workers in a round of decisions.
+//!
+//! Workers don't check their room, so what is counted here is the only guard: everything that is
+//! placed counts until its end is known, and so does every run that a report shows.
+
+use super::draft::Draft;
+use super::fleet::Fleet;
+use super::health::Health;
+use super::Orders;
+use crate::demand::Demand;
+use crate::id::{Host, Life, Pool, Run, Task};
+use crate::message::Worker;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A run that takes room.
+#[derive(Debug, Clone)]
+pub(super) struct Occupant {
+    pub task: Task,
+    pub run: Run,
+    pub demand: Demand,
+}
+
+/// One worker.
+#[derive(Debug, Clone)]
+pub(super) struct Slot {
+    pub life: Life,
+    pub pool: Pool,
+    pub rack: Option<Arc<str>>,
+    pub labels: Vec<Arc<str>>,
+    pub room: Demand,
+    pub free: Demand,
+    /// Whether it gets new tasks.
+    pub open: bool,
+    pub occupants: Vec<Occupant>,
+}
+
+impl Slot {
+    /// Takes room for a run.
+    pub fn occupy(&mut self, occupant: Occupant) {
+        self.free = self.free.minus(&occupant.demand);
+        self.occupants.push(occupant);
+    }
+
+    /// Tells whether the worker may run tasks of a pool that need a label.
+    pub fn serves(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
+        self.open && &*self.pool == pool && label.is_none_or(|label| self.labels.contains(label))
+    }
+}
+
+/// All workers, in the order of their hosts.
+#[derive(Debug, Clone)]
+pub(super) struct Floor {
+    pub slots: Vec<Slot>,
+    by_host: HashMap<Host, usize>,
+}
+
+impl Floor {
+    pub fn new(
+        now: Duration,
+        fleet: &Fleet,
+        health: &Health,
+        draft: &Draft,
+        orders: &Orders,
+    ) -> Self {
+        let slots: Vec<Slot> = fleet
+            .workers(now)
+            .map(|(age, worker)| slot(now, age, worker, health, orders))
+            .collect();
+        let by_host = (0..)
+            .zip(&slots)
+            .map(|(number, slot)| (slot.life.host.clone(), number))
+            .collect();
+        let mut floor = Self { slots, by_host };
+        floor.count_placed(draft);
+        floor.count_listed(now, fleet, draft);
+        floor
+    }
+
+    fn count_placed(&mut self, draft: &Draft) {
+        for (job, entry, progress) in draft.open() {
+            for (step, index, placed, life) in progress.placed() {
+                let demand = entry.job.steps[usize::from(step)].demand;
+                let task = Task { job, step, index };
+                if let Some(slot) = self.at(life) {
+                    slot.occupy(Occupant {
+                        task,
+                        run: placed.run,
+                        demand,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Counts runs that are listed though the ledger does not place them there: members of a gang
+    /// that is done, and runs that are being stopped.
+    fn count_listed(&mut self, now: Duration, fleet: &Fleet, draft: &Draft) {
+        for (_, worker) in fleet.workers(now) {
+            for row in &worker.running {
+                let Some(slot) = self.at(&worker.life) else {
+                    continue;
+                };
+                let counted = slot
+                    .occupants
+                    .iter()
+                    .any(|own| own.task == row.task && own.run == row.run);
+                if counted {
+                    continue;
+                }
+                let demand = draft
+                    .ledger()
+                    .job(row.task.job)
+                    .and_then(|entry| entry.job.steps.get(usize::from(row.task.step)))
+                    .map(|step| step.demand);
+                match demand {
+                    Some(demand) => slot.free = slot.free.minus(&demand),
+                    // Its size is not known.
+                    None => slot.open = false,
+                }
+            }
+        }
+    }
+
+    /// Returns the slot of a life of a worker.
+    pub fn at(&mut self, life: &Life) -> Option<&mut Slot> {
+        let number = *self.by_host.get(&life.host)?;
+        let slot = self.slots.get_mut(number)?;
+        (slot.life == *life).then_some(slot)
+    }
+}
+
+fn slot(now: Duration, age: Duration, worker: &Worker, health: &Health, orders: &Orders) -> Slot {
+    let open = Fleet::fresh(age)
+        && worker.seen
+        && worker.answers
+        && !worker.draining
+        && !orders.out.contains(&worker.domain)
+        && health.trusted(now, &worker.life);
+    Slot {
+        life: worker.life.clone(),
+        pool: worker.pool.clone(),
+        rack: worker.rack.clone(),
+        labels: worker.labels.clone(),
+        room: worker.room,
+        free: worker.room,
+        open,
+        occupants: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -0,0 +1,330 @@
+//! Placing the tasks that wait.
+//!
+//! Jobs come in the order of their urgency. Independent tasks go one by one to the worker that they
+//! fill best; a gang goes as a whole or not at all, and within one rack if it asks for that and a rack
+//! could hold it.
+
+use super::draft::Draft;
+use super::floor::{Floor, Occupant, Slot};
+use super::order::{self, Urgency};
+use super::{Decision, Orders, Plan, Planner};
+use crate::id::{JobId, Life, Run, Task};
+use crate::job::Step;
+use crate::ledger::Entry;
+use crate::progress::{self, State};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A place for one task: the number of the task in its step and the number of the slot.
+pub(super) type Seat = (u16, usize);
+
+/// What remains to be placed of one step.
+pub(super) struct Want<'a> {
+    pub job: JobId,
+    pub pool: &'a str,
+    pub number: u16,
+    pub step: &'a Step,
+    /// Tasks that wait.
+    pub waiting: Vec<u16>,
+}
+
+impl Planner {
+    pub(super) fn place(
+        &mut self,
+        now: Duration,
+        draft: &mut Draft,
+        floor: &mut Floor,
+        orders: &Orders,
+        plan: &mut Plan,
+    ) {
+        let claims = order::claims(draft, orders.policy);
+        let mut queue: Vec<Urgency> = draft
+            .open()
+            .filter(|(_, entry, progress)| entry.active() && progress.outcome.is_none())
+            .map(|(id, entry, progress)| self.urgency(now, id, entry, progress, &claims))
+            .collect();
+        queue.sort_unstable();
+        for urgency in queue {
+            let Some(entry) = draft.ledger().job(urgency.job) else {
+                continue;
+            };
+            for number in ready_steps(entry, draft.progress(urgency.job, entry)) {
+                self.place_step(now, draft, floor, urgency, entry, number, plan);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn place_step(
+        &mut self,
+        now: Duration,
+        draft: &mut Draft,
+        floor: &mut Floor,
+        urgency: Urgency,
+        entry: &Entry,
+        number: u16,
+        plan: &mut Plan,
+    ) {
+        let job = urgency.job;
+        let state = &draft.progress(job, entry).steps[usize::from(number)];
+        let want = Want {
+            job,
+            pool: &entry.job.queue.pool,
+            number,
+            step: &entry.job.steps[usize::from(number)],
+            waiting: waiting(state),
+        };
+        let seats = if want.step.gang {
+            seat_gang(&want, floor)
+        } else {
+            seat_tasks(&want, floor)
+        };
+        let run = next_run(want.step.gang, state);
+        for (index, slot) in &seats {
+            let slot = &mut floor.slots[*slot];
+            let run = run(*index);
+            slot.occupy(Occupant {
+                task: want.task(*index),
+                run,
+                demand: want.step.demand,
+            });
+            plan.decisions.push(Decision::Placed {
+                task: want.task(*index),
+                run,
+                life: slot.life.clone(),
+                age: self.age(now, job),
+            });
+        }
+        let placed: Vec<(u16, Run, Life)> = seats
+            .iter()
+            .map(|(index, slot)| (*index, run(*index), floor.slots[*slot].life.clone()))
+            .collect();
+        if seats.len() < want.waiting.len() {
+            let left: Vec<u16> = want
+                .waiting
+                .iter()
+                .copied()
+                .filter(|index| !seats.iter().any(|(seat, _)| seat == index))
+                .collect();
+            let want = Want {
+                waiting: left,
+                ..want
+            };
+            self.make_room(now, draft, floor, urgency, &want, plan);
+        }
+        if !placed.is_empty() {
+            let step = &mut draft.edit(job).steps[usize::from(number)];
+            for (index, run, life) in placed {
+                let task = &mut step.tasks[usize::from(index)];
+                task.run = run;
+                task.state = State::Placed(life);
+            }
+        }
+    }
+}
+
+impl Want<'_> {
+    pub fn task(&self, index: u16) -> Task {
+        Task {
+            job: self.job,
+            step: self.number,
+            index,
+        }
+    }
+
+    /// Tells whether tasks of the step may run on a worker, room aside.
+    pub fn allows(&self, slot: &Slot) -> bool {
+        slot.serves(self.pool, self.step.label.as_ref())
+    }
+
+    /// Returns how many more tasks of the step a worker takes.
+    pub fn copies(&self, slot: &Slot, free: &crate::Demand) -> u64 {
+        let copies = self.step.demand.copies_in(free);
+        if self.step.per_worker == 0 {
+            return copies;
+        }
+        let own = slot
+            .occupants
+            .iter()
+            .filter(|own| own.task.job == self.job && own.task.step == self.number)
+            .count() as u64;
+        copies.min(u64::from(self.step.per_worker).saturating_sub(own))
+    }
+}
+
+/// Returns the steps that have waiting tasks and whose earlier steps are done.
+fn ready_steps(entry: &Entry, progress: &progress::Progress) -> Vec<u16> {
+    let done = |other: &u16| {
+        progress
+            .steps
+            .get(usize::from(*other))
+            .is_some_and(progress::Step::done)
+    };
+    (0..)
+        .zip(entry.job.steps.iter().zip(&progress.steps))
+        .filter(|(_, (step, state))| {
+            let ready = step.after.iter().all(done);
+            let waits = if step.gang {
+                state.tasks.iter().all(|task| task.state == State::Waiting)
+            } else {
+                state.tasks.iter().any(|task| task.state == State::Waiting)
+            };
+            ready && waits
+        })
+        .map(|(number, _)| number)
+        .collect()
+}
+
+fn waiting(state: &progress::Step) -> Vec<u16> {
+    (0..)
+        .zip(&state.tasks)
+        .filter(|(_, task)| task.state == State::Waiting)
+        .map(|(index, _)| index)
+        .collect()
+}
+
+/// Returns the number of each task's next run. Members of a gang get the same.
+fn next_run(gang: bool, state: &progress::Step) -> impl Fn(u16) -> Run + use<> {
+    let runs: Vec<Run> = state.tasks.iter().map(|task| task.run).collect();
+    let highest = runs.iter().copied().max().unwrap_or(0);
+    move |index| {
+        if gang {
+            highest + 1
+        } else {
+            runs[usize::from(index)] + 1
+        }
+    }
+}
+
+/// Seats as many of the waiting tasks as there is room for.
+fn seat_tasks(want: &Want, floor: &Floor) -> Vec<Seat> {
+    let mut copy = floor.clone();
+    let mut seats = Vec::new();
+    for index in &want.waiting {
+        let best = (0..)
+            .zip(&copy.slots)
+            .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &slot.free) > 0)
+            .min_by(|(_, a), (_, b)| {
+                let key = |slot: &Slot| (away(want.step, slot), spare(want, slot));
+                let (a, b) = (key(a), key(b));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            })
+            .map(|(number, _)| number);
+        let Some(number) = best else {
+            break;
+        };
+        copy.slots[number].occupy(Occupant {
+            task: want.task(*index),
+            run: 0,
+            demand: want.step.demand,
+        });
+        seats.push((*index, number));
+    }
+    seats
+}
+
+/// Tells whether a worker is not beside the step's data.
+fn away(step: &Step, slot: &Slot) -> bool {
+    step.data_rack
+        .as_ref()
+        .is_some_and(|rack| slot.rack.as_ref() != Some(rack))
+}
+
+/// Returns the room that a task would leave on a worker, as a share of it.
+fn spare(want: &Want, slot: &Slot) -> f64 {
+    slot.free
+        .minus(&want.step.demand)
+        .share_of(&slot.room)
+}
+
+/// Seats all tasks of a gang, or none.
+pub(super) fn seat_gang(want: &Want, floor: &Floor) -> Vec<Seat> {
+    let all: Vec<usize> = (0..floor.slots.len()).collect();
+    if !want.step.one_rack || !rack_could_hold(want, floor) {
+        return seat_within(want, floor, &all, |slot| slot.free);
+    }
+    racks(want, floor)
+        .into_values()
+        .map(|slots| seat_within(want, floor, &slots, |slot| slot.free))
+        .filter(|seats| !seats.is_empty())
+        .min_by(|a, b| leftover(floor, a).total_cmp(&leftover(floor, b)))
+        .unwrap_or_default()
+}
+
+/// Returns the slots of each rack that the step may use.
+pub(super) fn racks(want: &Want, floor: &Floor) -> BTreeMap<Option<Arc<str>>, Vec<usize>> {
+    let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
+    for (number, slot) in (0..).zip(&floor.slots) {
+        if want.allows(slot) {
+            racks.entry(slot.rack.clone()).or_default().push(number);
+        }
+    }
+    racks
+}
+
+/// Tells whether some rack could hold the whole gang if it were empty. Workers that are closed for
+/// the moment count: waiting for them beats running slowly.
+pub(super) fn rack_could_hold(want: &Want, floor: &Floor) -> bool {
+    let mut copies: BTreeMap<&Option<Arc<str>>, u64> = BTreeMap::new();
+    for slot in &floor.slots {
+        if &*slot.pool == want.pool {
+            let own = want.step.demand.copies_in(&slot.room);
+            let entry = copies.entry(&slot.rack).or_default();
+            *entry = entry.saturating_add(own);
+        }
+    }
+    copies
+        .values()
+        .any(|copies| *copies >= want.waiting.len() as u64)
+}
+
+/// Seats all tasks within some slots, on as few workers as possible, or none.
+pub(super) fn seat_within(
+    want: &Want,
+    floor: &Floor,
+    slots: &[usize],
+    free: impl Fn(&Slot) -> crate::Demand,
+) -> Vec<Seat> {
+    let mut copies: Vec<(u64, usize)> = slots
+        .iter()
+        .map(|&number| (number, &floor.slots[number]))
+        .filter(|(_, slot)| want.allows(slot))
+        .map(|(number, slot)| (want.copies(slot, &free(slot)), number))
+        .collect();
+    let needed = want.waiting.len() as u64;
+    copies.sort_unstable_by_key(|(copies, number)| (std::cmp::Reverse(*copies), *number));
+    // The last worker is the one that the rest fills best.
+    let mut seats = Vec::new();
+    let mut rest = want.waiting.iter().copied();
+    let mut left = needed;
+    let mut used: BTreeSet<usize> = BTreeSet::new();
+    while left > 0 {
+        let whole = copies
+            .iter()
+            .filter(|(copies, number)| *copies >= left && !used.contains(number))
+            .min_by_key(|(copies, _)| *copies);
+        let next = whole.or_else(|| {
+            copies
+                .iter()
+                .find(|(copies, number)| *copies > 0 && !used.contains(number))
+        });
+        let Some(&(copies, number)) = next else {
+            return Vec::new();
+        };
+        used.insert(number);
+        let taken = copies.min(left);
+        left -= taken;
+        seats.extend(rest.by_ref().take(usize::try_from(taken).unwrap_or(usize::MAX)).map(|index| (index, number)));
+    }
+    seats
+}
+
+/// Returns the free room of the workers that a gang would use, as a share of theirs.
+fn leftover(floor: &Floor, seats: &[Seat]) -> f64 {
+    let used: BTreeSet<usize> = seats.iter().map(|(_, slot)| *slot).collect();
+    used.iter()
+        .map(|number| &floor.slots[*number])
+        .map(|slot| slot.free.share_of(&slot.room))
+        .sum()
+}
--- /dev/null
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -0,0 +1,314 @@
+//! An entry: serves callers, follows the log, and decides while it holds the claim.
+
+mod decide;
+mod report;
+mod submit;
+mod writer;
+
+pub use submit::Verdict;
+
+use super::SharedClock;
+use super::follow::{self, Event};
+use super::log::{Item, Log, Stream};
+use super::notice::Notice;
+use super::operator::{Operator, Order};
+use super::settings::Settings;
+use super::wall_millis;
+use godwitstep_batch::access::{self, Grant, Refusal, View};
+use godwitstep_batch::bounds::Bounds;
+use godwitstep_batch::claim::Watch;
+use godwitstep_batch::id::{Domain, Offset};
+use godwitstep_batch::ledger::Ledger;
+use godwitstep_batch::planner::Planner;
+use godwitstep_batch::record::Record;
+use smol::LocalExecutor;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use writer::Writer;
+
+/// Longest delay of this entry's claims beyond the shortest silence of a decider.
+const CLAIM_SPREAD: Duration = Duration::from_millis(500);
+
+/// Reads a record of the operators' stream: from its key and value, an empty one for a deletion.
+/// `None` stands for a record that means nothing here.
+pub type ReadOrder = fn(&Item) -> Result<Option<Order>, String>;
+
+/// What an entry knows.
+struct State {
+    ledger: Ledger,
+    operator: Operator,
+    /// Domains out of service in the newest records that are being read again.
+    reloaded_out: Option<BTreeSet<Domain>>,
+    /// Sending time of the newest read that reached the end, by stream.
+    records_read: Option<Duration>,
+    operator_read: Option<Duration>,
+    /// Offset after the newest record that was applied.
+    records_end: Offset,
+    watch: Watch,
+    /// The decisions, while this entry decides.
+    decider: Option<Decider>,
+}
+
+/// What the entry keeps while it decides.
+struct Decider {
+    planner: Planner,
+    /// Sending time of the newest append that was stored.
+    stored: Duration,
+    /// Number of the next append.
+    sequence: u64,
+    /// What each host was last told, and when.
+    told: HashMap<Arc<str>, (u64, Duration)>,
+}
+
+/// An entry.
+pub struct Entry<L> {
+    log: L,
+    clock: SharedClock,
+    settings: Settings,
+    bounds: Bounds,
+    /// Number that tells this process's claims apart.
+    claimant: u64,
+    read_order: ReadOrder,
+    state: RefCell<State>,
+    writer: Writer,
+    /// Changes of anything that decisions depend on.
+    changes: Notice,
+    /// Changes of what agents are told.
+    directives: Notice,
+    stopping: Cell<bool>,
+}
+
+impl<L: Log> Entry<L> {
+    /// Returns an entry that knows nothing yet.
+    #[must_use]
+    pub fn new(
+        log: L,
+        clock: SharedClock,
+        settings: Settings,
+        read_order: ReadOrder,
+    ) -> Rc<Self> {
+        let mut rng = fastrand::Rng::new();
+        let delay = CLAIM_SPREAD.mul_f64(rng.f64());
+        let bounds = settings.bounds.bounds();
+        Rc::new(Self {
+            log,
+            clock,
+            bounds,
+            claimant: rng.u64(..),
+            read_order,
+            state: RefCell::new(State {
+                ledger: Ledger::default(),
+                operator: Operator::default(),
+                reloaded_out: None,
+                records_read: None,
+                operator_read: None,
+                records_end: 0,
+                watch: Watch::new(delay),
+                decider: None,
+            }),
+            settings,
+            writer: Writer::default(),
+            changes: Notice::default(),
+            directives: Notice::default(),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Works until it is dropped: follows the log, writes, decides.
+    pub async fn run(self: Rc<Self>)
+    where
+        L: 'static,
+    {
+        let tasks = LocalExecutor::new();
+        let entry = self.clone();
+        let records = async move {
+            let take = |event| entry.take_record(event);
+            follow::follow(&entry.log, Stream::Records, &entry.clock, take).await;
+        };
+        let entry = self.clone();
+        let operator = async move {
+            let take = |event| entry.take_order(event);
+            follow::follow(&entry.log, Stream::Operator, &entry.clock, take).await;
+        };
+        let entry = self.clone();
+        let writing = async move { entry.writer.run(&entry.log, &entry.clock).await };
+        let entry = self.clone();
+        let deciding = async move { entry.decide().await };
+        let announcing = async move { self.announce().await };
+        tasks.spawn(records).detach();
+        tasks.spawn(operator).detach();
+        tasks.spawn(writing).detach();
+        tasks.spawn(deciding).detach();
+        tasks.spawn(announcing).detach();
+        tasks.run(std::future::pending::<()>()).await;
+    }
+
+    fn take_record(&self, event: Event) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        match event {
+            Event::Record(offset, item) => {
+                let Some(item) = item else {
+                    tracing::warn!(offset, "skipped a record that has no readable key");
+                    return;
+                };
+                match Record::decode(&item.key, &item.value) {
+                    Ok(Some(record)) => {
+                        let from_decider = matches!(
+                            record,
+                            Record::Claimed(_) | Record::Progressed { .. } | Record::Dropped { .. }
+                        );
+                        if from_decider {
+                            state.watch.heard(now);
+                        }
+                        if let Record::Claimed(claim) = &record
+                            && claim.epoch > state.ledger.epoch()
+                        {
+                            tracing::info!(epoch = claim.epoch, host = %claim.host, offset, "decider changed");
+                        }
+                        state.ledger.apply(offset, record);
+                    }
+                    Ok(None) => {}
+                    Err(error) => tracing::warn!(offset, %error, "skipped a record"),
+                }
+                drop(state);
+                self.changes.notify();
+            }
+            Event::Fresh { end, sent } => {
+                state.records_end = state.records_end.max(end);
+                state.records_read = Some(sent);
+                drop(state);
+                self.changes.notify();
+            }
+            Event::Reload | Event::Reloaded => {}
+        }
+    }
+
+    fn take_order(&self, event: Event) {
+        let mut state = self.state.borrow_mut();
+        match event {
+            Event::Reload => state.reloaded_out = Some(BTreeSet::new()),
+            Event::Reloaded => {
+                if let Some(out) = state.reloaded_out.take() {
+                    state.operator.replace_out(out);
+                }
+            }
+            Event::Record(offset, item) => {
+                let order = item.as_ref().map(self.read_order);
+                match order {
+                    Some(Ok(Some(order))) => apply_order(&mut state, offset, order),
+                    Some(Ok(None)) => {}
+                    Some(Err(reason)) => {
+                        tracing::warn!(offset, reason, "skipped an operator's record");
+                    }
+                    None => tracing::warn!(offset, "skipped an operator's unreadable record"),
+                }
+                drop(state);
+                self.changes.notify();
+            }
+            Event::Fresh { sent, .. } => state.operator_read = Some(sent),
+        }
+    }
+
+    /// Tells the other processes that this entry serves.
+    async fn announce(&self) {
+        let entry = godwitstep_batch::record::Announcement {
+            host: self.settings.host.clone(),
+            address: self.settings.agents,
+        };
+        let record = Record::Announced(entry);
+        while self.writer.write(&record).await.is_err() {
+            smol::Timer::after(Duration::from_millis(500)).await;
+        }
+    }
+
+    /// Returns whether the entry takes new callers.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        !self.stopping.get() && self.with_view(|view| view.ready())
+    }
+
+    fn with_view<R>(&self, act: impl FnOnce(&View) -> R) -> R {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let age = |read: Option<Duration>| read.map_or(Duration::MAX, |read| now.saturating_sub(read));
+        let policy = state.operator.policy().cloned();
+        act(&View {
+            policy: policy.as_deref(),
+            policy_age: age(state.operator_read),
+            jobs_age: age(state.records_read),
+        })
+    }
+
+    /// Checks the queue and the key of a request, and hands the grant on.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the request is refused.
+    pub fn check<R>(
+        &self,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+        act: impl FnOnce(Grant) -> R,
+    ) -> Result<R, Refusal> {
+        self.with_view(|view| access::check(view, &self.bounds, host, path, key).map(act))
+    }
+
+    /// Returns the greatest size of a request's body that operators allow.
+    #[must_use]
+    pub fn body_limit(&self) -> Option<usize> {
+        let state = self.state.borrow();
+        state.operator.policy().and_then(|policy| policy.body_limit)
+    }
+
+    /// Returns the Unix milliseconds of the entry's clock.
+    #[must_use]
+    pub fn wall(&self) -> u64 {
+        wall_millis(&*self.clock)
+    }
+
+    /// Begins to stop: takes no new callers and hands the claim on.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        self.changes.notify();
+    }
+
+    /// Tells whether this entry decides.
+    #[must_use]
+    pub fn decides(&self) -> bool {
+        self.state.borrow().decider.is_some()
+    }
+}
+
+fn apply_order(state: &mut State, offset: Offset, order: Order) {
+    if let Some(out) = &mut state.reloaded_out {
+        match &order {
+            Order::TakeOut(domain) => {
+                out.insert(domain.clone());
+                return;
+            }
+            Order::BringBack(domain) => {
+                out.remove(domain);
+                return;
+            }
+            Order::Declare(_) => {}
+        }
+    }
+    let what = match &order {
+        Order::Declare(policy) => format!("version {}", policy.version),
+        Order::TakeOut(domain) => format!("domain {domain} out of service"),
+        Order::BringBack(domain) => format!("domain {domain} back in service"),
+    };
+    let changed = state.operator.apply(order);
+    tracing::info!(offset, what, changed, "operator's record applied");
+}
+
+/// Addresses of all announced entries.
+fn entries(ledger: &Ledger) -> Vec<SocketAddr> {
+    ledger.entries().map(|entry| entry.address).collect()
+}
--- /dev/null
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -0,0 +1,295 @@
+//! Taking the claim, deciding in rounds, and stepping down.
+//!
+//! A round reads the ledger and appends its records under the epoch; the next one begins when the
+//! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
+//! whose place was taken records nothing.
+
+use super::{Decider, Entry, entries, report};
+use crate::batch::log::{AppendError, Fence, Item, Log};
+use crate::batch::wall_millis;
+use godwitstep_batch::bounds::{RENEWAL, VOICE};
+use godwitstep_batch::claim;
+use godwitstep_batch::id::{Epoch, Offset};
+use godwitstep_batch::planner::{Decision, Orders, Planner};
+use godwitstep_batch::policy::Policy;
+use godwitstep_batch::record::{Claim, Record, cancelled_key, submitted_key};
+use smol::Timer;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time between two rounds: ends of leases and quarantines come without an event.
+const TICK: Duration = Duration::from_millis(200);
+/// Shortest time between two rounds, so that events that come together are decided on together.
+const GATHER: Duration = Duration::from_millis(5);
+/// Pause before an append without an answer is repeated.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Why an entry stopped deciding.
+enum Down {
+    /// Another entry has the claim.
+    Fenced,
+    /// The log took no renewal for too long.
+    Unheard,
+    /// The process is about to end.
+    Stopping,
+}
+
+impl<L: Log> Entry<L> {
+    /// Claims and decides for good.
+    pub(super) async fn decide(&self) {
+        loop {
+            let version = self.changes.version();
+            if self.should_claim() {
+                if let Some(epoch) = self.take_claim().await {
+                    let down = self.preside(epoch).await;
+                    self.step_down(epoch, down).await;
+                }
+                Timer::after(RETRY).await;
+            }
+            self.changes.changed(version, TICK).await;
+        }
+    }
+
+    fn should_claim(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let age = state
+            .records_read
+            .map_or(Duration::MAX, |read| now.saturating_sub(read));
+        let configured = state.operator.policy().is_some();
+        let claim = state.ledger.claim().cloned();
+        let due = state.watch.should_claim(now, claim.as_ref(), age);
+        due && configured && !self.stopping.get()
+    }
+
+    /// Appends a claim under a new epoch. Returns the epoch once the ledger shows the claim.
+    async fn take_claim(&self) -> Option<Epoch> {
+        let held = self.state.borrow().ledger.epoch();
+        let epoch = claim::next(held, self.claimant);
+        tracing::info!(epoch, after = held, "claiming the place of the decider");
+        let record = self.claim(epoch, false);
+        let fence = Fence { epoch, sequence: 0 };
+        let sent = self.clock.now();
+        let end = match self.log.append(&[item(&record)], Some(fence)).await {
+            Ok(end) => end,
+            Err(error) => {
+                tracing::warn!(epoch, %error, "claim failed");
+                return None;
+            }
+        };
+        self.caught_up(end, VOICE).await.then(|| {
+            let now = self.clock.now();
+            let planner = Planner::new(epoch, now, self.bounds.clone());
+            self.state.borrow_mut().decider = Some(Decider {
+                planner,
+                stored: sent,
+                sequence: 1,
+                told: HashMap::new(),
+            });
+            tracing::info!(epoch, "decides");
+            epoch
+        })
+    }
+
+    fn claim(&self, epoch: Epoch, released: bool) -> Record {
+        Record::Claimed(Claim {
+            epoch,
+            host: self.settings.host.clone(),
+            address: self.settings.agents,
+            released,
+        })
+    }
+
+    /// Waits until the ledger holds everything before an offset. Returns whether it does in time.
+    async fn caught_up(&self, end: Offset, time: Duration) -> bool {
+        let limit = self.clock.now() + time;
+        loop {
+            let version = self.changes.version();
+            if self.state.borrow().records_end >= end {
+                return true;
+            }
+            let left = limit.saturating_sub(self.clock.now());
+            if left.is_zero() {
+                return false;
+            }
+            self.changes.changed(version, left).await;
+        }
+    }
+
+    /// Decides in rounds until the claim is lost.
+    async fn preside(&self, epoch: Epoch) -> Down {
+        let mut version = self.changes.version();
+        loop {
+            if self.stopping.get() {
+                return Down::Stopping;
+            }
+            if self.state.borrow().ledger.epoch() > epoch {
+                return Down::Fenced;
+            }
+            let records = self.round();
+            if let Err(down) = self.record(epoch, records).await {
+                return down;
+            }
+            self.directives.notify();
+            self.changes.changed(version, TICK).await;
+            Timer::after(GATHER).await;
+            version = self.changes.version();
+        }
+    }
+
+    /// Decides once. Returns the records to append.
+    fn round(&self) -> Vec<Record> {
+        let now = self.clock.now();
+        let wall = wall_millis(&*self.clock);
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let nothing = Rc::new(Policy::default());
+        let policy = state.operator.policy().unwrap_or(&nothing).clone();
+        let out = state.operator.out().clone();
+        let orders = Orders {
+            policy: &policy,
+            out: &out,
+            age: report::operator_age(state, now),
+        };
+        let Some(decider) = &mut state.decider else {
+            return Vec::new();
+        };
+        let plan = decider.planner.decide(now, wall, &state.ledger, &orders);
+        for decision in &plan.decisions {
+            explain(decision, decider.planner.epoch(), &orders);
+        }
+        let mut records = plan.records;
+        if records.is_empty() && now.saturating_sub(decider.stored) > RENEWAL {
+            records.push(self.claim(decider.planner.epoch(), false));
+        }
+        records
+    }
+
+    /// Appends records and waits until the ledger shows them.
+    async fn record(&self, epoch: Epoch, records: Vec<Record>) -> Result<(), Down> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        let items: Vec<Item> = records.iter().flat_map(items).collect();
+        let sequence = self.next_sequence();
+        let began = self.clock.now();
+        loop {
+            let sent = self.clock.now();
+            let fence = Fence { epoch, sequence };
+            match self.log.append(&items, Some(fence)).await {
+                Ok(end) => {
+                    if let Some(decider) = &mut self.state.borrow_mut().decider {
+                        decider.stored = sent;
+                    }
+                    metrics::histogram!("godwitstep_decision_append_seconds")
+                        .record(self.clock.now().saturating_sub(began));
+                    return if self.caught_up(end, VOICE).await {
+                        Ok(())
+                    } else {
+                        Err(Down::Unheard)
+                    };
+                }
+                Err(AppendError::Fenced) => return Err(Down::Fenced),
+                Err(AppendError::Sequence(reason)) => {
+                    tracing::warn!(epoch, sequence, reason, "the log expects another append");
+                    return Err(Down::Unheard);
+                }
+                Err(error) => {
+                    tracing::warn!(epoch, sequence, %error, "recording decisions failed");
+                    Timer::after(RETRY).await;
+                }
+            }
+            if self.state.borrow().ledger.epoch() > epoch {
+                return Err(Down::Fenced);
+            }
+        }
+    }
+
+    fn next_sequence(&self) -> u64 {
+        let mut state = self.state.borrow_mut();
+        let Some(decider) = &mut state.decider else {
+            return 0;
+        };
+        decider.sequence += 1;
+        decider.sequence - 1
+    }
+
+    async fn step_down(&self, epoch: Epoch, down: Down) {
+        let decider = self.state.borrow_mut().decider.take();
+        self.directives.notify();
+        let reason = match down {
+            Down::Fenced => "another entry decides",
+            Down::Unheard => "the log could not be followed",
+            Down::Stopping => "the process stops",
+        };
+        tracing::info!(epoch, reason, "decides no more");
+        let Some(decider) = decider.filter(|_| matches!(down, Down::Stopping | Down::Unheard)) else {
+            return;
+        };
+        let fence = Fence {
+            epoch,
+            sequence: decider.sequence,
+        };
+        let release = self.claim(epoch, true);
+        if let Err(error) = self.log.append(&[item(&release)], Some(fence)).await {
+            tracing::warn!(epoch, %error, "the claim could not be released");
+        }
+    }
+
+    /// Returns the addresses of all announced entries.
+    #[must_use]
+    pub fn entries(&self) -> Vec<std::net::SocketAddr> {
+        entries(&self.state.borrow().ledger)
+    }
+}
+
+fn item(record: &Record) -> Item {
+    Item {
+        key: record.key(),
+        value: record.encode(),
+    }
+}
+
+/// Returns a record with the deletions that go with it.
+fn items(record: &Record) -> Vec<Item> {
+    let mut items = vec![item(record)];
+    if let Record::Dropped { job } = record {
+        let deletions = [submitted_key(*job), cancelled_key(*job)].map(|key| Item {
+            key,
+            value: bytes::Bytes::new(),
+        });
+        items.extend(deletions);
+    }
+    items
+}
+
+/// Writes the line that explains a decision.
+fn explain(decision: &Decision, epoch: Epoch, orders: &Orders) {
+    let version = orders.policy.version;
+    let view_ms = orders.age.as_millis();
+    match decision {
+        Decision::Placed { task, run, life, age } => {
+            metrics::histogram!("godwitstep_placement_age_seconds").record(*age);
+            tracing::info!(%task, run, worker = %life, age_ms = age.as_millis(), epoch, version, view_ms, "placed");
+        }
+        Decision::Ended { task, run, life, how } => {
+            metrics::counter!("godwitstep_runs_ended_total", "how" => *how).increment(1);
+            tracing::info!(%task, run, worker = %life, how, epoch, "run ended");
+        }
+        Decision::Preempted { task, run, by } => {
+            metrics::counter!("godwitstep_preemptions_total").increment(1);
+            tracing::info!(%task, run, by = format_args!("{by:016x}"), epoch, "preempted");
+        }
+        Decision::Stuck { task, run, still } => {
+            tracing::info!(%task, run, still_ms = still.as_millis(), epoch, "stopped for want of progress");
+        }
+        Decision::Finished { job, outcome, age } => {
+            metrics::histogram!("godwitstep_job_seconds").record(*age);
+            tracing::info!(job = format_args!("{job:016x}"), outcome = ?outcome, age_ms = age.as_millis(), epoch, "job ended");
+        }
+        Decision::Quarantined { life, failures, time } => {
+            tracing::info!(worker = %life, failures, time_ms = time.as_millis(), epoch, "quarantined");
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -0,0 +1,152 @@
+//! Agents' reports and what they are told.
+
+use super::{Decider, Entry, State, entries};
+use crate::batch::log::Log;
+use crate::http;
+use bytes::Bytes;
+use godwitstep_batch::bounds::VOICE;
+use godwitstep_batch::message::{self, Directive, Reply, Report};
+use godwitstep_batch::planner::Orders;
+use godwitstep_batch::policy::Policy;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest wait of a report for something new.
+const WAIT: Duration = Duration::from_millis(500);
+/// Time after which an agent is told again what it has been told.
+const REPEAT: Duration = Duration::from_millis(400);
+/// Greatest size of a report. Unit: bytes.
+const MAX_REPORT: usize = 4 * 1024 * 1024;
+/// Longest time for the body of a report.
+const READ_TIME: Duration = Duration::from_secs(2);
+
+impl<L: Log> Entry<L> {
+    /// Serves one exchange with an agent.
+    pub async fn serve_agent(&self, request: Request<Incoming>) -> Response<http::Body> {
+        let body = match http::read(request.into_body(), MAX_REPORT, READ_TIME).await {
+            Ok(body) => body,
+            Err(error) => return bad_request(&error),
+        };
+        match message::decode::<Report>(&body) {
+            Ok(report) => respond(&self.report(report).await),
+            Err(error) => bad_request(&error),
+        }
+    }
+
+    /// Takes a report and answers it.
+    pub async fn report(&self, report: Report) -> Reply {
+        let host = report.host.clone();
+        let wait = report.wait;
+        let until = self.clock.now() + WAIT;
+        if !self.take_report(report) {
+            return self.elsewhere();
+        }
+        loop {
+            let version = self.directives.version();
+            let now = self.clock.now();
+            let Some((directive, news)) = self.directive(now, &host) else {
+                return self.elsewhere();
+            };
+            if news || !wait || now >= until {
+                return Reply::Directive(directive);
+            }
+            self.directives.changed(version, until - now).await;
+        }
+    }
+
+    /// Hands a report to the planner. Returns whether this entry may decide.
+    fn take_report(&self, report: Report) -> bool {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let Some(decider) = state.decider.as_mut().filter(|decider| decider.has_voice(now)) else {
+            return false;
+        };
+        if decider.planner.report(now, report) {
+            drop(state);
+            self.changes.notify();
+        }
+        true
+    }
+
+    /// Returns what a host is to be told, and whether that is news to it.
+    fn directive(&self, now: Duration, host: &str) -> Option<(Directive, bool)> {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let nothing = Rc::new(Policy::default());
+        let policy = state.operator.policy().unwrap_or(&nothing).clone();
+        let out = state.operator.out().clone();
+        let age = operator_age(state, now);
+        let addresses = entries(&state.ledger);
+        let decider = state.decider.as_mut().filter(|decider| decider.has_voice(now))?;
+        let orders = Orders {
+            policy: &policy,
+            out: &out,
+            age,
+        };
+        let directive = decider
+            .planner
+            .directive(host, &state.ledger, &orders, addresses);
+        let digest = digest(&directive);
+        let news = match decider.told.get(host) {
+            Some((told, at)) => *told != digest || (orders_any(&directive) && now > *at + REPEAT),
+            None => true,
+        };
+        if news {
+            decider.told.insert(host.into(), (digest, now));
+        }
+        Some((directive, news))
+    }
+
+    fn elsewhere(&self) -> Reply {
+        let state = self.state.borrow();
+        let decider = state
+            .ledger
+            .claim()
+            .filter(|claim| !claim.released && claim.host != self.settings.host)
+            .map(|claim| (claim.epoch, claim.address));
+        Reply::Elsewhere { decider }
+    }
+}
+
+impl Decider {
+    /// Tells whether the claim was renewed recently enough to answer agents.
+    pub(super) fn has_voice(&self, now: Duration) -> bool {
+        now.saturating_sub(self.stored) < VOICE
+    }
+}
+
+/// Returns the age of the entry's view of the operators' orders.
+pub(super) fn operator_age(state: &State, now: Duration) -> Duration {
+    state
+        .operator_read
+        .map_or(Duration::MAX, |read| now.saturating_sub(read))
+}
+
+const fn orders_any(directive: &Directive) -> bool {
+    !directive.start.is_empty() || !directive.stop.is_empty()
+}
+
+/// Digest of what an agent is told, report number aside.
+fn digest(directive: &Directive) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    directive.life.hash(&mut hasher);
+    directive.recorded.hash(&mut hasher);
+    directive.stop.hash(&mut hasher);
+    for start in &directive.start {
+        (start.task, start.run).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+fn respond(reply: &Reply) -> Response<http::Body> {
+    Response::new(http::full(message::encode(reply)))
+}
+
+fn bad_request(error: &dyn std::error::Error) -> Response<http::Body> {
+    let mut response = Response::new(http::full(Bytes::from(format!("{error}\n"))));
+    *response.status_mut() = StatusCode::BAD_REQUEST;
+    response
+}
--- /dev/null
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -0,0 +1,124 @@
+//! What callers ask: to run a job, to cancel it, how it stands.
+
+use super::Entry;
+use super::writer::Error;
+use crate::batch::log::Log;
+use godwitstep_batch::access::JOBS_LIFE;
+use godwitstep_batch::id::JobId;
+use godwitstep_batch::job::Job;
+use godwitstep_batch::ledger::Status;
+use godwitstep_batch::record::Record;
+use smol::Timer;
+use smol::future::FutureExt;
+use std::time::Duration;
+
+/// Pause after an append that the log refused.
+const RETRY: Duration = Duration::from_millis(100);
+/// Time without any stored append after which new work is refused at once.
+const LOG_FAILING: Duration = Duration::from_millis(1_200);
+/// When a caller should come back after a refusal for want of the log.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// Answer to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is stored.
+    Stored,
+    /// There is no such job.
+    Unknown,
+    /// It was not stored and never will be by this request.
+    Refused {
+        /// When to come back.
+        again: Duration,
+    },
+    /// It can't be told in time whether it is stored; the same request may be sent again.
+    InDoubt,
+}
+
+impl<L: Log> Entry<L> {
+    /// Accepts a job: stores it, within `time`. The same name is always one job.
+    pub async fn submit(&self, job: Job, time: Duration) -> Verdict {
+        let id = job.id;
+        if self.status(id).is_some() {
+            return Verdict::Stored;
+        }
+        if self.writer.failing(self.clock.now()) > LOG_FAILING {
+            return Verdict::Refused { again: COME_BACK };
+        }
+        let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
+        let verdict = verdict.await;
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, "submission answered");
+        metrics::counter!("godwitstep_submissions_total", "verdict" => name(verdict)).increment(1);
+        verdict
+    }
+
+    /// Cancels a job within `time`.
+    pub async fn cancel(&self, id: JobId, time: Duration) -> Verdict {
+        match self.status(id) {
+            Some(Status::Ended(_)) => return Verdict::Stored,
+            Some(Status::Queued | Status::Running) => {}
+            None if self.knows_jobs() => return Verdict::Unknown,
+            None => return Verdict::Refused { again: COME_BACK },
+        }
+        let cancelled = || matches!(self.status(id), Some(Status::Ended(_)));
+        let verdict = self.store(Record::Cancelled { job: id }, time, cancelled).await;
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, "cancellation answered");
+        verdict
+    }
+
+    /// Stores a record; `there` tells whether the log shows it already.
+    async fn store(&self, record: Record, time: Duration, there: impl Fn() -> bool) -> Verdict {
+        let limit = self.clock.now() + time;
+        let mut doubt = false;
+        loop {
+            let left = limit.saturating_sub(self.clock.now());
+            let timeout = async {
+                Timer::after(left).await;
+                Err(Error::Unknown)
+            };
+            match self.writer.write(&record).or(timeout).await {
+                Ok(()) => return Verdict::Stored,
+                Err(Error::Refused) => {}
+                Err(Error::Unknown) => doubt = true,
+            }
+            if there() {
+                return Verdict::Stored;
+            }
+            if self.clock.now() + RETRY >= limit {
+                return if doubt {
+                    Verdict::InDoubt
+                } else {
+                    Verdict::Refused { again: COME_BACK }
+                };
+            }
+            Timer::after(RETRY).await;
+        }
+    }
+
+    /// Returns the state of a job.
+    #[must_use]
+    pub fn status(&self, id: JobId) -> Option<Status> {
+        self.state.borrow().ledger.status(id)
+    }
+
+    /// Tells whether the entry's view of the jobs is new enough to say that one does not exist.
+    #[must_use]
+    pub fn knows_jobs(&self) -> bool {
+        self.with_view(|view| view.jobs_age < JOBS_LIFE)
+    }
+
+    /// Returns how many jobs of a queue wait for their first task.
+    #[must_use]
+    pub fn pending(&self, queue: &str) -> usize {
+        self.state.borrow().ledger.pending(queue)
+    }
+}
+
+const fn name(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Stored => "stored",
+        Verdict::Unknown => "unknown",
+        Verdict::Refused { .. } => "refused",
+        Verdict::InDoubt => "in_doubt",
+    }
+}
--- /dev/null
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -0,0 +1,109 @@
+//! Appends of callers' records: one at a time, each with all records that came meanwhile.
+
+use crate::batch::SharedClock;
+use crate::batch::log::{AppendError, Item, Log};
+use crate::batch::notice::Notice;
+use godwitstep_batch::record::Record;
+use smol::channel::{Sender, bounded};
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+/// Most records in one append.
+const MAX_RECORDS: usize = 64;
+/// Most records that wait.
+const MAX_WAITING: usize = 1_024;
+
+/// Why a record was not written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub(super) enum Error {
+    /// It was not written and won't be.
+    #[error("the record was not written")]
+    Refused,
+    /// It may have been written, or may still be.
+    #[error("it is not known whether the record was written")]
+    Unknown,
+}
+
+type Waiting = (Item, Sender<Result<(), Error>>);
+
+/// Queue of records.
+#[derive(Default)]
+pub(super) struct Writer {
+    waiting: RefCell<Vec<Waiting>>,
+    arrivals: Notice,
+    /// Since when the log has not stored anything although it was asked to.
+    failing: Cell<Option<Duration>>,
+}
+
+impl Writer {
+    /// Appends a record and waits for the outcome.
+    pub async fn write(&self, record: &Record) -> Result<(), Error> {
+        if self.waiting.borrow().len() >= MAX_WAITING {
+            return Err(Error::Refused);
+        }
+        let item = Item {
+            key: record.key(),
+            value: record.encode(),
+        };
+        let (sender, receiver) = bounded(1);
+        self.waiting.borrow_mut().push((item, sender));
+        self.arrivals.notify();
+        receiver.recv().await.unwrap_or(Err(Error::Unknown))
+    }
+
+    /// Returns for how long the log has not stored anything although it was asked to.
+    pub fn failing(&self, now: Duration) -> Duration {
+        self.failing
+            .get()
+            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
+
+    /// Appends for good.
+    pub async fn run<L: Log>(&self, log: &L, clock: &SharedClock) {
+        loop {
+            let version = self.arrivals.version();
+            let batch = self.take();
+            if batch.is_empty() {
+                self.arrivals.changed(version, Duration::from_secs(60)).await;
+                continue;
+            }
+            let (items, senders): (Vec<Item>, Vec<_>) = batch.into_iter().unzip();
+            let began = clock.now();
+            let result = log.append(&items, None).await;
+            let took = clock.now().saturating_sub(began);
+            metrics::histogram!("godwitstep_log_append_seconds").record(took);
+            let result = self.note(began, result);
+            for sender in senders {
+                // A caller that left does not wait for the outcome.
+                let _ = sender.try_send(result);
+            }
+        }
+    }
+
+    fn take(&self) -> Vec<Waiting> {
+        let mut waiting = self.waiting.borrow_mut();
+        let count = waiting.len().min(MAX_RECORDS);
+        waiting.drain(..count).collect()
+    }
+
+    fn note(&self, began: Duration, result: Result<u64, AppendError>) -> Result<(), Error> {
+        match result {
+            Ok(_) => {
+                self.failing.set(None);
+                Ok(())
+            }
+            Err(error) => {
+                let since = self.failing.get().unwrap_or(began);
+                self.failing.set(Some(since));
+                metrics::counter!("godwitstep_log_append_failures_total").increment(1);
+                tracing::warn!(%error, "append failed");
+                match error {
+                    AppendError::Refused(_) => Err(Error::Refused),
+                    AppendError::Unanswered(_) | AppendError::Fenced | AppendError::Sequence(_) => {
+                        Err(Error::Unknown)
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/godwitstep/src/clock.rs
@@ -0,0 +1,31 @@
+//! The clock of the host, suspensions included.
+//!
+//! ```
+//! use godwitstep::clock::Boot;
+//! use godwitstep_core::clock::Clock;
+//!
+//! let clock = Boot;
+//! assert!(clock.now() <= clock.now());
+//! ```
+
+use godwitstep_core::clock::Clock;
+use rustix::time::{ClockId, clock_gettime};
+use std::time::{Duration, SystemTime};
+
+/// Time since the host started. Unlike [`std::time::Instant`] it counts the time for which the host
+/// was suspended, so leases that are measured with it end in true time.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Boot;
+
+impl Clock for Boot {
+    fn now(&self) -> Duration {
+        let time = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+        Duration::new(seconds, nanos)
+    }
+
+    fn wall(&self) -> SystemTime {
+        SystemTime::now()
+    }
+}
--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod agent;
 pub mod caller;
+pub mod batch;
+pub mod clock;
 mod decider;
 pub mod entry;
 pub mod http;
