fix(batch): replace a decider that is cut from the log

Ruled out: the fencing, claims at start. Change: reads wait 500 ms, silence counts on views below 1.3 s; an entry cut from the log refuses new work after 400 ms of refused appends; a failing log is logged once.

--- a/crates/godwitstep-batch/src/access.rs
+++ b/crates/godwitstep-batch/src/access.rs
@@ -18,7 +18,7 @@
 /// Age of an entry's view of the jobs up to which it says that a job does not exist.
 pub const JOBS_LIFE: Duration = Duration::from_millis(1_500);
 /// Age of the views up to which an entry takes new callers.
-pub const READY_LIFE: Duration = Duration::from_millis(2_500);
+pub const READY_LIFE: Duration = Duration::from_millis(1_600);
 
 /// What an entry knows, and how old that is. Ages count from the sending of the newest answered
 /// request to the log.
--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 /// Age of the view of the log up to which silence of a decider counts.
-const FRESH: Duration = Duration::from_millis(1_200);
+const FRESH: Duration = Duration::from_millis(1_300);
 /// Bits of an epoch that tell claimants of the same moment apart.
 const CLAIMANT_BITS: u32 = 20;
 
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -174,6 +174,7 @@
         let items: Vec<Item> = records.iter().flat_map(items).collect();
         let sequence = self.next_sequence();
         let began = self.clock.now();
+        let mut failing = false;
         loop {
             let sent = self.clock.now();
             let fence = Fence { epoch, sequence };
@@ -196,7 +197,11 @@
                     return Err(Down::Unheard);
                 }
                 Err(error) => {
-                    tracing::warn!(epoch, sequence, %error, "recording decisions failed");
+                    if !failing {
+                        tracing::warn!(epoch, sequence, %error, "log does not store decisions");
+                    }
+                    failing = true;
+                    metrics::counter!("godwitstep_log_append_failures_total").increment(1);
                     Timer::after(RETRY).await;
                 }
             }
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -14,8 +14,10 @@
 
 /// Pause after an append that the log refused.
 const RETRY: Duration = Duration::from_millis(100);
-/// Time without any stored append after which new work is refused at once.
-const LOG_FAILING: Duration = Duration::from_millis(1_200);
+/// Time for which an append is repeated that the log refuses; callers reach another entry sooner.
+const REFUSED_TIME: Duration = Duration::from_millis(400);
+/// Time without a stored append, or age of the view of the log, at which new work is refused at once.
+const LOG_FAILING: Duration = Duration::from_millis(1_500);
 /// When a caller should come back after a refusal for want of the log.
 const COME_BACK: Duration = Duration::from_secs(1);
 
@@ -42,7 +44,8 @@
         if self.status(id).is_some() {
             return Verdict::Stored;
         }
-        if self.writer.failing(self.clock.now()) > LOG_FAILING {
+        if self.log_fails() {
+            tracing::info!(job = format_args!("{id:016x}"), "submission refused: the log does not answer");
             return Verdict::Refused { again: COME_BACK };
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
@@ -68,7 +71,8 @@
 
     /// Stores a record; `there` tells whether the log shows it already.
     async fn store(&self, record: Record, time: Duration, there: impl Fn() -> bool) -> Verdict {
-        let limit = self.clock.now() + time;
+        let began = self.clock.now();
+        let limit = began + time;
         let mut doubt = false;
         loop {
             let left = limit.saturating_sub(self.clock.now());
@@ -84,7 +88,9 @@
             if there() {
                 return Verdict::Stored;
             }
-            if self.clock.now() + RETRY >= limit {
+            let now = self.clock.now();
+            let refused_long = !doubt && now > began + REFUSED_TIME;
+            if refused_long || now + RETRY >= limit {
                 return if doubt {
                     Verdict::InDoubt
                 } else {
@@ -95,6 +101,11 @@
         }
     }
 
+    fn log_fails(&self) -> bool {
+        let unread = self.with_view(|view| view.jobs_age > LOG_FAILING);
+        unread || self.writer.failing(self.clock.now()) > LOG_FAILING
+    }
+
     /// Returns the state of a job.
     #[must_use]
     pub fn status(&self, id: JobId) -> Option<Status> {
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -89,14 +89,18 @@
     fn note(&self, began: Duration, result: Result<u64, AppendError>) -> Result<(), Error> {
         match result {
             Ok(_) => {
-                self.failing.set(None);
+                if let Some(since) = self.failing.take() {
+                    let failed = began.saturating_sub(since);
+                    tracing::info!(failed_ms = failed.as_millis(), "log stores records again");
+                }
                 Ok(())
             }
             Err(error) => {
-                let since = self.failing.get().unwrap_or(began);
-                self.failing.set(Some(since));
+                if self.failing.get().is_none() {
+                    self.failing.set(Some(began));
+                    tracing::warn!(%error, "log does not store records");
+                }
                 metrics::counter!("godwitstep_log_append_failures_total").increment(1);
-                tracing::warn!(%error, "append failed");
                 match error {
                     AppendError::Refused(_) => Err(Error::Refused),
                     AppendError::Unanswered(_) | AppendError::Fenced | AppendError::Sequence(_) => {
--- a/crates/godwitstep/src/batch/follow.rs
+++ b/crates/godwitstep/src/batch/follow.rs
@@ -8,7 +8,7 @@
 
 /// Longest wait of one read. An entry's view is as old as its newest read, so this bounds its age on
 /// a quiet log.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_millis(500);
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed reads.
