feat(batch): ask a silent decider, preempt where least is lost, move stuck runs

Cause: a dead decider was replaced after 3 s; room was taken on the fullest workers whatever was lost there. Change: entries ask a silent decider's process; leases of six seconds; cost of stopping in core-seconds.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -181,7 +181,7 @@
     pub fn hold(&mut self, now: Duration) -> Option<Hold> {
         let wanted = self.silence(now).is_some_and(|silence| silence < COAST);
         let epoch = self.epoch;
-        let hold = self.bounds.hold;
+        let hold = self.bounds.hold_time();
         if epoch == 0 {
             return None;
         }
--- a/crates/godwitstep-batch/src/bounds.rs
+++ b/crates/godwitstep-batch/src/bounds.rs
@@ -29,6 +29,10 @@
 /// Time for which an agent keeps its worker's tasks alive without an answer of a decider. Covers
 /// the take-over of a dead decider and a cut of a few seconds.
 pub const COAST: Duration = Duration::from_millis(6_500);
+/// Longest lease that agents ask for, where the deployment allows longer ones. Long enough for an
+/// agent that is replaced or frozen for a few seconds; short, as lost work is not started again before
+/// its lease has ended.
+pub const LEASE: Duration = Duration::from_secs(6);
 /// Slowest rate of a worker's clock against true time.
 pub const WORKER_DRIFT: f64 = 0.02;
 /// Allowance for the delivery of a call that was sent just before its sender lost its right.
@@ -79,10 +83,16 @@
 }
 
 impl Bounds {
+    /// Returns the time for which agents ask their workers to hold.
+    #[must_use]
+    pub fn hold_time(&self) -> Duration {
+        self.hold.min(LEASE)
+    }
+
     /// Returns the longest true time that a lease of the worker can last.
     #[must_use]
     pub fn lease(&self) -> Duration {
-        self.hold.mul_f64(1.0 + 2.0 * WORKER_DRIFT) + DELIVERY
+        self.hold_time().mul_f64(1.0 + 2.0 * WORKER_DRIFT) + DELIVERY
     }
 
     /// Returns the silence of an agent after which nothing that it had started still runs.
--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -15,13 +15,16 @@
 //! assert!(claim::next(7, 3) > 7);
 //! ```
 
-use crate::bounds::SILENCE;
+use crate::bounds::{RENEWAL, SILENCE};
 use crate::id::Epoch;
 use crate::record::Claim;
 use std::time::Duration;
 
 /// Age of the view of the log up to which silence of a decider counts.
 const FRESH: Duration = Duration::from_millis(1_300);
+/// Silence of a decider after which an entry asks its process whether it still decides. Above
+/// [`RENEWAL`] by the time of a slow append.
+const SUSPICION: Duration = RENEWAL.saturating_add(Duration::from_millis(350));
 /// Bits of an epoch that tell claimants of the same moment apart.
 const CLAIMANT_BITS: u32 = 20;
 
@@ -40,13 +43,19 @@
     delay: Duration,
     /// Newest moment at which the decider was heard of, or the log was not.
     heard: Option<Duration>,
+    /// Epoch of a claim whose process is known to decide no more.
+    vacant: Option<Epoch>,
 }
 
 impl Watch {
     /// Returns a watch that waits `delay` longer than the shortest silence.
     #[must_use]
     pub const fn new(delay: Duration) -> Self {
-        Self { delay, heard: None }
+        Self {
+            delay,
+            heard: None,
+            vacant: None,
+        }
     }
 
     /// Notes a record of the decider.
@@ -54,6 +63,21 @@
         self.heard = Some(now);
     }
 
+    /// Notes that the process behind a claim decides no more.
+    pub const fn vacant(&mut self, epoch: Epoch) {
+        self.vacant = Some(epoch);
+    }
+
+    /// Tells whether to ask the decider's process if it still decides. A process that has just
+    /// started has not heard of the decider and asks at once.
+    #[must_use]
+    pub fn suspects(&self, now: Duration, age: Duration) -> bool {
+        let silent = self
+            .heard
+            .is_none_or(|heard| now.saturating_sub(heard) > SUSPICION);
+        silent && age <= FRESH
+    }
+
     /// Tells whether to claim the place: given the newest claim and the age of the view of the log.
     pub fn should_claim(&mut self, now: Duration, claim: Option<&Claim>, age: Duration) -> bool {
         if age > FRESH {
@@ -62,8 +86,10 @@
         }
         let heard = *self.heard.get_or_insert(now);
         let silence = match claim {
-            Some(claim) if !claim.released => SILENCE,
-            _ => Duration::ZERO,
+            Some(claim) if claim.released => Duration::ZERO,
+            Some(claim) if self.vacant == Some(claim.epoch) => return true,
+            Some(_) => SILENCE,
+            None => Duration::ZERO,
         };
         now.saturating_sub(heard) >= silence + self.delay
     }
--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -79,7 +79,7 @@
     pub run: Run,
     /// Newest saved progress; empty for none.
     pub saved: Arc<str>,
-    /// How much of its work is done. Unit: percent.
+    /// How much of its work is done; stays 0 for tasks that don't save their progress. Unit: percent.
     pub percent: u8,
 }
 
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -180,6 +180,7 @@
         self.note_jobs(now, wall, ledger);
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
+        self.note_gangs(&draft);
         self.settle(now, &mut draft, &mut plan);
         self.conclude(now, &mut draft, &mut plan);
         if orders.age < VIEW_LIFE {
@@ -206,6 +207,28 @@
         }
     }
 
+    /// Notes the gangs all of whose members are listed as under way.
+    fn note_gangs(&mut self, draft: &Draft) {
+        let mut whole = Vec::new();
+        for (job, entry, progress) in draft.open() {
+            for (step, (content, state)) in (0..).zip(entry.job.steps.iter().zip(&progress.steps)) {
+                if !content.gang {
+                    continue;
+                }
+                let members: Vec<(Task, Run)> = (0..)
+                    .zip(&state.tasks)
+                    .map(|(index, task)| (Task { job, step, index }, task.run))
+                    .collect();
+                if members.iter().all(|(task, run)| self.health.listed(*task, *run)) {
+                    whole.extend(members);
+                }
+            }
+        }
+        for (task, run) in whole {
+            self.health.whole(task, run);
+        }
+    }
+
     /// Returns how long ago a job was accepted, as far as the decider knows.
     fn age(&self, now: Duration, job: JobId) -> Duration {
         self.seen
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -45,10 +45,15 @@
 
     fn ends(&self, now: Duration, draft: &Draft) -> Vec<End> {
         let mut ends = Vec::new();
-        for (job, _, progress) in draft.open() {
+        for (job, entry, progress) in draft.open() {
             for (step, index, placed, life) in progress.placed() {
                 let task = Task { job, step, index };
-                if let Some(fate) = self.fleet.fate(now, life, task, placed.run) {
+                let gang = entry.job.steps[usize::from(step)].gang;
+                let members = &progress.steps[usize::from(step)];
+                let fate = self.fleet.fate(now, life, task, placed.run).or_else(|| {
+                    gang.then(|| self.gang_fate(now, life, task, placed.run, members))?
+                });
+                if let Some(fate) = fate {
                     ends.push(End {
                         task,
                         run: placed.run,
@@ -61,6 +66,23 @@
         ends
     }
 
+    /// Returns the fate of a member of a gang whose agent is silent while other members have ended. A
+    /// gang that has worked had all its members, and they end together.
+    fn gang_fate(
+        &self,
+        now: Duration,
+        life: &Life,
+        task: Task,
+        run: Run,
+        step: &Step,
+    ) -> Option<Fate> {
+        let ended = step
+            .tasks
+            .iter()
+            .any(|member| member.run == run && member.place().is_none());
+        (ended && self.health.was_whole(task, run) && self.fleet.stale(now, &life.host)).then_some(Fate::GangEnded)
+    }
+
     fn enter(&mut self, now: Duration, draft: &mut Draft, end: &End) {
         let Some(entry) = draft.ledger().job(end.task.job) else {
             return;
@@ -187,6 +209,7 @@
         Fate::Refused(Refusal::Superseded) => "superseded before it began",
         Fate::Refused(Refusal::Withdrawn) => "withdrawn before it began",
         Fate::Lapsed => "lease ended out of the agent's reach",
+        Fate::GangEnded => "ended with its gang, agent silent",
         Fate::Gone => "worker is gone",
         Fate::Silent => "agent silent for longer than any lease",
     }
--- a/crates/godwitstep-batch/src/planner/fleet.rs
+++ b/crates/godwitstep-batch/src/planner/fleet.rs
@@ -19,6 +19,8 @@
     Refused(Refusal),
     /// The worker's lease ended while its agent could not reach it.
     Lapsed,
+    /// Other members of its gang ended after the gang had worked, which ends all of them.
+    GangEnded,
     /// The worker left, or its place was taken by another life.
     Gone,
     /// Its agent was silent for longer than any lease.
@@ -68,6 +70,13 @@
         self.hosts.get(host).map(|seen| &seen.report)
     }
 
+    /// Tells whether a host's report is too old to show what runs there.
+    pub fn stale(&self, now: Duration, host: &str) -> bool {
+        self.hosts
+            .get(host)
+            .is_none_or(|seen| !Self::fresh(now.saturating_sub(seen.at)))
+    }
+
     /// Returns the workers with the age of what is known of them.
     pub fn workers(&self, now: Duration) -> impl Iterator<Item = (Duration, &Worker)> {
         self.hosts.values().filter_map(move |seen| {
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -75,6 +75,7 @@
         let mut floor = Self { slots, by_host };
         floor.count_placed(draft);
         floor.count_listed(now, fleet, draft);
+        floor.close_slow(health, draft);
         floor
     }
 
@@ -123,6 +124,24 @@
         }
     }
 
+    /// Closes workers whose runs are all slow.
+    fn close_slow(&mut self, health: &Health, draft: &Draft) {
+        for slot in &mut self.slots {
+            let slow: Vec<bool> = slot
+                .occupants
+                .iter()
+                .filter_map(|own| {
+                    let job = &draft.ledger().job(own.task.job)?.job;
+                    let estimate = job.steps[usize::from(own.task.step)].estimate;
+                    health.slow(own.task, own.run, estimate)
+                })
+                .collect();
+            if !slow.is_empty() && slow.iter().all(|slow| *slow) {
+                slot.open = false;
+            }
+        }
+    }
+
     /// Returns the slot of a life of a worker.
     pub fn at(&mut self, life: &Life) -> Option<&mut Slot> {
         let number = *self.by_host.get(&life.host)?;
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -20,6 +20,16 @@
 /// Time without progress after which a task counts as standing still.
 const STILL: Duration = Duration::from_millis(1_500);
 
+/// Span over which the rate of a run is taken.
+const RATE_SPAN: Duration = Duration::from_millis(1_000);
+/// Least progress of a run from which its end is predicted. Unit: percent.
+const PREDICTABLE: u8 = 4;
+/// Part of its estimate that a run without known progress is taken to need at least.
+const OVERDUE: f64 = 0.2;
+/// Part of the rate by its estimate below which a run counts as slow. Estimates are off by a half,
+/// and sound workers differ by a quarter.
+const SLOW: f64 = 0.3;
+
 /// Record of one worker.
 #[derive(Debug, Default)]
 struct Conduct {
@@ -35,6 +45,14 @@
     host: crate::id::Host,
     percent: u8,
     moved: Duration,
+    /// When the run was first listed.
+    since: Duration,
+    /// Whether all members of its gang were listed at the same time.
+    whole: bool,
+    /// Progress and time at the beginning of the span over which its rate is taken.
+    mark: (Duration, u8),
+    /// Newest rate. Unit: percent a second.
+    rate: Option<f64>,
     saved: Arc<str>,
 }
 
@@ -63,8 +81,19 @@
                 host: host.clone(),
                 percent: row.percent,
                 moved: now,
+                since: now,
+                whole: false,
+                mark: (now, row.percent),
+                rate: None,
                 saved: "".into(),
             });
+        let (at, percent) = course.mark;
+        let span = now.saturating_sub(at);
+        if span >= RATE_SPAN {
+            let gained = f64::from(row.percent.saturating_sub(percent));
+            course.rate = Some(gained / span.as_secs_f64());
+            course.mark = (now, row.percent);
+        }
         if course.percent != row.percent {
             course.percent = row.percent;
             course.moved = now;
@@ -90,7 +119,7 @@
             Fate::Refused(Refusal::Unhealthy | Refusal::Room | Refusal::Malformed) => {
                 conduct.punish(now);
             }
-            Fate::Ended(..) | Fate::Refused(_) | Fate::Lapsed | Fate::Gone | Fate::Silent => {}
+            Fate::Ended(..) | Fate::Refused(_) | Fate::Lapsed | Fate::GangEnded | Fate::Gone | Fate::Silent => {}
         }
     }
 
@@ -107,16 +136,62 @@
             .map_or_else(|| "".into(), |course| course.saved.clone())
     }
 
-    /// Returns the share of its work that a run has done. Unit: percent.
-    pub fn percent(&self, task: Task, run: Run) -> u8 {
-        self.runs.get(&(task, run)).map_or(0, |course| course.percent)
+    /// Returns how long a run will still take at the rate that it had so far.
+    pub fn remaining(&self, now: Duration, task: Task, run: Run, estimate: Duration) -> Duration {
+        let Some(course) = self.runs.get(&(task, run)) else {
+            return estimate;
+        };
+        let elapsed = now.saturating_sub(course.since);
+        if course.percent < PREDICTABLE {
+            return estimate.saturating_sub(elapsed).max(estimate.mul_f64(OVERDUE));
+        }
+        let done = f64::from(course.percent) / 100.0;
+        elapsed.mul_f64((1.0 - done) / done)
+    }
+
+    /// Tells whether a run is much slower than its estimate, if that is known yet.
+    pub fn slow(&self, task: Task, run: Run, estimate: Duration) -> Option<bool> {
+        let course = self.runs.get(&(task, run))?;
+        let rate = course.rate.filter(|_| course.percent > 0)?;
+        Some(rate / 100.0 * estimate.as_secs_f64() < SLOW)
     }
 
-    /// Returns for how long a run has made no progress.
-    pub fn still(&self, now: Duration, task: Task, run: Run) -> Duration {
+    /// Returns for how long a run has made no progress, if its progress is known.
+    pub fn still(&self, now: Duration, task: Task, run: Run) -> Option<Duration> {
+        let course = self.runs.get(&(task, run))?;
+        (course.percent > 0).then(|| now.saturating_sub(course.moved))
+    }
+
+    /// Returns the time since a run was first listed.
+    pub fn elapsed(&self, now: Duration, task: Task, run: Run) -> Option<Duration> {
+        let course = self.runs.get(&(task, run))?;
+        Some(now.saturating_sub(course.since))
+    }
+
+    /// Tells whether a run was listed.
+    pub fn listed(&self, task: Task, run: Run) -> bool {
+        self.runs.contains_key(&(task, run))
+    }
+
+    /// Notes that all members of a gang are listed.
+    pub fn whole(&mut self, task: Task, run: Run) {
+        if let Some(course) = self.runs.get_mut(&(task, run)) {
+            course.whole = true;
+        }
+    }
+
+    /// Tells whether all members of a run's gang were listed at the same time.
+    pub fn was_whole(&self, task: Task, run: Run) -> bool {
+        self.runs.get(&(task, run)).is_some_and(|course| course.whole)
+    }
+
+    /// Returns for how long nothing has moved on a worker, if the progress of some run there is known.
+    pub fn standstill(&self, now: Duration, host: &str) -> Option<Duration> {
         self.runs
-            .get(&(task, run))
-            .map_or(Duration::ZERO, |course| now.saturating_sub(course.moved))
+            .values()
+            .filter(|course| &*course.host == host && course.percent > 0)
+            .map(|course| now.saturating_sub(course.moved))
+            .min()
     }
 
     /// Tells whether a worker gets new tasks.
@@ -126,9 +201,8 @@
             .get(life)
             .is_some_and(|conduct| conduct.until > now);
         let still = self
-            .runs
-            .values()
-            .any(|course| course.host == life.host && now.saturating_sub(course.moved) > STILL);
+            .standstill(now, &life.host)
+            .is_some_and(|still| still > STILL);
         !punished && !still
     }
 }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -111,7 +111,7 @@
                 waiting: left,
                 ..want
             };
-            self.make_room(now, draft, floor, urgency, &want, plan);
+            self.make_room(now, draft, floor, urgency, entry, &want, plan);
         }
         if !placed.is_empty() {
             let step = &mut draft.edit(job).steps[usize::from(number)];
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -1,8 +1,9 @@
 //! Making room for jobs that may not wait.
 //!
-//! A job of the first priority whose workspace claims no more than its guarantee takes room from
-//! others: first from queues of lower priority, where the least work is lost. The freed room is kept
-//! for it until it starts.
+//! A job of the first priority that finds no room waits as long as it can still be on time with the
+//! room that is about to become free. Otherwise it takes room from queues of lower priority, where the
+//! least work is lost; if its workspace claims more than its guarantee, no more work than its own. The
+//! room is kept for it until it starts.
 
 use super::draft::Draft;
 use super::floor::{Floor, Occupant, Slot};
@@ -10,117 +11,266 @@
 use super::place::{self, Seat, Want};
 use super::{Decision, Plan, Planner};
 use crate::demand::Demand;
-use crate::id::{Run, Task};
+use crate::id::{Life, Run, Task};
+use crate::ledger::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time without progress after which a run may be stopped, to run elsewhere.
-const STUCK: Duration = Duration::from_millis(3_500);
+/// Time in which preempted runs end and others start.
+const CHANGE: Duration = Duration::from_millis(700);
+/// Time without progress, beyond that of the work that would be lost, after which a run is stopped to
+/// run elsewhere. Above the age of the progress that reports show.
+const STUCK: Duration = Duration::from_millis(1_600);
 /// Time after which a gang whose members have not all begun is called back. Below the time after
 /// which its members give up by themselves.
 const GATHERING: Duration = Duration::from_millis(2_200);
+/// Times its estimate after which a run whose progress is not shown counts as stuck, beyond
+/// [`OVERDUE_LEAST`].
+const OVERDUE_TIMES: u32 = 4;
+/// Least time before a run whose progress is not shown counts as stuck.
+const OVERDUE_LEAST: Duration = Duration::from_secs(4);
+/// Weight of lost work of the queues after the first.
+const LOSS_WEIGHTS: [f64; 2] = [2.0, 1.0];
+
+/// Work that is lost by stopping each run. Unit: core-seconds, weighed by priority.
+type Losses = BTreeMap<(Task, Run), f64>;
 
 impl Planner {
-    /// Stops others for the sake of a job, and keeps the room that it will take.
+    /// Finds room for a job that must not wait, and keeps it.
+    #[allow(clippy::too_many_arguments)]
     pub(super) fn make_room(
         &mut self,
-        _now: Duration,
+        now: Duration,
         draft: &Draft,
         floor: &mut Floor,
         urgency: Urgency,
+        entry: &Entry,
         want: &Want,
         plan: &mut Plan,
     ) {
-        if urgency.priority != 0 || urgency.unclaimed || urgency.hopeless {
+        if urgency.priority != 0 || urgency.hopeless {
+            return;
+        }
+        let patience = self.patience(now, entry, urgency);
+        if !patience.is_zero()
+            && let Some(seats) = self.seats_soon(now, draft, floor, want, patience)
+        {
+            keep(floor, want, &seats);
             return;
         }
-        let victims = self.victims(draft, floor, want);
-        let Some(seats) = seats_with(want, floor, &victims) else {
+        let losses = self.losses(now, draft, floor, want);
+        let limit = if urgency.unclaimed {
+            entry.job.work()
+        } else {
+            f64::INFINITY
+        };
+        let Some((seats, cost)) = self.cheapest(floor, want, &losses) else {
             return;
         };
+        if cost > limit {
+            return;
+        }
         let mut needed: BTreeMap<usize, u64> = BTreeMap::new();
         for (_, slot) in &seats {
             *needed.entry(*slot).or_default() += 1;
         }
         for (number, tasks) in needed {
             let demand = want.step.demand.times(tasks);
-            self.stop_for(floor, number, demand, &victims, want, plan);
-            let slot = &mut floor.slots[number];
-            slot.free = slot.free.minus(&demand);
+            let slot = &floor.slots[number];
+            let stops = self.stops(slot, &demand, &losses).unwrap_or_default();
+            for (task, run) in stops {
+                self.stopping.insert((task, run));
+                plan.decisions.push(Decision::Preempted {
+                    task,
+                    run,
+                    by: want.job,
+                });
+            }
         }
+        keep(floor, want, &seats);
+    }
+
+    /// Returns how long a job may still wait before it must take room from others.
+    fn patience(&self, now: Duration, entry: &Entry, urgency: Urgency) -> Duration {
+        let job = &entry.job;
+        let objective = job.chain().mul_f64(job.queue.stretch) + job.queue.objective;
+        let mut limit = objective.saturating_sub(job.chain());
+        if !urgency.unclaimed {
+            limit = limit.min(self.bounds.reclaim);
+        }
+        limit.saturating_sub(self.age(now, urgency.job) + CHANGE)
+    }
+
+    /// Returns seats for all waiting tasks in the room that is free within a time.
+    fn seats_soon(
+        &self,
+        now: Duration,
+        draft: &Draft,
+        floor: &Floor,
+        want: &Want,
+        time: Duration,
+    ) -> Option<Vec<Seat>> {
+        let ends = |own: &Occupant| {
+            let estimate = draft
+                .ledger()
+                .job(own.task.job)
+                .map(|entry| entry.job.steps[usize::from(own.task.step)].estimate)?;
+            let left = self.health.remaining(now, own.task, own.run, estimate);
+            (left <= time).then_some(())
+        };
+        let soon = |slot: &Slot| {
+            slot.occupants
+                .iter()
+                .filter(|own| ends(own).is_some() || self.is_stopping(own))
+                .fold(slot.free, |free, own| free.plus(&own.demand))
+        };
+        let seats = if one_rack(want, floor) {
+            place::racks(want, floor)
+                .into_values()
+                .map(|slots| place::seat_within(want, floor, &slots, soon))
+                .find(|seats| !seats.is_empty())
+                .unwrap_or_default()
+        } else {
+            let all: Vec<usize> = (0..floor.slots.len()).collect();
+            place::seat_within(want, floor, &all, soon)
+        };
+        (!seats.is_empty()).then_some(seats)
     }
 
-    /// Returns what may be stopped, with the work that would be lost, in core-seconds.
-    fn victims(&self, draft: &Draft, floor: &Floor, want: &Want) -> BTreeMap<(Task, Run), f64> {
-        let mut victims = BTreeMap::new();
-        let occupants = floor.slots.iter().flat_map(|slot| &slot.occupants);
-        for Occupant { task, run, demand } in occupants {
-            let Some(entry) = draft.ledger().job(task.job) else {
+    fn is_stopping(&self, own: &Occupant) -> bool {
+        self.stopping.contains(&(own.task, own.run))
+    }
+
+    /// Returns what may be stopped for a job.
+    fn losses(&self, now: Duration, draft: &Draft, floor: &Floor, want: &Want) -> Losses {
+        let mut losses = Losses::new();
+        for own in floor.slots.iter().flat_map(|slot| &slot.occupants) {
+            let Some(entry) = draft.ledger().job(own.task.job) else {
                 continue;
             };
-            if entry.job.queue.priority == 0 || task.job == want.job {
+            let priority = usize::from(entry.job.queue.priority);
+            if priority == 0 || own.task.job == want.job || self.is_stopping(own) {
                 continue;
             }
-            let step = &entry.job.steps[usize::from(task.step)];
-            let members = if step.gang { f64::from(step.tasks) } else { 1.0 };
-            let done = f64::from(self.health.percent(*task, *run)) / 100.0;
-            let kept = if step.saves { 0.3 } else { 1.0 };
-            let lost = done * kept * step.estimate.as_secs_f64() * demand.cores() * members;
-            victims.insert((*task, *run), lost);
-        }
-        victims
+            let weight = LOSS_WEIGHTS[(priority - 1).min(LOSS_WEIGHTS.len() - 1)];
+            let lost = self.lost_work(now, entry, own.task, own.run);
+            losses.insert((own.task, own.run), lost * weight);
+        }
+        losses
     }
 
-    fn stop_for(
-        &mut self,
+    /// Returns the work that is lost if a run, or the gang that it belongs to, is stopped.
+    fn lost_work(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> f64 {
+        let step = &entry.job.steps[usize::from(task.step)];
+        let members = if step.gang { f64::from(step.tasks) } else { 1.0 };
+        let time = self.lost_time(now, entry, task, run);
+        time.as_secs_f64() * step.demand.cores() * members
+    }
+
+    /// Returns how long it takes to do again what a run loses when it is stopped.
+    fn lost_time(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> Duration {
+        let step = &entry.job.steps[usize::from(task.step)];
+        let elapsed = self.health.elapsed(now, task, run).unwrap_or_default();
+        if step.saves {
+            elapsed.min(self.bounds.checkpoint)
+        } else {
+            elapsed
+        }
+    }
+
+    /// Returns seats for all waiting tasks where the least is lost, and what that is.
+    fn cheapest(&self, floor: &Floor, want: &Want, losses: &Losses) -> Option<(Vec<Seat>, f64)> {
+        let all: Vec<usize> = (0..floor.slots.len()).collect();
+        if !one_rack(want, floor) {
+            return self.cheapest_within(floor, want, losses, &all);
+        }
+        place::racks(want, floor)
+            .into_values()
+            .filter_map(|slots| self.cheapest_within(floor, want, losses, &slots))
+            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+
+    fn cheapest_within(
+        &self,
         floor: &Floor,
-        number: usize,
-        demand: Demand,
-        victims: &BTreeMap<(Task, Run), f64>,
         want: &Want,
-        plan: &mut Plan,
-    ) {
-        let slot = &floor.slots[number];
-        let mut free = slot.free;
-        for own in &slot.occupants {
-            if self.stopping.contains(&(own.task, own.run)) {
-                free = free.plus(&own.demand);
-            }
+        losses: &Losses,
+        slots: &[usize],
+    ) -> Option<(Vec<Seat>, f64)> {
+        let mut taken: BTreeMap<usize, (u64, f64)> = BTreeMap::new();
+        let mut seats = Vec::new();
+        for index in &want.waiting {
+            let best = slots
+                .iter()
+                .filter(|number| want.allows(&floor.slots[**number]))
+                .filter_map(|number| {
+                    let (tasks, cost) = taken.get(number).copied().unwrap_or_default();
+                    let slot = &floor.slots[*number];
+                    if want.step.per_worker > 0 && tasks >= u64::from(want.step.per_worker) {
+                        return None;
+                    }
+                    let demand = want.step.demand.times(tasks + 1);
+                    let stops = self.stops(slot, &demand, losses)?;
+                    let new: f64 = stops.iter().map(|key| losses[key]).sum();
+                    Some((*number, tasks + 1, new, new - cost))
+                })
+                .min_by(|(_, _, _, a), (_, _, _, b)| a.total_cmp(b));
+            let (number, tasks, cost, _) = best?;
+            taken.insert(number, (tasks, cost));
+            seats.push((*index, number));
         }
+        let cost = taken.values().map(|(_, cost)| cost).sum();
+        Some((seats, cost))
+    }
+
+    /// Returns the runs to stop on a worker so that a demand fits, those with the least loss; `None`
+    /// if it does not fit whatever is stopped.
+    fn stops(&self, slot: &Slot, demand: &Demand, losses: &Losses) -> Option<Vec<(Task, Run)>> {
+        let mut free = slot
+            .occupants
+            .iter()
+            .filter(|own| self.is_stopping(own))
+            .fold(slot.free, |free, own| free.plus(&own.demand));
         let mut candidates: Vec<(&Occupant, f64)> = slot
             .occupants
             .iter()
-            .filter(|own| !self.stopping.contains(&(own.task, own.run)))
-            .filter_map(|own| Some((own, *victims.get(&(own.task, own.run))?)))
+            .filter_map(|own| Some((own, *losses.get(&(own.task, own.run))?)))
             .collect();
         candidates.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+        let mut chosen: Vec<&Occupant> = Vec::new();
         for (own, _) in candidates {
             if demand.fits(&free) {
-                return;
+                break;
             }
             free = free.plus(&own.demand);
-            self.stopping.insert((own.task, own.run));
-            plan.decisions.push(Decision::Preempted {
-                task: own.task,
-                run: own.run,
-                by: want.job,
-            });
+            chosen.push(own);
+        }
+        if !demand.fits(&free) {
+            return None;
+        }
+        // A later, larger run may make the stop of an earlier one needless.
+        let mut needed = BTreeSet::new();
+        for own in chosen.iter().rev() {
+            let without = free.minus(&own.demand);
+            if demand.fits(&without) {
+                free = without;
+            } else {
+                needed.insert((own.task, own.run));
+            }
         }
+        Some(needed.into_iter().collect())
     }
 
     /// Stops runs that stand still and gangs that don't come together.
     pub(super) fn unstick(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stop = Vec::new();
         for (job, entry, progress) in draft.open() {
-            for (step, index, placed, _) in progress.placed() {
+            for (step, index, placed, life) in progress.placed() {
                 let task = Task { job, step, index };
-                let still = self.health.still(now, task, placed.run);
-                let content = &entry.job.steps[usize::from(step)];
-                let gathering = content.gang
-                    && self.health.percent(task, placed.run) == 0
-                    && still > GATHERING;
-                let stuck = still > STUCK.max(content.estimate / 3);
-                if (gathering || stuck) && !self.stopping.contains(&(task, placed.run)) {
+                let still = self.standing(now, entry, task, placed.run, life);
+                if let Some(still) = still
+                    && !self.stopping.contains(&(task, placed.run))
+                {
                     stop.push((task, placed.run, still));
                 }
             }
@@ -132,36 +282,47 @@
     }
 }
 
-/// Returns seats for all waiting tasks if the victims were stopped.
-fn seats_with(
-    want: &Want,
-    floor: &Floor,
-    victims: &BTreeMap<(Task, Run), f64>,
-) -> Option<Vec<Seat>> {
-    let freed = |slot: &Slot| {
-        slot.occupants
-            .iter()
-            .filter(|own| victims.contains_key(&(own.task, own.run)))
-            .fold(slot.free, |free, own| free.plus(&own.demand))
-    };
-    let cost = |seats: &[Seat]| -> f64 {
-        let used: BTreeSet<usize> = seats.iter().map(|(_, slot)| *slot).collect();
-        used.iter()
-            .flat_map(|number| &floor.slots[*number].occupants)
-            .filter_map(|own| victims.get(&(own.task, own.run)))
-            .sum()
-    };
-    let all: Vec<usize> = (0..floor.slots.len()).collect();
-    let within = |slots: &[usize]| place::seat_within(want, floor, slots, freed);
-    let seats = if want.step.gang && want.step.one_rack && place::rack_could_hold(want, floor) {
-        place::racks(want, floor)
-            .into_values()
-            .map(|slots| within(&slots))
-            .filter(|seats| !seats.is_empty())
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)))
-            .unwrap_or_default()
-    } else {
-        within(&all)
-    };
-    (!seats.is_empty()).then_some(seats)
+impl Planner {
+    /// Returns for how long a run has stood still, if it is better stopped and started elsewhere.
+    ///
+    /// Nobody knows how long a standstill will last, so a run waits for as long as it takes to do its
+    /// lost work again.
+    fn standing(
+        &self,
+        now: Duration,
+        entry: &Entry,
+        task: Task,
+        run: Run,
+        life: &Life,
+    ) -> Option<Duration> {
+        let step = &entry.job.steps[usize::from(task.step)];
+        let elapsed = self.health.elapsed(now, task, run)?;
+        if step.gang && !self.health.was_whole(task, run) {
+            return (elapsed > GATHERING).then_some(elapsed);
+        }
+        let lost = self.lost_time(now, entry, task, run);
+        let still = match self.health.still(now, task, run) {
+            Some(still) => still,
+            // Its progress is not shown; that of others on the worker may be.
+            None => self.health.standstill(now, &life.host)?.min(elapsed),
+        };
+        let done = lost.saturating_sub(still);
+        if still > STUCK + done {
+            return Some(still);
+        }
+        let overdue = step.estimate * OVERDUE_TIMES + OVERDUE_LEAST;
+        (elapsed > overdue && !step.saves).then_some(elapsed)
+    }
+}
+
+fn one_rack(want: &Want, floor: &Floor) -> bool {
+    want.step.gang && want.step.one_rack && place::rack_could_hold(want, floor)
+}
+
+/// Keeps the room of some seats from jobs that come later.
+fn keep(floor: &mut Floor, want: &Want, seats: &[Seat]) {
+    for (_, number) in seats {
+        let slot = &mut floor.slots[*number];
+        slot.free = slot.free.minus(&want.step.demand);
+    }
 }
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -21,8 +21,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest wait of a look for an end, while something runs.
-const WATCH: Duration = Duration::from_millis(1_000);
+/// Longest wait of a look for an end, while something runs. Bounds the age of the progress that the
+/// decider sees.
+const WATCH: Duration = Duration::from_millis(500);
 /// Longest wait of a look for an end, while nothing runs.
 const IDLE_WATCH: Duration = Duration::from_millis(2_000);
 /// Pause between looks while ends wait to be recorded.
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -4,7 +4,7 @@
 //! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
 //! whose place was taken records nothing.
 
-use super::{Decider, Entry, entries, report};
+use super::{Decider, Entry, entries, probe, report};
 use crate::batch::log::{AppendError, Fence, Item, Log};
 use crate::batch::wall_millis;
 use godwitstep_batch::bounds::{RENEWAL, VOICE};
@@ -40,6 +40,7 @@
     pub(super) async fn decide(&self) {
         loop {
             let version = self.changes.version();
+            self.ask_decider().await;
             if self.should_claim() {
                 if let Some(epoch) = self.take_claim().await {
                     let down = self.preside(epoch).await;
@@ -51,12 +52,30 @@
         }
     }
 
+    /// Asks a decider that has been silent whether it still decides.
+    async fn ask_decider(&self) {
+        let now = self.clock.now();
+        let (claim, suspected) = {
+            let state = self.state.borrow();
+            let age = age(state.records_read, now);
+            let claim = state.ledger.claim().filter(|claim| !claim.released).cloned();
+            (claim, state.watch.suspects(now, age))
+        };
+        let Some(claim) = claim.filter(|_| suspected) else {
+            return;
+        };
+        let own = claim.host == self.settings.host;
+        let vacant = own || probe::vacant(claim.address, claim.epoch).await;
+        if vacant {
+            tracing::info!(epoch = claim.epoch, host = %claim.host, "the decider decides no more");
+            self.state.borrow_mut().watch.vacant(claim.epoch);
+        }
+    }
+
     fn should_claim(&self) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let age = state
-            .records_read
-            .map_or(Duration::MAX, |read| now.saturating_sub(read));
+        let age = age(state.records_read, now);
         let configured = state.operator.policy().is_some();
         let claim = state.ledger.claim().cloned();
         let due = state.watch.should_claim(now, claim.as_ref(), age);
@@ -249,6 +268,11 @@
     }
 }
 
+/// Returns the age of a view whose newest read was sent at a time.
+fn age(read: Option<Duration>, now: Duration) -> Duration {
+    read.map_or(Duration::MAX, |read| now.saturating_sub(read))
+}
+
 fn item(record: &Record) -> Item {
     Item {
         key: record.key(),
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,10 +1,11 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, State, entries};
+use super::{Decider, Entry, State, entries, probe};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
 use godwitstep_batch::bounds::VOICE;
+use godwitstep_batch::id::Epoch;
 use godwitstep_batch::message::{self, Directive, Reply, Report};
 use godwitstep_batch::planner::Orders;
 use godwitstep_batch::policy::Policy;
@@ -26,6 +27,9 @@
 impl<L: Log> Entry<L> {
     /// Serves one exchange with an agent.
     pub async fn serve_agent(&self, request: Request<Incoming>) -> Response<http::Body> {
+        if request.uri().path() == probe::PATH {
+            return Response::new(http::full(self.voiced_epoch().to_string()));
+        }
         let body = match http::read(request.into_body(), MAX_REPORT, READ_TIME).await {
             Ok(body) => body,
             Err(error) => return bad_request(&error),
@@ -36,6 +40,16 @@
         }
     }
 
+    /// Returns the epoch under which this entry decides, 0 if it does not.
+    fn voiced_epoch(&self) -> Epoch {
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let decider = state.decider.as_ref();
+        decider
+            .filter(|decider| decider.has_voice(now))
+            .map_or(0, |decider| decider.planner.epoch())
+    }
+
     /// Takes a report and answers it.
     pub async fn report(&self, report: Report) -> Reply {
         let host = report.host.clone();
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -10,6 +10,7 @@
 use godwitstep_batch::record::Record;
 use smol::Timer;
 use smol::future::FutureExt;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Pause after an append that the log refused.
@@ -41,6 +42,7 @@
     /// Accepts a job: stores it, within `time`. The same name is always one job.
     pub async fn submit(&self, job: Job, time: Duration) -> Verdict {
         let id = job.id;
+        let about = About::of(&job);
         if self.status(id).is_some() {
             return Verdict::Stored;
         }
@@ -50,7 +52,7 @@
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
         let verdict = verdict.await;
-        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, "submission answered");
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %about.queue, priority = about.priority, workspace = %about.workspace, steps = about.steps, tasks = about.tasks, gang = about.gang, chain_ms = about.chain.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => name(verdict)).increment(1);
         verdict
     }
@@ -125,6 +127,31 @@
     }
 }
 
+/// What the log line of a submission tells of the job.
+struct About {
+    queue: Arc<str>,
+    priority: u8,
+    workspace: Arc<str>,
+    steps: usize,
+    tasks: u32,
+    gang: bool,
+    chain: Duration,
+}
+
+impl About {
+    fn of(job: &Job) -> Self {
+        Self {
+            queue: job.queue.name.clone(),
+            priority: job.queue.priority,
+            workspace: job.workspace.clone().unwrap_or_else(|| "".into()),
+            steps: job.steps.len(),
+            tasks: job.steps.iter().map(|step| u32::from(step.tasks)).sum(),
+            gang: job.steps.iter().any(|step| step.gang),
+            chain: job.chain(),
+        }
+    }
+}
+
 const fn name(verdict: Verdict) -> &'static str {
     match verdict {
         Verdict::Stored => "stored",
