--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -13,8 +13,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Times its objective after which an answer is worth nothing.
-const WORTHLESS: u32 = 3;
+/// Times its objective after which an answer counts as worth nothing. Objectives follow from
+/// estimates here, which may be half of the true length.
+const WORTHLESS: u32 = 5;
 
 /// Place of a job in the order; the least comes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -24,17 +24,22 @@
 /// Time after which a gang whose members have not all begun is called back. Below the time after
 /// which its members give up by themselves.
 const GATHERING: Duration = Duration::from_millis(2_200);
-/// Times its estimate after which a run whose progress is not shown counts as stuck, beyond
-/// [`OVERDUE_LEAST`].
-const OVERDUE_TIMES: u32 = 4;
-/// Least time before a run whose progress is not shown counts as stuck.
-const OVERDUE_LEAST: Duration = Duration::from_secs(4);
 /// Weight of lost work of the queues after the first.
-const LOSS_WEIGHTS: [f64; 2] = [2.0, 1.0];
+const LOSS_WEIGHTS: [f64; 2] = [3.0, 1.0];
 
 /// Work that is lost by stopping each run. Unit: core-seconds, weighed by priority.
 type Losses = BTreeMap<(Task, Run), f64>;
 
+/// A seat that others have to be stopped for.
+struct Costly {
+    /// Number of the task in its step.
+    index: u16,
+    /// Number of the slot.
+    slot: usize,
+    /// What is lost beyond the cost of the seats before it.
+    cost: f64,
+}
+
 impl Planner {
     /// Finds room for a job that must not wait, and keeps it.
     #[allow(clippy::too_many_arguments)]
@@ -59,20 +64,12 @@
             return;
         }
         let losses = self.losses(now, draft, floor, want);
-        let limit = if urgency.unclaimed {
-            entry.job.work()
-        } else {
-            f64::INFINITY
-        };
-        let Some((seats, cost)) = self.cheapest(floor, want, &losses) else {
-            return;
-        };
-        if cost > limit {
-            return;
-        }
+        let own = want.step.estimate.as_secs_f64() * want.step.demand.cores();
+        let limit = if urgency.unclaimed { own } else { f64::INFINITY };
+        let seats = self.cheapest(floor, want, &losses);
         let mut needed: BTreeMap<usize, u64> = BTreeMap::new();
-        for (_, slot) in &seats {
-            *needed.entry(*slot).or_default() += 1;
+        for seat in worth_it(want, &seats, limit) {
+            *needed.entry(seat.slot).or_default() += 1;
         }
         for (number, tasks) in needed {
             let demand = want.step.demand.times(tasks);
@@ -87,6 +84,7 @@
                 });
             }
         }
+        let seats: Vec<Seat> = seats.iter().map(|seat| (seat.index, seat.slot)).collect();
         keep(floor, want, &seats);
     }
 
@@ -178,16 +176,19 @@
         }
     }
 
-    /// Returns seats for all waiting tasks where the least is lost, and what that is.
-    fn cheapest(&self, floor: &Floor, want: &Want, losses: &Losses) -> Option<(Vec<Seat>, f64)> {
+    /// Returns seats where the least is lost: for all members of a gang, or none; for as many
+    /// independent tasks as there could be room for.
+    fn cheapest(&self, floor: &Floor, want: &Want, losses: &Losses) -> Vec<Costly> {
         let all: Vec<usize> = (0..floor.slots.len()).collect();
         if !one_rack(want, floor) {
             return self.cheapest_within(floor, want, losses, &all);
         }
         place::racks(want, floor)
             .into_values()
-            .filter_map(|slots| self.cheapest_within(floor, want, losses, &slots))
-            .min_by(|(_, a), (_, b)| a.total_cmp(b))
+            .map(|slots| self.cheapest_within(floor, want, losses, &slots))
+            .filter(|seats| !seats.is_empty())
+            .min_by(|a, b| total(a).total_cmp(&total(b)))
+            .unwrap_or_default()
     }
 
     fn cheapest_within(
@@ -196,7 +197,7 @@
         want: &Want,
         losses: &Losses,
         slots: &[usize],
-    ) -> Option<(Vec<Seat>, f64)> {
+    ) -> Vec<Costly> {
         let mut taken: BTreeMap<usize, (u64, f64)> = BTreeMap::new();
         let mut seats = Vec::new();
         for index in &want.waiting {
@@ -215,12 +216,20 @@
                     Some((*number, tasks + 1, new, new - cost))
                 })
                 .min_by(|(_, _, _, a), (_, _, _, b)| a.total_cmp(b));
-            let (number, tasks, cost, _) = best?;
-            taken.insert(number, (tasks, cost));
-            seats.push((*index, number));
+            let Some((slot, tasks, whole, cost)) = best else {
+                break;
+            };
+            taken.insert(slot, (tasks, whole));
+            seats.push(Costly {
+                index: *index,
+                slot,
+                cost,
+            });
+        }
+        if want.step.gang && seats.len() < want.waiting.len() {
+            seats.clear();
         }
-        let cost = taken.values().map(|(_, cost)| cost).sum();
-        Some((seats, cost))
+        seats
     }
 
     /// Returns the runs to stop on a worker so that a demand fits, those with the least loss; `None`
@@ -307,14 +316,28 @@
             None => self.health.standstill(now, &life.host)?.min(elapsed),
         };
         let done = lost.saturating_sub(still);
-        if still > STUCK + done {
-            return Some(still);
-        }
-        let overdue = step.estimate * OVERDUE_TIMES + OVERDUE_LEAST;
-        (elapsed > overdue && !step.saves).then_some(elapsed)
+        (still > STUCK + done).then_some(still)
     }
 }
 
+/// Returns the seats that are worth their cost, given the limit for one task.
+fn worth_it<'a>(want: &Want, seats: &'a [Costly], limit: f64) -> Vec<&'a Costly> {
+    if !want.step.gang {
+        return seats.iter().filter(|seat| seat.cost <= limit).collect();
+    }
+    #[allow(clippy::cast_precision_loss)] // A gang has few members.
+    let whole = limit * seats.len() as f64;
+    if total(seats) <= whole {
+        seats.iter().collect()
+    } else {
+        Vec::new()
+    }
+}
+
+fn total(seats: &[Costly]) -> f64 {
+    seats.iter().map(|seat| seat.cost).sum()
+}
+
 fn one_rack(want: &Want, floor: &Floor) -> bool {
     want.step.gang && want.step.one_rack && place::rack_could_hold(want, floor)
 }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -22,6 +22,9 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Shortest time between two rounds, so that events that come together are decided on together.
 const GATHER: Duration = Duration::from_millis(5);
+/// Age of its view of the log at which a decider that can still append gives its place up: it would
+/// not hear of new jobs.
+const DEAF: Duration = Duration::from_secs(5);
 /// Pause before an append without an answer is repeated.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -146,6 +149,9 @@
             if self.state.borrow().ledger.epoch() > epoch {
                 return Down::Fenced;
             }
+            if age(self.state.borrow().records_read, self.clock.now()) > DEAF {
+                return Down::Unheard;
+            }
             let records = self.round();
             if let Err(down) = self.record(epoch, records).await {
                 return down;
@@ -204,11 +210,8 @@
                     }
                     metrics::histogram!("godwitstep_decision_append_seconds")
                         .record(self.clock.now().saturating_sub(began));
-                    return if self.caught_up(end, VOICE).await {
-                        Ok(())
-                    } else {
-                        Err(Down::Unheard)
-                    };
+                    self.apply_own(end, items.len(), records);
+                    return Ok(());
                 }
                 Err(AppendError::Fenced) => return Err(Down::Fenced),
                 Err(AppendError::Sequence(reason)) => {
@@ -230,6 +233,16 @@
         }
     }
 
+    /// Applies records that were just stored, ahead of the tail. What others wrote before them is
+    /// not known yet: new jobs and cancellations, which no decision has to be the first to see.
+    fn apply_own(&self, end: Offset, items: usize, records: Vec<Record>) {
+        let first = end.saturating_sub(items as u64);
+        let mut state = self.state.borrow_mut();
+        for (offset, record) in (first..).zip(records) {
+            state.ledger.apply(offset, record);
+        }
+    }
+
     fn next_sequence(&self) -> u64 {
         let mut state = self.state.borrow_mut();
         let Some(decider) = &mut state.decider else {
