feat(batch): keep room for jobs that wait for many workers

Change: up to three blocked jobs keep room where they can start first; tasks that end before may use it.

--- a/crates/godwitstep-batch/src/demand.rs
+++ b/crates/godwitstep-batch/src/demand.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Returns the smaller amount in each dimension.
+    #[must_use]
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.min(other.cpu),
+            memory: self.memory.min(other.memory),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the demand of several such tasks.
     #[must_use]
     pub const fn times(&self, tasks: u64) -> Self {
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -24,6 +24,7 @@
 mod order;
 mod place;
 mod preempt;
+mod reserve;
 
 use crate::bounds::{Bounds, VIEW_LIFE};
 use crate::id::{Domain, Epoch, JobId, Life, Run, Task};
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -31,18 +31,50 @@
     pub labels: Vec<Arc<str>>,
     pub room: Demand,
     pub free: Demand,
+    /// Room that is kept for a job that waits.
+    pub reservation: Option<Reservation>,
     /// Whether it gets new tasks.
     pub open: bool,
     pub occupants: Vec<Occupant>,
 }
 
+/// Room that is kept from a time on.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Reservation {
+    /// When the job that waits is expected to start, from now.
+    pub start: Duration,
+    /// What is free from then on beside that job.
+    pub beside: Demand,
+}
+
 impl Slot {
     /// Takes room for a run.
-    pub fn occupy(&mut self, occupant: Occupant) {
-        self.free = self.free.minus(&occupant.demand);
+    pub fn occupy(&mut self, occupant: Occupant, estimate: Duration) {
+        self.take(&occupant.demand, estimate);
         self.occupants.push(occupant);
     }
 
+    /// Takes room for a time.
+    pub fn take(&mut self, demand: &Demand, estimate: Duration) {
+        self.free = self.free.minus(demand);
+        if let Some(reservation) = &mut self.reservation
+            && estimate > reservation.start
+        {
+            reservation.beside = reservation.beside.minus(demand);
+        }
+    }
+
+    /// Returns the room for a task of this length: it may not outlast the start of a job for which
+    /// room is kept, unless there is room beside that.
+    pub fn free_for(&self, estimate: Duration) -> Demand {
+        match &self.reservation {
+            Some(reservation) if estimate > reservation.start => {
+                self.free.least(&reservation.beside)
+            }
+            _ => self.free,
+        }
+    }
+
     /// Tells whether the worker may run tasks of a pool that need a label.
     pub fn serves(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
         self.open && &*self.pool == pool && label.is_none_or(|label| self.labels.contains(label))
@@ -85,11 +117,12 @@
                 let demand = entry.job.steps[usize::from(step)].demand;
                 let task = Task { job, step, index };
                 if let Some(slot) = self.at(life) {
-                    slot.occupy(Occupant {
+                    let occupant = Occupant {
                         task,
                         run: placed.run,
                         demand,
-                    });
+                    };
+                    slot.occupy(occupant, Duration::ZERO);
                 }
             }
         }
@@ -164,6 +197,7 @@
         labels: worker.labels.clone(),
         room: worker.room,
         free: worker.room,
+        reservation: None,
         open,
         occupants: Vec::new(),
     }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -16,6 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Most jobs for which room is kept at a time. Each one costs room that shorter tasks only can use.
+const MAX_RESERVATIONS: usize = 3;
+
 /// A place for one task: the number of the task in its step and the number of the slot.
 pub(super) type Seat = (u16, usize);
 
@@ -39,6 +42,7 @@
         plan: &mut Plan,
     ) {
         let claims = order::claims(draft, orders.policy);
+        let mut reservations = 0;
         let mut queue: Vec<Urgency> = draft
             .open()
             .filter(|(_, entry, progress)| entry.active() && progress.outcome.is_none())
@@ -50,22 +54,29 @@
                 continue;
             };
             for number in ready_steps(entry, draft.progress(urgency.job, entry)) {
-                self.place_step(now, draft, floor, urgency, entry, number, plan);
+                let blocked = self.place_step(now, draft, floor, urgency, entry, number, plan);
+                if let Some(want) = blocked.filter(|_| reservations < MAX_RESERVATIONS)
+                    && urgency.priority > 0
+                    && !urgency.hopeless
+                    && self.reserve(now, draft, floor, &want)
+                {
+                    reservations += 1;
+                }
             }
         }
     }
 
     #[allow(clippy::too_many_arguments)]
-    fn place_step(
+    fn place_step<'e>(
         &mut self,
         now: Duration,
         draft: &mut Draft,
         floor: &mut Floor,
         urgency: Urgency,
-        entry: &Entry,
+        entry: &'e Entry,
         number: u16,
         plan: &mut Plan,
-    ) {
+    ) -> Option<Want<'e>> {
         let job = urgency.job;
         let state = &draft.progress(job, entry).steps[usize::from(number)];
         let want = Want {
@@ -84,11 +95,12 @@
         for (index, slot) in &seats {
             let slot = &mut floor.slots[*slot];
             let run = run(*index);
-            slot.occupy(Occupant {
+            let occupant = Occupant {
                 task: want.task(*index),
                 run,
                 demand: want.step.demand,
-            });
+            };
+            slot.occupy(occupant, want.step.estimate);
             plan.decisions.push(Decision::Placed {
                 task: want.task(*index),
                 run,
@@ -100,6 +112,7 @@
             .iter()
             .map(|(index, slot)| (*index, run(*index), floor.slots[*slot].life.clone()))
             .collect();
+        let mut blocked = None;
         if seats.len() < want.waiting.len() {
             let left: Vec<u16> = want
                 .waiting
@@ -112,6 +125,7 @@
                 ..want
             };
             self.make_room(now, draft, floor, urgency, entry, &want, plan);
+            blocked = Some(want);
         }
         if !placed.is_empty() {
             let step = &mut draft.edit(job).steps[usize::from(number)];
@@ -121,6 +135,7 @@
                 task.state = State::Placed(life);
             }
         }
+        blocked
     }
 }
 
@@ -138,6 +153,11 @@
         slot.serves(self.pool, self.step.label.as_ref())
     }
 
+    /// Returns the room that a worker has for a task of the step.
+    pub fn free(&self, slot: &Slot) -> crate::Demand {
+        slot.free_for(self.step.estimate)
+    }
+
     /// Returns how many more tasks of the step a worker takes.
     pub fn copies(&self, slot: &Slot, free: &crate::Demand) -> u64 {
         let copies = self.step.demand.copies_in(free);
@@ -204,7 +224,7 @@
     for index in &want.waiting {
         let best = (0..)
             .zip(&copy.slots)
-            .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &slot.free) > 0)
+            .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &want.free(slot)) > 0)
             .min_by(|(_, a), (_, b)| {
                 let key = |slot: &Slot| (away(want.step, slot), spare(want, slot));
                 let (a, b) = (key(a), key(b));
@@ -214,11 +234,12 @@
         let Some(number) = best else {
             break;
         };
-        copy.slots[number].occupy(Occupant {
+        let occupant = Occupant {
             task: want.task(*index),
             run: 0,
             demand: want.step.demand,
-        });
+        };
+        copy.slots[number].occupy(occupant, want.step.estimate);
         seats.push((*index, number));
     }
     seats
@@ -238,15 +259,20 @@
         .share_of(&slot.room)
 }
 
+/// Tells whether a step has to run within one rack.
+pub(super) fn one_rack(want: &Want, floor: &Floor) -> bool {
+    want.step.gang && want.step.one_rack && rack_could_hold(want, floor)
+}
+
 /// Seats all tasks of a gang, or none.
 pub(super) fn seat_gang(want: &Want, floor: &Floor) -> Vec<Seat> {
     let all: Vec<usize> = (0..floor.slots.len()).collect();
-    if !want.step.one_rack || !rack_could_hold(want, floor) {
-        return seat_within(want, floor, &all, |slot| slot.free);
+    if !one_rack(want, floor) {
+        return seat_within(want, floor, &all, |slot| want.free(slot));
     }
     racks(want, floor)
         .into_values()
-        .map(|slots| seat_within(want, floor, &slots, |slot| slot.free))
+        .map(|slots| seat_within(want, floor, &slots, |slot| want.free(slot)))
         .filter(|seats| !seats.is_empty())
         .min_by(|a, b| leftover(floor, a).total_cmp(&leftover(floor, b)))
         .unwrap_or_default()
@@ -265,7 +291,7 @@
 
 /// Tells whether some rack could hold the whole gang if it were empty. Workers that are closed for
 /// the moment count: waiting for them beats running slowly.
-pub(super) fn rack_could_hold(want: &Want, floor: &Floor) -> bool {
+fn rack_could_hold(want: &Want, floor: &Floor) -> bool {
     let mut copies: BTreeMap<&Option<Arc<str>>, u64> = BTreeMap::new();
     for slot in &floor.slots {
         if &*slot.pool == want.pool {
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -24,6 +24,8 @@
 /// Time after which a gang whose members have not all begun is called back. Below the time after
 /// which its members give up by themselves.
 const GATHERING: Duration = Duration::from_millis(2_200);
+/// Time that a stop and a new start cost beside the lost work.
+const RESTART: Duration = Duration::from_millis(800);
 /// Weight of lost work of the queues after the first.
 const LOSS_WEIGHTS: [f64; 2] = [3.0, 1.0];
 
@@ -53,7 +55,7 @@
         want: &Want,
         plan: &mut Plan,
     ) {
-        if urgency.priority != 0 || urgency.hopeless {
+        if urgency.priority > 0 || urgency.hopeless {
             return;
         }
         let patience = self.patience(now, entry, urgency);
@@ -108,21 +110,13 @@
         want: &Want,
         time: Duration,
     ) -> Option<Vec<Seat>> {
-        let ends = |own: &Occupant| {
-            let estimate = draft
-                .ledger()
-                .job(own.task.job)
-                .map(|entry| entry.job.steps[usize::from(own.task.step)].estimate)?;
-            let left = self.health.remaining(now, own.task, own.run, estimate);
-            (left <= time).then_some(())
-        };
         let soon = |slot: &Slot| {
             slot.occupants
                 .iter()
-                .filter(|own| ends(own).is_some() || self.is_stopping(own))
+                .filter(|own| self.left(now, draft, own) <= time)
                 .fold(slot.free, |free, own| free.plus(&own.demand))
         };
-        let seats = if one_rack(want, floor) {
+        let seats = if place::one_rack(want, floor) {
             place::racks(want, floor)
                 .into_values()
                 .map(|slots| place::seat_within(want, floor, &slots, soon))
@@ -135,7 +129,7 @@
         (!seats.is_empty()).then_some(seats)
     }
 
-    fn is_stopping(&self, own: &Occupant) -> bool {
+    pub(super) fn is_stopping(&self, own: &Occupant) -> bool {
         self.stopping.contains(&(own.task, own.run))
     }
 
@@ -161,7 +155,7 @@
     fn lost_work(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> f64 {
         let step = &entry.job.steps[usize::from(task.step)];
         let members = if step.gang { f64::from(step.tasks) } else { 1.0 };
-        let time = self.lost_time(now, entry, task, run);
+        let time = self.lost_time(now, entry, task, run) + RESTART;
         time.as_secs_f64() * step.demand.cores() * members
     }
 
@@ -180,7 +174,7 @@
     /// independent tasks as there could be room for.
     fn cheapest(&self, floor: &Floor, want: &Want, losses: &Losses) -> Vec<Costly> {
         let all: Vec<usize> = (0..floor.slots.len()).collect();
-        if !one_rack(want, floor) {
+        if !place::one_rack(want, floor) {
             return self.cheapest_within(floor, want, losses, &all);
         }
         place::racks(want, floor)
@@ -338,14 +332,10 @@
     seats.iter().map(|seat| seat.cost).sum()
 }
 
-fn one_rack(want: &Want, floor: &Floor) -> bool {
-    want.step.gang && want.step.one_rack && place::rack_could_hold(want, floor)
-}
-
 /// Keeps the room of some seats from jobs that come later.
 fn keep(floor: &mut Floor, want: &Want, seats: &[Seat]) {
     for (_, number) in seats {
         let slot = &mut floor.slots[*number];
-        slot.free = slot.free.minus(&want.step.demand);
+        slot.take(&want.step.demand, want.step.estimate);
     }
 }
--- /dev/null
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -0,0 +1,121 @@
+//! Keeping room for a job that waits until enough of it is free at the same time.
+//!
+//! Without that a gang that needs many workers starves behind small jobs, which take each worker as it
+//! becomes free. Room is kept where the job can start first, by the predicted ends of what runs there;
+//! until then others may use it, as long as they end before.
+
+use super::Planner;
+use super::draft::Draft;
+use super::floor::{Floor, Occupant, Reservation, Slot};
+use super::place::{self, Want};
+use crate::demand::Demand;
+use std::time::Duration;
+
+impl Planner {
+    /// Keeps room for the waiting tasks of a step. Returns whether there could be any.
+    pub(super) fn reserve(
+        &self,
+        now: Duration,
+        draft: &Draft,
+        floor: &mut Floor,
+        want: &Want,
+    ) -> bool {
+        let groups: Vec<Vec<usize>> = if place::one_rack(want, floor) {
+            place::racks(want, floor).into_values().collect()
+        } else {
+            vec![(0..floor.slots.len()).collect()]
+        };
+        let best = groups
+            .into_iter()
+            .filter_map(|slots| self.start(now, draft, floor, want, &slots))
+            .min_by_key(|(start, _)| *start);
+        let Some((start, seats)) = best else {
+            return false;
+        };
+        for (number, tasks) in seats {
+            let slot = &mut floor.slots[number];
+            let free = self.free_after(now, draft, slot, start);
+            slot.reservation = Some(Reservation {
+                start,
+                beside: free.minus(&want.step.demand.times(tasks)),
+            });
+        }
+        true
+    }
+
+    /// Returns when all waiting tasks could start on some of the slots, and how many on each.
+    fn start(
+        &self,
+        now: Duration,
+        draft: &Draft,
+        floor: &Floor,
+        want: &Want,
+        slots: &[usize],
+    ) -> Option<(Duration, Vec<(usize, u64)>)> {
+        let mut seats: Vec<(Duration, usize)> = Vec::new();
+        for &number in slots {
+            let slot = &floor.slots[number];
+            if !want.allows(slot) || slot.reservation.is_some() {
+                continue;
+            }
+            let waits = self.waits(now, draft, slot, want);
+            seats.extend(waits.into_iter().map(|wait| (wait, number)));
+        }
+        seats.sort_unstable();
+        let needed = want.waiting.len();
+        let (start, _) = *seats.get(needed.checked_sub(1)?)?;
+        let mut counts: Vec<(usize, u64)> = Vec::new();
+        for (_, number) in seats.into_iter().take(needed) {
+            match counts.iter_mut().find(|(own, _)| *own == number) {
+                Some((_, count)) => *count += 1,
+                None => counts.push((number, 1)),
+            }
+        }
+        Some((start, counts))
+    }
+
+    /// Returns after which times a slot has room for one, two and more tasks of a step.
+    fn waits(&self, now: Duration, draft: &Draft, slot: &Slot, want: &Want) -> Vec<Duration> {
+        let mut ends: Vec<(Duration, Demand)> = slot
+            .occupants
+            .iter()
+            .map(|own| (self.left(now, draft, own), own.demand))
+            .collect();
+        ends.sort_unstable_by_key(|(end, _)| *end);
+        let mut waits = Vec::new();
+        let mut free = slot.free;
+        let mut note = |free: &Demand, wait: Duration| {
+            let copies = want.copies(slot, free).min(want.waiting.len() as u64);
+            while (waits.len() as u64) < copies {
+                waits.push(wait);
+            }
+        };
+        note(&free, Duration::ZERO);
+        for (end, demand) in ends {
+            free = free.plus(&demand);
+            note(&free, end);
+        }
+        waits
+    }
+
+    /// Returns what is free on a slot after a time.
+    fn free_after(&self, now: Duration, draft: &Draft, slot: &Slot, time: Duration) -> Demand {
+        slot.occupants
+            .iter()
+            .filter(|own| self.left(now, draft, own) <= time)
+            .fold(slot.free, |free, own| free.plus(&own.demand))
+    }
+
+    /// Returns how long a run is expected to stay.
+    pub(super) fn left(&self, now: Duration, draft: &Draft, own: &Occupant) -> Duration {
+        if self.is_stopping(own) {
+            return self.bounds.stop;
+        }
+        let estimate = draft
+            .ledger()
+            .job(own.task.job)
+            .map(|entry| entry.job.steps[usize::from(own.task.step)].estimate)
+            .unwrap_or_default();
+        self.health.remaining(now, own.task, own.run, estimate)
+    }
+}
