--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -22,6 +22,8 @@
 
 /// Span over which the rate of a run is taken.
 const RATE_SPAN: Duration = Duration::from_millis(1_000);
+/// Progress at which a member of a gang waits for the others. Unit: percent.
+const ALL_DONE: u8 = 99;
 /// Least progress of a run from which its end is predicted. Unit: percent.
 const PREDICTABLE: u8 = 4;
 /// Part of its estimate that a run without known progress is taken to need at least.
@@ -152,14 +154,14 @@
     /// Tells whether a run is much slower than its estimate, if that is known yet.
     pub fn slow(&self, task: Task, run: Run, estimate: Duration) -> Option<bool> {
         let course = self.runs.get(&(task, run))?;
-        let rate = course.rate.filter(|_| course.percent > 0)?;
+        let rate = course.rate.filter(|_| course.moves())?;
         Some(rate / 100.0 * estimate.as_secs_f64() < SLOW)
     }
 
     /// Returns for how long a run has made no progress, if its progress is known.
     pub fn still(&self, now: Duration, task: Task, run: Run) -> Option<Duration> {
         let course = self.runs.get(&(task, run))?;
-        (course.percent > 0).then(|| now.saturating_sub(course.moved))
+        course.moves().then(|| now.saturating_sub(course.moved))
     }
 
     /// Returns the time since a run was first listed.
@@ -189,7 +191,7 @@
     pub fn standstill(&self, now: Duration, host: &str) -> Option<Duration> {
         self.runs
             .values()
-            .filter(|course| &*course.host == host && course.percent > 0)
+            .filter(|course| &*course.host == host && course.moves())
             .map(|course| now.saturating_sub(course.moved))
             .min()
     }
@@ -207,6 +209,14 @@
     }
 }
 
+impl Course {
+    /// Tells whether progress is to be expected: it is shown for tasks that save it, and a member of
+    /// a gang that has done its work waits for the others.
+    const fn moves(&self) -> bool {
+        self.percent > 0 && self.percent < ALL_DONE
+    }
+}
+
 impl Conduct {
     fn punish(&mut self, now: Duration) {
         if self.until > now {
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -304,16 +304,29 @@
             return (elapsed > GATHERING).then_some(elapsed);
         }
         let lost = self.lost_time(now, entry, task, run);
-        let still = match self.health.still(now, task, run) {
-            Some(still) => still,
+        let still = if step.gang {
+            // Its members move together.
+            self.gang_still(now, entry, task, run)?
+        } else if let Some(still) = self.health.still(now, task, run) {
+            still
+        } else {
             // Its progress is not shown; that of others on the worker may be.
-            None => self.health.standstill(now, &life.host)?.min(elapsed),
+            self.health.standstill(now, &life.host)?.min(elapsed)
         };
         let done = lost.saturating_sub(still);
         (still > STUCK + done).then_some(still)
     }
 }
 
+impl Planner {
+    /// Returns for how long no member of a gang has moved, if the progress of any is known.
+    fn gang_still(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> Option<Duration> {
+        (0..entry.job.steps[usize::from(task.step)].tasks)
+            .filter_map(|index| self.health.still(now, Task { index, ..task }, run))
+            .min()
+    }
+}
+
 /// Returns the seats that are worth their cost, given the limit for one task.
 fn worth_it<'a>(want: &Want, seats: &'a [Costly], limit: f64) -> Vec<&'a Costly> {
     if !want.step.gang {
