--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -34,6 +34,11 @@
 /// Longest delay of this entry's claims beyond the shortest silence of a decider.
 const CLAIM_SPREAD: Duration = Duration::from_millis(500);
 
+/// Pause between two reads of the records by the decider. Its own records come back in each.
+const DECIDER_PAUSE: Duration = Duration::from_millis(5);
+/// Pause between two reads of the records by other entries. Each read is paid for.
+const FOLLOWER_PAUSE: Duration = Duration::from_millis(250);
+
 /// Reads a record of the operators' stream: from its key and value, an empty one for a deletion.
 /// `None` stands for a record that means nothing here.
 pub type ReadOrder = fn(&Item) -> Result<Option<Order>, String>;
@@ -128,12 +133,14 @@
         let entry = self.clone();
         let records = async move {
             let take = |event| entry.take_record(event);
-            follow::follow(&entry.log, Stream::Records, &entry.clock, take).await;
+            let pause = || entry.pause();
+            follow::follow(&entry.log, Stream::Records, &entry.clock, pause, take).await;
         };
         let entry = self.clone();
         let operator = async move {
             let take = |event| entry.take_order(event);
-            follow::follow(&entry.log, Stream::Operator, &entry.clock, take).await;
+            let pause = || Duration::ZERO;
+            follow::follow(&entry.log, Stream::Operator, &entry.clock, pause, take).await;
         };
         let entry = self.clone();
         let writing = async move { entry.writer.run(&entry.log, &entry.clock).await };
@@ -148,6 +155,12 @@
         tasks.run(std::future::pending::<()>()).await;
     }
 
+    /// Returns the pause between two reads of the records: decisions rest on new ones, while callers
+    /// may be told of a job's state a little later.
+    fn pause(&self) -> Duration {
+        if self.decides() { DECIDER_PAUSE } else { FOLLOWER_PAUSE }
+    }
+
     fn take_record(&self, event: Event) {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
--- a/crates/godwitstep/src/batch/follow.rs
+++ b/crates/godwitstep/src/batch/follow.rs
@@ -32,11 +32,12 @@
     },
 }
 
-/// Follows a stream for good.
+/// Follows a stream for good, with a pause between reads that gathers records for one read.
 pub(super) async fn follow<L: Log>(
     log: &L,
     stream: Stream,
     clock: &SharedClock,
+    pause_between: impl Fn() -> Duration,
     mut deliver: impl FnMut(Event),
 ) {
     let mut next: Option<Offset> = None;
@@ -59,6 +60,7 @@
                     deliver(Event::Fresh { end, sent });
                 }
                 next = Some(offset);
+                Timer::after(pause_between()).await;
             }
             Err(ReadError::Expired { start }) => {
                 tracing::warn!(stream = stream.name(), start, "tail expired; reading newest records");
