--- a/crates/godwitstep/src/telemetry.rs
+++ b/crates/godwitstep/src/telemetry.rs
@@ -9,6 +9,8 @@
 //! # Ok::<(), telemetry::Error>(())
 //! ```
 
+mod sink;
+
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
 use serde::Deserialize;
 use std::io::IsTerminal;
@@ -89,6 +91,22 @@
     result.map_err(|_| Error::Taken("diagnostic messages"))
 }
 
+/// Starts writing structured messages to standard output, bounded in their number and without ever
+/// waiting for their reader.
+///
+/// # Errors
+///
+/// Returns an error if messages are written by another subscriber already.
+pub fn start_bounded(level: Level) -> Result<(), Error> {
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::new(level.directive()))
+        .with_writer(sink::Sink::new())
+        .json()
+        .flatten_event(true)
+        .try_init()
+        .map_err(|_| Error::Taken("diagnostic messages"))
+}
+
 /// Returns the handle that renders this process's metrics, and records metrics from the first call
 /// on.
 ///
