feat(batch): a decider whose host is silent is replaced after 1.2 s

Change: renewals every 0.5 s, an entry asks a silent decider's process after 0.9 s and claims at 1.2 s if there is no answer; entries hold an agent's question until a new decider is known.

--- a/crates/godwitstep-batch/src/bounds.rs
+++ b/crates/godwitstep-batch/src/bounds.rs
@@ -22,10 +22,13 @@
 /// Time after the sending of its last stored renewal for which a decider answers agents.
 pub const VOICE: Duration = Duration::from_millis(2_500);
 /// Time between two renewals of a claim by a decider that has nothing else to record.
-pub const RENEWAL: Duration = Duration::from_millis(900);
-/// Silence of a decider after which an entry that reads the log claims its place. Above
-/// [`RENEWAL`] by the time that a slow append and its reading take.
+pub const RENEWAL: Duration = Duration::from_millis(500);
+/// Silence of a decider whose process still answers after which an entry that reads the log claims its
+/// place: it may be cut from the log, or the log may be slow. Above [`RENEWAL`] by the time that a slow
+/// append and its reading take.
 pub const SILENCE: Duration = Duration::from_millis(2_500);
+/// Silence after which an entry claims the place of a decider whose process does not answer either.
+pub const HOST_SILENCE: Duration = Duration::from_millis(1_200);
 /// Time for which an agent keeps its worker's tasks alive without an answer of a decider. Covers
 /// the take-over of a dead decider and a cut of a few seconds.
 pub const COAST: Duration = Duration::from_millis(6_500);
--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -15,7 +15,7 @@
 //! assert!(claim::next(7, 3) > 7);
 //! ```
 
-use crate::bounds::{RENEWAL, SILENCE};
+use crate::bounds::{HOST_SILENCE, RENEWAL, SILENCE};
 use crate::id::Epoch;
 use crate::record::Claim;
 use std::time::Duration;
@@ -24,7 +24,9 @@
 const FRESH: Duration = Duration::from_millis(1_300);
 /// Silence of a decider after which an entry asks its process whether it still decides. Above
 /// [`RENEWAL`] by the time of a slow append.
-const SUSPICION: Duration = RENEWAL.saturating_add(Duration::from_millis(350));
+const SUSPICION: Duration = RENEWAL.saturating_add(Duration::from_millis(400));
+/// Part of its delay that an entry waits before it takes a place that was given up.
+const EAGERNESS: u32 = 5;
 /// Bits of an epoch that tell claimants of the same moment apart.
 const CLAIMANT_BITS: u32 = 20;
 
@@ -45,6 +47,8 @@
     heard: Option<Duration>,
     /// Epoch of a claim whose process is known to decide no more.
     vacant: Option<Epoch>,
+    /// When the decider's process last gave no answer.
+    unanswered: Option<Duration>,
 }
 
 impl Watch {
@@ -55,6 +59,7 @@
             delay,
             heard: None,
             vacant: None,
+            unanswered: None,
         }
     }
 
@@ -68,6 +73,11 @@
         self.vacant = Some(epoch);
     }
 
+    /// Notes that the process behind a claim gave no answer.
+    pub const fn unanswered(&mut self, now: Duration) {
+        self.unanswered = Some(now);
+    }
+
     /// Tells whether to ask the decider's process if it still decides. A process that has just
     /// started has not heard of the decider and asks at once.
     #[must_use]
@@ -86,8 +96,12 @@
         }
         let heard = *self.heard.get_or_insert(now);
         let silence = match claim {
-            Some(claim) if claim.released => Duration::ZERO,
+            Some(claim) if claim.released => {
+                return now.saturating_sub(heard) >= self.delay / EAGERNESS;
+            }
             Some(claim) if self.vacant == Some(claim.epoch) => return true,
+            // Silence since the decider was last heard of, in the log and by its process.
+            Some(_) if self.unanswered.is_some_and(|at| at > heard) => HOST_SILENCE,
             Some(_) => SILENCE,
             None => Duration::ZERO,
         };
--- a/crates/godwitstep-batch/tests/claim.rs
+++ b/crates/godwitstep-batch/tests/claim.rs
@@ -1,6 +1,6 @@
 //! Taking the place of a decider.
 
-use godwitstep_batch::bounds::SILENCE;
+use godwitstep_batch::bounds::{HOST_SILENCE, SILENCE};
 use godwitstep_batch::claim::Watch;
 use godwitstep_batch::record::Claim;
 use std::time::Duration;
@@ -82,3 +82,39 @@
     let at = claims_at(&mut watch, &claim(true), |_| READ_WAIT).expect("the place is claimed");
     assert!(at <= Duration::from_millis(100), "claimed after {at:?}");
 }
+
+/// Guards against a long wait for a decider whose host is gone: it says nothing in the log, and its
+/// process does not answer.
+#[test]
+fn a_decider_that_does_not_answer_either_is_replaced_sooner() {
+    let delay = Duration::from_millis(200);
+    let mut watch = Watch::new(delay);
+    watch.heard(Duration::ZERO);
+    assert!(!watch.suspects(Duration::from_millis(500), READ_WAIT));
+    assert!(watch.suspects(Duration::from_secs(1), READ_WAIT));
+    watch.unanswered(Duration::from_secs(1));
+    let claims = |watch: &mut Watch, now| watch.should_claim(now, Some(&claim(false)), READ_WAIT);
+    let early = HOST_SILENCE + Duration::from_millis(100);
+    assert!(!claims(&mut watch, early));
+    assert!(claims(&mut watch, HOST_SILENCE + delay));
+}
+
+/// Guards against a claim for an old silence after the decider was heard of again.
+#[test]
+fn a_decider_that_is_heard_again_keeps_its_place() {
+    let mut watch = Watch::new(Duration::ZERO);
+    watch.heard(Duration::ZERO);
+    watch.unanswered(Duration::from_secs(1));
+    watch.heard(Duration::from_millis(1_100));
+    let now = Duration::from_millis(1_100) + HOST_SILENCE;
+    assert!(!watch.should_claim(now, Some(&claim(false)), READ_WAIT));
+}
+
+/// Guards against a wait for a decider that has started again and does not decide.
+#[test]
+fn a_vacant_place_is_claimed_at_once() {
+    let mut watch = Watch::new(Duration::from_secs(1));
+    watch.heard(Duration::ZERO);
+    watch.vacant(claim(false).epoch);
+    assert!(watch.should_claim(Duration::from_millis(100), Some(&claim(false)), READ_WAIT));
+}
--- a/crates/godwitstep/src/batch/agent/decider.rs
+++ b/crates/godwitstep/src/batch/agent/decider.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// Longest exchange, of which the decider may wait 500 ms.
-const EXCHANGE: Duration = Duration::from_millis(1_200);
+const EXCHANGE: Duration = Duration::from_millis(900);
 /// Pages of newest records that are searched for a claim. Claims come first in the order of keys.
 const CLAIM_PAGES: usize = 2;
 /// Path that takes reports.
@@ -32,6 +32,8 @@
     asked: usize,
     clients: BTreeMap<SocketAddr, Rc<Client>>,
     lost: bool,
+    /// Epoch of the decider that did not answer. It is not asked again before all entries were.
+    failed: Epoch,
 }
 
 impl Contact {
@@ -49,6 +51,7 @@
             asked: usize::MAX,
             clients: BTreeMap::new(),
             lost: false,
+            failed: 0,
         }
     }
 
@@ -71,10 +74,9 @@
 
     pub fn elsewhere(&mut self, address: SocketAddr, decider: Option<(Epoch, SocketAddr)>) {
         let newer = decider.filter(|(epoch, other)| {
-            *other != address
-                && self
-                    .decider
-                    .is_none_or(|(known, own)| *epoch > known || own == address)
+            let known = self.decider;
+            let newer = known.is_none_or(|(own, at)| *epoch > own || at == address);
+            newer && *other != address && *epoch != self.failed
         });
         match newer {
             Some(decider) => self.decider = Some(decider),
@@ -88,6 +90,9 @@
             tracing::warn!(decider = %address, error, silence_ms, "decider does not answer");
         }
         self.lost = true;
+        if let Some((epoch, _)) = self.decider.filter(|(_, known)| *known == address) {
+            self.failed = epoch;
+        }
         self.clients.remove(&address);
         self.forget(address);
     }
@@ -156,6 +161,7 @@
         let found = self.search_log().await;
         let mut contact = self.contact.borrow_mut();
         contact.asked = 0;
+        contact.failed = 0;
         if found.is_some() {
             contact.decider = found;
         }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -71,12 +71,19 @@
         let Some(claim) = claim.filter(|_| suspected) else {
             return;
         };
-        let own = claim.host == self.settings.host;
-        let vacant = own || probe::vacant(claim.address, claim.epoch).await;
-        if vacant {
-            tracing::info!(epoch = claim.epoch, host = %claim.host, "the decider decides no more");
-            self.state.borrow_mut().watch.vacant(claim.epoch);
+        let answer = if claim.host == self.settings.host {
+            probe::Answer::Vacant
+        } else {
+            probe::ask(claim.address, claim.epoch).await
+        };
+        let now = self.clock.now();
+        let watch = &mut self.state.borrow_mut().watch;
+        match answer {
+            probe::Answer::Decides => return,
+            probe::Answer::Vacant => watch.vacant(claim.epoch),
+            probe::Answer::None => watch.unanswered(now),
         }
+        tracing::info!(epoch = claim.epoch, host = %claim.host, answer = ?answer, "asked a silent decider");
     }
 
     fn should_claim(&self) -> bool {
--- a/crates/godwitstep/src/batch/entry/probe.rs
+++ b/crates/godwitstep/src/batch/entry/probe.rs
@@ -13,20 +13,31 @@
 /// Longest time for an answer. A process that gives none may be frozen and come back.
 const TIME: Duration = Duration::from_millis(300);
 
-/// Tells whether the process at an address surely does not decide under an epoch: it says so, or its
-/// host refuses the connection. No answer tells nothing.
-pub(super) async fn vacant(address: SocketAddr, epoch: Epoch) -> bool {
+/// What a process's answer tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Answer {
+    /// It decides under the epoch.
+    Decides,
+    /// It does not decide under the epoch, or its host refuses the connection.
+    Vacant,
+    /// There is no answer.
+    None,
+}
+
+/// Asks the process at an address whether it decides under an epoch.
+pub(super) async fn ask(address: SocketAddr, epoch: Epoch) -> Answer {
     let Ok(request) = Request::get(PATH).body(Bytes::new()) else {
-        return false;
+        return Answer::None;
     };
     match Client::new(address).exchange(request, TIME).await {
-        Ok(response) => std::str::from_utf8(response.body())
-            .ok()
-            .and_then(|text| text.trim().parse::<Epoch>().ok())
-            .is_some_and(|own| own != epoch),
+        Ok(response) => match std::str::from_utf8(response.body()).map(str::parse::<Epoch>) {
+            Ok(Ok(own)) if own == epoch => Answer::Decides,
+            Ok(Ok(_)) => Answer::Vacant,
+            _ => Answer::None,
+        },
         Err(error) => match error.cause {
-            Cause::Io(cause) => cause.kind() == ErrorKind::ConnectionRefused,
-            _ => false,
+            Cause::Io(cause) if cause.kind() == ErrorKind::ConnectionRefused => Answer::Vacant,
+            _ => Answer::None,
         },
     }
 }
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -55,8 +55,8 @@
         let host = report.host.clone();
         let wait = report.wait;
         let until = self.clock.now() + WAIT;
-        if !self.take_report(report) {
-            return self.elsewhere();
+        if !self.take_report(&report) {
+            return self.refer(&report, until).await;
         }
         loop {
             let version = self.directives.version();
@@ -73,7 +73,7 @@
     }
 
     /// Hands a report to the planner. Returns whether this entry may decide.
-    fn take_report(&self, report: Report) -> bool {
+    fn take_report(&self, report: &Report) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let Some(decider) = state
@@ -83,7 +83,7 @@
         else {
             return false;
         };
-        if decider.planner.report(now, report) {
+        if decider.planner.report(now, report.clone()) {
             drop(state);
             self.changes.notify();
         }
@@ -122,6 +122,28 @@
         Some((directive, news))
     }
 
+    /// Refers an agent to the decider. If the agent knows of no older one than this entry, the answer
+    /// may wait for a new one.
+    async fn refer(&self, report: &Report, until: Duration) -> Reply {
+        loop {
+            let version = self.changes.version();
+            let now = self.clock.now();
+            let reply = self.elsewhere();
+            let newer = match reply {
+                Reply::Elsewhere { decider } => {
+                    decider.is_some_and(|(epoch, _)| epoch > report.epoch)
+                }
+                Reply::Directive(_) => true,
+            };
+            if newer || !report.wait || now >= until || self.decides() {
+                return reply;
+            }
+            self.changes
+                .changed(version, until.saturating_sub(now))
+                .await;
+        }
+    }
+
     fn elsewhere(&self) -> Reply {
         let state = self.state.borrow();
         let decider = state
