--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -10,6 +10,8 @@
 
 /// Most records in one append.
 const MAX_RECORDS: usize = 64;
+/// Time after a failed append for which the log is taken to fail still.
+const RETRIAL: Duration = Duration::from_millis(300);
 /// Most records that wait.
 const MAX_WAITING: usize = 1_024;
 
@@ -33,6 +35,8 @@
     arrivals: Notice,
     /// Since when the log has not stored anything although it was asked to.
     failing: Cell<Option<Duration>>,
+    /// When an append last failed.
+    failed: Cell<Duration>,
 }
 
 impl Writer {
@@ -51,8 +55,12 @@
         receiver.recv().await.unwrap_or(Err(Error::Unknown))
     }
 
-    /// Returns for how long the log has not stored anything although it was asked to.
+    /// Returns for how long the log has not stored anything although it was asked to; zero if that was
+    /// some time ago, so that the next record finds out.
     pub fn failing(&self, now: Duration) -> Duration {
+        if now.saturating_sub(self.failed.get()) > RETRIAL {
+            return Duration::ZERO;
+        }
         self.failing
             .get()
             .map_or(Duration::ZERO, |since| now.saturating_sub(since))
@@ -74,7 +82,7 @@
             let result = log.append(&items, None).await;
             let took = clock.now().saturating_sub(began);
             metrics::histogram!("godwitstep_log_append_seconds").record(took);
-            let result = self.note(began, result);
+            let result = self.note(began, clock.now(), result);
             for sender in senders {
                 // A caller that left does not wait for the outcome.
                 let _ = sender.try_send(result);
@@ -88,7 +96,12 @@
         waiting.drain(..count).collect()
     }
 
-    fn note(&self, began: Duration, result: Result<u64, AppendError>) -> Result<(), Error> {
+    fn note(
+        &self,
+        began: Duration,
+        now: Duration,
+        result: Result<u64, AppendError>,
+    ) -> Result<(), Error> {
         match result {
             Ok(_) => {
                 if let Some(since) = self.failing.take() {
@@ -98,6 +111,7 @@
                 Ok(())
             }
             Err(error) => {
+                self.failed.set(now);
                 if self.failing.get().is_none() {
                     self.failing.set(Some(began));
                     tracing::warn!(%error, "log does not store records");
--- a/crates/godwitstep/src/batch/follow.rs
+++ b/crates/godwitstep/src/batch/follow.rs
@@ -12,7 +12,7 @@
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed reads.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+const LONGEST_PAUSE: Duration = Duration::from_millis(250);
 
 /// What a follower delivers.
 pub(super) enum Event {
