--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -25,6 +25,7 @@
 mod place;
 mod preempt;
 mod reserve;
+mod stuck;
 
 use crate::bounds::{Bounds, VIEW_LIFE};
 use crate::id::{Domain, Epoch, JobId, Life, Run, Task};
@@ -108,8 +109,8 @@
     Quarantined {
         /// Worker.
         life: Life,
-        /// Failures in a row.
-        failures: u32,
+        /// Jobs whose tasks failed there in a row; 0 if it refuses them.
+        failures: usize,
         /// How long.
         time: Duration,
     },
@@ -205,6 +206,7 @@
             self.place(&mut round, orders);
         }
         self.unstick(now, &draft, &mut plan);
+        plan.decisions.extend(self.health.quarantines());
         plan.records.extend(draft.into_records());
         self.drop_ended(now, ledger, &mut plan);
         plan
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -4,6 +4,7 @@
 //! in a row, or refuses them, gets no new ones for a while; the time doubles as long as nothing ends
 //! well there. Failures of one job alone say more about the job.
 
+use super::Decision;
 use super::fleet::Fate;
 use crate::id::{JobId, Life, Run, Task};
 use crate::message::{How, Refusal, Report, Running};
@@ -63,6 +64,8 @@
 pub(super) struct Health {
     workers: BTreeMap<Life, Conduct>,
     runs: HashMap<(Task, Run), Course>,
+    /// Quarantines that have begun and not been told of.
+    quarantines: Vec<Decision>,
 }
 
 impl Health {
@@ -115,11 +118,11 @@
                     conduct.failed.push(job);
                 }
                 if conduct.failed.len() >= FAILED_JOBS {
-                    conduct.punish(now);
+                    self.quarantines.extend(conduct.punish(now, life));
                 }
             }
             Fate::Refused(Refusal::Unhealthy | Refusal::Room | Refusal::Malformed) => {
-                conduct.punish(now);
+                self.quarantines.extend(conduct.punish(now, life));
             }
             Fate::Ended(..)
             | Fate::Refused(_)
@@ -130,6 +133,11 @@
         }
     }
 
+    /// Returns the quarantines that have begun since the last call.
+    pub fn quarantines(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.quarantines)
+    }
+
     /// Forgets the course of runs that are over, and of workers that are gone.
     pub fn retain(&mut self, runs: impl Fn(Task, Run) -> bool, lives: impl Fn(&Life) -> bool) {
         self.runs.retain(|(task, run), _| runs(*task, *run));
@@ -227,12 +235,18 @@
 }
 
 impl Conduct {
-    fn punish(&mut self, now: Duration) {
+    /// Puts the worker into quarantine. Returns the decision, unless it is in one.
+    fn punish(&mut self, now: Duration, life: &Life) -> Option<Decision> {
         if self.until > now {
-            return;
+            return None;
         }
         let time = self.next.unwrap_or(FIRST);
         self.until = now + time;
         self.next = Some((time * 2).min(LONGEST));
+        Some(Decision::Quarantined {
+            life: life.clone(),
+            failures: self.failed.len(),
+            time,
+        })
     }
 }
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -9,21 +9,15 @@
 use super::floor::{Floor, Occupant, Slot};
 use super::order::Urgency;
 use super::place::{self, Seat, Want};
-use super::{Decision, Plan, Planner, Round};
+use super::{Decision, Planner, Round};
 use crate::demand::Demand;
-use crate::id::{Life, Run, Task};
+use crate::id::{Run, Task};
 use crate::ledger::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Time in which preempted runs end and others start.
 const CHANGE: Duration = Duration::from_millis(700);
-/// Time without progress, beyond that of the work that would be lost, after which a run is stopped to
-/// run elsewhere. Above the age of the progress that reports show.
-const STUCK: Duration = Duration::from_millis(1_600);
-/// Time after which a gang whose members have not all begun is called back. Below the time after
-/// which its members give up by themselves.
-const GATHERING: Duration = Duration::from_millis(2_200);
 /// Time that a stop and a new start cost beside the lost work.
 const RESTART: Duration = Duration::from_millis(800);
 /// Weight of lost work of the queues after the first.
@@ -165,7 +159,7 @@
     }
 
     /// Returns how long it takes to do again what a run loses when it is stopped.
-    fn lost_time(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> Duration {
+    pub(super) fn lost_time(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> Duration {
         let step = &entry.job.steps[usize::from(task.step)];
         let elapsed = self.health.elapsed(now, task, run).unwrap_or_default();
         if step.saves {
@@ -268,68 +262,6 @@
         }
         Some(needed.into_iter().collect())
     }
-
-    /// Stops runs that stand still and gangs that don't come together.
-    pub(super) fn unstick(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
-        let mut stop = Vec::new();
-        for (job, entry, progress) in draft.open() {
-            for (step, index, placed, life) in progress.placed() {
-                let task = Task { job, step, index };
-                let still = self.standing(now, entry, task, placed.run, life);
-                if let Some(still) = still
-                    && !self.stopping.contains(&(task, placed.run))
-                {
-                    stop.push((task, placed.run, still));
-                }
-            }
-        }
-        for (task, run, still) in stop {
-            self.stopping.insert((task, run));
-            plan.decisions.push(Decision::Stuck { task, run, still });
-        }
-    }
-}
-
-impl Planner {
-    /// Returns for how long a run has stood still, if it is better stopped and started elsewhere.
-    ///
-    /// Nobody knows how long a standstill will last, so a run waits for as long as it takes to do its
-    /// lost work again.
-    fn standing(
-        &self,
-        now: Duration,
-        entry: &Entry,
-        task: Task,
-        run: Run,
-        life: &Life,
-    ) -> Option<Duration> {
-        let step = &entry.job.steps[usize::from(task.step)];
-        let elapsed = self.health.elapsed(now, task, run)?;
-        if step.gang && !self.health.was_whole(task, run) {
-            return (elapsed > GATHERING).then_some(elapsed);
-        }
-        let lost = self.lost_time(now, entry, task, run);
-        let still = if step.gang {
-            // Its members move together.
-            self.gang_still(now, entry, task, run)?
-        } else if let Some(still) = self.health.still(now, task, run) {
-            still
-        } else {
-            // Its progress is not shown; that of others on the worker may be.
-            self.health.standstill(now, &life.host)?.min(elapsed)
-        };
-        let done = lost.saturating_sub(still);
-        (still > STUCK + done).then_some(still)
-    }
-}
-
-impl Planner {
-    /// Returns for how long no member of a gang has moved, if the progress of any is known.
-    fn gang_still(&self, now: Duration, entry: &Entry, task: Task, run: Run) -> Option<Duration> {
-        (0..entry.job.steps[usize::from(task.step)].tasks)
-            .filter_map(|index| self.health.still(now, Task { index, ..task }, run))
-            .min()
-    }
 }
 
 /// Returns the seats that are worth their cost, given the limit for one task.
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -243,6 +243,8 @@
         }
     }
     assert_eq!(starts_after, 0, "starts on the failing worker");
+    let told = |own: &Decision| matches!(own, Decision::Quarantined { .. });
+    assert!(scene.decisions.iter().any(told), "nobody is told why");
 }
 
 /// Guards against a task that is started again after as many failures as its queue allows.
