fix(batch): a gang is over on a silent agent only some time after its first end; long runs leave with notice

Found by the decider's line 'ended with its gang, agent silent' 0.17 s before the runner's own end. Ruled out: the take-over (no claim at that time), leases. Change: that inference waits 1.5 s from the first end. New test fails before. Beside it: runs that a leaving worker would not see the end of are stopped when it says so, and go on elsewhere.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -32,7 +32,7 @@
 use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
-use crate::progress::Outcome;
+use crate::progress::{self, Outcome};
 use crate::record::Record;
 use directive::Assignment;
 use draft::Draft;
@@ -96,6 +96,15 @@
         /// Time without progress.
         still: Duration,
     },
+    /// A run is stopped that its worker, which is about to leave, would not end.
+    Moved {
+        /// Task that is stopped.
+        task: Task,
+        /// Number of the run.
+        run: Run,
+        /// Time that it would still take.
+        left: Duration,
+    },
     /// A job ended.
     Finished {
         /// Job.
@@ -146,6 +155,8 @@
     seen: HashMap<JobId, Duration>,
     /// When the decider first saw each job ended.
     ended: HashMap<JobId, Duration>,
+    /// Since when runs of gangs are known to have lost a member while others are placed.
+    torn: HashMap<(JobId, u16, Run), Duration>,
     /// Runs that are stopped although their jobs go on.
     stopping: HashSet<(Task, Run)>,
     /// What the ledger assigns to each host.
@@ -170,6 +181,7 @@
             health: Health::default(),
             seen: HashMap::new(),
             ended: HashMap::new(),
+            torn: HashMap::new(),
             stopping: HashSet::new(),
             assigned: BTreeMap::new(),
         }
@@ -193,6 +205,7 @@
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
         self.note_gangs(&draft);
+        self.note_torn(now, &draft);
         self.settle(now, &mut draft, &mut plan);
         self.conclude(now, &mut draft, &mut plan);
         if orders.age < VIEW_LIFE {
@@ -206,6 +219,7 @@
             self.place(&mut round, orders);
         }
         self.unstick(now, &draft, &mut plan);
+        self.move_off(now, &draft, &mut plan);
         plan.decisions.extend(self.health.quarantines());
         plan.records.extend(draft.into_records());
         self.drop_ended(now, ledger, &mut plan);
@@ -250,6 +264,26 @@
         }
     }
 
+    /// Notes the runs of gangs of which some members have ended and others are still placed.
+    fn note_torn(&mut self, now: Duration, draft: &Draft) {
+        let mut torn = HashMap::new();
+        for (job, entry, progress) in draft.open() {
+            for (step, (content, state)) in (0..).zip(entry.job.steps.iter().zip(&progress.steps)) {
+                let placed = state.tasks.iter().find(|member| member.place().is_some());
+                let Some(run) = placed.map(|member| member.run).filter(|_| content.gang) else {
+                    continue;
+                };
+                let ended = |member: &progress::Task| member.run == run && member.place().is_none();
+                if state.tasks.iter().any(ended) {
+                    let key = (job, step, run);
+                    let since = self.torn.get(&key).copied().unwrap_or(now);
+                    torn.insert(key, since);
+                }
+            }
+        }
+        self.torn = torn;
+    }
+
     /// Returns how long ago a job was accepted, as far as the decider knows.
     fn age(&self, now: Duration, job: JobId) -> Duration {
         self.seen
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -20,6 +20,10 @@
         .any(|task| task.failures >= attempts)
 }
 
+/// Time after the first end of a member of a gang in which all others end, and an agent that can
+/// report that does.
+const GANG_ENDS: Duration = Duration::from_millis(1_500);
+
 /// A run that has ended.
 struct End {
     task: Task,
@@ -49,10 +53,10 @@
             for (step, index, placed, life) in progress.placed() {
                 let task = Task { job, step, index };
                 let gang = entry.job.steps[usize::from(step)].gang;
-                let members = &progress.steps[usize::from(step)];
-                let fate = self.fleet.fate(now, life, task, placed.run).or_else(|| {
-                    gang.then(|| self.gang_fate(now, life, task, placed.run, members))?
-                });
+                let fate = self
+                    .fleet
+                    .fate(now, life, task, placed.run)
+                    .or_else(|| gang.then(|| self.gang_fate(now, life, task, placed.run))?);
                 if let Some(fate) = fate {
                     ends.push(End {
                         task,
@@ -67,19 +71,10 @@
     }
 
     /// Returns the fate of a member of a gang whose agent is silent while other members have ended. A
-    /// gang that has worked had all its members, and they end together.
-    fn gang_fate(
-        &self,
-        now: Duration,
-        life: &Life,
-        task: Task,
-        run: Run,
-        step: &Step,
-    ) -> Option<Fate> {
-        let ended = step
-            .tasks
-            .iter()
-            .any(|member| member.run == run && member.place().is_none());
+    /// gang that has worked had all its members, and they end within a moment of each other.
+    fn gang_fate(&self, now: Duration, life: &Life, task: Task, run: Run) -> Option<Fate> {
+        let torn = *self.torn.get(&(task.job, task.step, run))?;
+        let ended = now >= torn + GANG_ENDS;
         (ended && self.health.was_whole(task, run) && self.fleet.stale(now, &life.host))
             .then_some(Fate::GangEnded)
     }
--- a/crates/godwitstep-batch/src/planner/fleet.rs
+++ b/crates/godwitstep-batch/src/planner/fleet.rs
@@ -77,6 +77,13 @@
             .is_none_or(|seen| !Self::fresh(now.saturating_sub(seen.at)))
     }
 
+    /// Tells whether a worker has said that it leaves.
+    pub fn leaves(&self, life: &Life) -> bool {
+        self.get(&life.host)
+            .and_then(|report| report.worker.as_ref())
+            .is_some_and(|worker| worker.life == *life && worker.draining)
+    }
+
     /// Returns the workers with the age of what is known of them.
     pub fn workers(&self, now: Duration) -> impl Iterator<Item = (Duration, &Worker)> {
         self.hosts.values().filter_map(move |seen| {
--- a/crates/godwitstep-batch/src/planner/stuck.rs
+++ b/crates/godwitstep-batch/src/planner/stuck.rs
@@ -1,4 +1,5 @@
-//! Runs that stand still.
+//! Runs that are better stopped and started elsewhere: those that stand still, and those that their
+//! worker will not see the end of.
 //!
 //! Nobody knows how long a standstill will last, so a run waits for as long as it takes to do its lost
 //! work again, and is then stopped to run elsewhere.
@@ -15,7 +16,31 @@
 /// Time after which a gang whose members have not all begun is called back. Below the time after
 /// which its members give up by themselves.
 const GATHERING: Duration = Duration::from_millis(2_200);
+/// Time for which a worker that has said that it leaves is expected to stay.
+const LEAVING: Duration = Duration::from_millis(2_500);
+
 impl Planner {
+    /// Stops long runs on workers that are about to leave: their work is lost there, what they save
+    /// at the stop is not.
+    pub(super) fn move_off(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
+        let mut moved = Vec::new();
+        for (job, entry, progress) in draft.open() {
+            for (step, index, placed, life) in progress.placed() {
+                let task = Task { job, step, index };
+                let estimate = entry.job.steps[usize::from(step)].estimate;
+                let left = self.health.remaining(now, task, placed.run, estimate);
+                let leaves = self.fleet.leaves(life) && left > LEAVING;
+                if leaves && !self.stopping.contains(&(task, placed.run)) {
+                    moved.push((task, placed.run, left));
+                }
+            }
+        }
+        for (task, run, left) in moved {
+            self.stopping.insert((task, run));
+            plan.decisions.push(Decision::Moved { task, run, left });
+        }
+    }
+
     /// Stops runs that stand still and gangs that don't come together.
     pub(super) fn unstick(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stop = Vec::new();
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -516,3 +516,41 @@
     scene.run(seconds(4));
     assert!(scene.started(3));
 }
+
+/// Guards against long work that is lost with a worker that has said that it leaves.
+#[test]
+fn long_runs_move_off_a_leaving_worker_and_short_ones_end_there() {
+    let mut scene = Scene::new(2, 2);
+    scene.submit(1, "normal", "north", vec![step(1, 4, seconds(9))]);
+    scene.submit(2, "normal", "north", vec![step(1, 4, seconds(2))]);
+    scene.round();
+    let leaving = scene.places(1)[0].clone();
+    assert_eq!(scene.places(2), std::slice::from_ref(&leaving));
+    scene.hosts.get_mut(&leaving).unwrap().worker.draining = true;
+    scene.run(seconds(1));
+    assert_ne!(scene.places(1), std::slice::from_ref(&leaving));
+    assert_eq!(scene.places(2), [leaving]);
+}
+
+/// Guards against a second run of a gang whose other members are about to break, where no agent was
+/// heard of for a while: the log was away, and the first report after it shows an end.
+#[test]
+fn a_gang_is_not_over_the_moment_one_member_has_ended() {
+    let mut scene = Scene::new(4, 4);
+    scene.submit(1, "normal", "north", vec![gang(2, 8, seconds(60))]);
+    scene.run(seconds(1));
+    let hosts = scene.places(1);
+    for host in scene.hosts.values_mut() {
+        host.heard = false;
+    }
+    scene.run(seconds(2));
+    for (name, host) in &mut scene.hosts {
+        host.heard = *name != hosts[1];
+    }
+    let first = scene.hosts.get_mut(&hosts[0]).unwrap();
+    let row = first.worker.running[0].clone();
+    first.end(row.task, row.run, How::Stopped);
+    scene.run(Duration::from_millis(500));
+    let run = scene.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    assert_eq!(run, 1, "started again while a member may run");
+}
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -360,6 +360,9 @@
         Decision::Stuck { task, run, still } => {
             tracing::info!(%task, run, still_ms = still.as_millis(), epoch, "stopped for want of progress");
         }
+        Decision::Moved { task, run, left } => {
+            tracing::info!(%task, run, left_ms = left.as_millis(), epoch, "stopped on a leaving worker");
+        }
         Decision::Finished { job, outcome, age } => {
             metrics::histogram!("godwitstep_job_seconds").record(*age);
             tracing::info!(job = format_args!("{job:016x}"), outcome = ?outcome, age_ms = age.as_millis(), epoch, "job ended");
