fix(batch): settle what the next life of a worker may have taken before a task starts elsewhere

Change: such a run is over once the new life lists its end or has taken a stop of it; the directive asks for that stop; after twice the longest lease it is over in any case.

--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -121,9 +121,17 @@
                 });
             }
         }
+        // What was meant for an earlier life under the same name may be carried out by this one.
+        let earlier = assigned
+            .iter()
+            .filter(|own| own.life != worker.life && own.life.worker == worker.life.worker);
+        for own in earlier.filter(|own| !settled(worker, own)) {
+            directive.stop.push((own.task, own.run));
+        }
         for row in &worker.running {
             let key = (row.task, row.run);
-            if !here().any(|own| (own.task, own.run) == key) && !done(ledger, row.task) {
+            let assigned = assigned.iter().any(|own| (own.task, own.run) == key);
+            if !assigned && !done(ledger, row.task) {
                 directive.stop.push(key);
             }
         }
--- a/crates/godwitstep-batch/src/planner/fleet.rs
+++ b/crates/godwitstep-batch/src/planner/fleet.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 struct Seen {
     at: Duration,
+    /// When the worker's current life was first reported.
+    life_since: Duration,
     report: Report,
 }
 
@@ -41,6 +43,9 @@
     /// decider may have answered it.
     since: Duration,
     silence: Duration,
+    /// Time after which a start that was sent to one life of a worker is surely not carried out by the
+    /// next one any more, nor still runs there.
+    unsettled: Duration,
 }
 
 impl Fleet {
@@ -49,6 +54,7 @@
             hosts: BTreeMap::new(),
             since: now + VOICE,
             silence: bounds.silence(),
+            unsettled: bounds.lease() * 2,
         }
     }
 
@@ -60,8 +66,17 @@
         if stale {
             return false;
         }
-        self.hosts
-            .insert(report.host.clone(), Seen { at: now, report });
+        let life = |report: &Report| report.worker.as_ref().map(|worker| worker.life.clone());
+        let life_since = match self.hosts.get(&report.host) {
+            Some(seen) if life(&seen.report) == life(&report) => seen.life_since,
+            _ => now,
+        };
+        let seen = Seen {
+            at: now,
+            life_since,
+            report,
+        };
+        self.hosts.insert(seen.report.host.clone(), seen);
         true
     }
 
@@ -108,7 +123,8 @@
                     return Some(fate);
                 }
             } else if worker.life.born >= life.born {
-                return Some(Fate::Gone);
+                let unsettled = now <= seen.life_since + self.unsettled;
+                return replaced(worker, life, task, run, unsettled);
             }
         }
         if seen.report.left.as_ref() == Some(life) {
@@ -118,6 +134,27 @@
     }
 }
 
+/// Returns the fate of a run on a life of a worker that another one has replaced.
+///
+/// A worker that starts again under its name takes a start that was meant for the life before, now or
+/// when it arrives late. So the run is over only once the new life lists its end, or has taken a stop of
+/// it and lists nothing of it.
+fn replaced(worker: &Worker, life: &Life, task: Task, run: Run, unsettled: bool) -> Option<Fate> {
+    if worker.life.worker != life.worker {
+        return Some(Fate::Gone);
+    }
+    match listed(worker, task, run) {
+        Some(Fate::Ended(how, saved)) => return Some(Fate::Ended(how, saved)),
+        Some(_) => return Some(Fate::Gone),
+        None => {}
+    }
+    let running = worker
+        .running
+        .iter()
+        .any(|row| row.task == task && row.run == run);
+    (!running && !unsettled).then_some(Fate::Gone)
+}
+
 fn listed(worker: &Worker, task: Task, run: Run) -> Option<Fate> {
     let same = |row: &&Ended| row.task == task && row.run == run;
     if let Some(end) = worker.ended.iter().find(same) {
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -347,7 +347,7 @@
     scene.submit(1, "normal", "north", vec![step(1, 8, seconds(3))]);
     scene.run(seconds(1));
     scene.host(0).reborn();
-    scene.round();
+    scene.run(STEP * 3);
     let rows = &scene.host(0).worker.running;
     assert_eq!(rows.len(), 1);
     assert_eq!(rows[0].run, 2);
@@ -554,3 +554,23 @@
     let run = scene.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
     assert_eq!(run, 1, "started again while a member may run");
 }
+
+/// Guards against a second run of a task whose start was taken by the next life of the worker, which
+/// came up under the same name before its agent knew (soak, seeds 1209 and 1308).
+#[test]
+fn a_start_that_the_next_life_took_is_stopped_before_the_task_starts_elsewhere() {
+    let mut scene = Scene::new(2, 2);
+    scene.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    scene.run(seconds(1));
+    let host = scene.places(1)[0].clone();
+    let worker = scene.hosts.get_mut(&host).unwrap();
+    let rows = worker.worker.running.clone();
+    worker.reborn();
+    worker.worker.running = rows;
+    for _ in 0..10 {
+        scene.round();
+        assert!(scene.places(1).len() <= 1, "{:?}", scene.places(1));
+    }
+    let run = scene.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    assert_eq!(run, 2, "the task was not started again");
+}
--- a/crates/godwitstep-batch/tests/scene/mod.rs
+++ b/crates/godwitstep-batch/tests/scene/mod.rs
@@ -7,7 +7,9 @@
 use godwitstep_batch::id::{Domain, JobId, Life, Run, Task};
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::{Ledger, Status};
-use godwitstep_batch::message::{Contact, Directive, Ended, How, Report, Running, Worker};
+use godwitstep_batch::message::{
+    Contact, Directive, Ended, How, Refusal, Refused, Report, Running, Worker,
+};
 use godwitstep_batch::planner::{Decision, Orders, Planner};
 use godwitstep_batch::policy::{Policy, Queue, Workspace};
 use godwitstep_batch::record::Record;
@@ -261,7 +263,13 @@
                 });
             }
             for (task, run) in &directive.stop {
-                host.end(*task, *run, How::Stopped);
+                if !host.end(*task, *run, How::Stopped) {
+                    host.worker.refused.push(Refused {
+                        task: *task,
+                        run: *run,
+                        why: Refusal::Withdrawn,
+                    });
+                }
             }
         }
         self.break_gangs();
@@ -364,14 +372,14 @@
 }
 
 impl Host {
-    /// Ends a run that is listed as running.
-    pub fn end(&mut self, task: Task, run: Run, how: How) {
+    /// Ends a run. Returns whether it was listed as running.
+    pub fn end(&mut self, task: Task, run: Run, how: How) -> bool {
         let before = self.worker.running.len();
         self.worker
             .running
             .retain(|row| (row.task, row.run) != (task, run));
         if self.worker.running.len() == before {
-            return;
+            return false;
         }
         self.worker.ended.push(Ended {
             number: self.next_end,
@@ -381,6 +389,7 @@
             saved: "".into(),
         });
         self.next_end += 1;
+        true
     }
 
     /// Replaces the worker by a new life that runs nothing.
@@ -388,6 +397,7 @@
         self.worker.life.born += 1;
         self.worker.running.clear();
         self.worker.ended.clear();
+        self.worker.refused.clear();
         self.next_end = 1;
     }
 }
