fix(core): a commit carries the recorded size of its part

Cause: reservations of two placements can have the same number, and the one that is not recorded can arrive last. The agent's table then started the size it had heard last. Ruled out: a record read back too late (the entry that decides knew the recorded size and did not send it; the wire's part has had the field all along). Change: planner, table and decider hand the recorded size on with the commit; a commit that no longer fits is refused as an expired hold. The mutation test of the check now spoils commits too, since a spoilt reservation alone is corrected. a_repeated_reservation_takes_the_newest_size names the size in its commit.

--- a/crates/godwitstep-core/src/hold.rs
+++ b/crates/godwitstep-core/src/hold.rs
@@ -157,7 +157,10 @@
                 tasks,
                 accelerators,
             } => self.reserve(now, id, *tasks, *accelerators, out),
-            Command::Commit => self.commit(now, id, out),
+            Command::Commit {
+                tasks,
+                accelerators,
+            } => self.commit(now, id, *tasks, *accelerators, out),
             Command::Settle => self.settle(&id),
             Command::Release => self.release(&id),
             Command::Stop { checkpoint } => self.stop(now, id, *checkpoint, out),
@@ -204,7 +207,16 @@
         });
     }
 
-    fn commit(&mut self, now: Duration, id: Id, out: &mut Vec<Action>) {
+    /// Starts a held part in the size of the commit, which is the recorded one: under the same
+    /// number, a reservation of an earlier placement can arrive after that of the recorded one.
+    fn commit(
+        &mut self,
+        now: Duration,
+        id: Id,
+        tasks: u32,
+        accelerators: Accelerators,
+        out: &mut Vec<Action>,
+    ) {
         if let Some(end) = self.ended.get(&id) {
             return out.push(ended(id.clone(), *end));
         }
@@ -218,8 +230,14 @@
                 self.remove(&id);
                 deny(id, Reason::DomainOut { domain }, out);
             }
+            State::Held if accelerators > self.free() + part.accelerators => {
+                self.remove(&id);
+                deny(id, Reason::HoldExpired, out);
+            }
             State::Held => {
-                let (tasks, accelerators) = (part.tasks, part.accelerators);
+                if let Some(part) = self.parts.get_mut(&id) {
+                    (part.tasks, part.accelerators) = (tasks, accelerators);
+                }
                 self.set_state(&id, State::Launching);
                 self.set_deadline(&id, now + SETTLE_LIMIT);
                 out.push(Action::Start {
--- a/crates/godwitstep-core/src/hold/message.rs
+++ b/crates/godwitstep-core/src/hold/message.rs
@@ -26,7 +26,12 @@
         accelerators: Accelerators,
     },
     /// Start the held part.
-    Commit,
+    Commit {
+        /// Tasks of the part, as recorded.
+        tasks: u32,
+        /// Accelerators of the whole part, as recorded.
+        accelerators: Accelerators,
+    },
     /// The whole gang runs.
     Settle,
     /// Give up the hold.
--- a/crates/godwitstep-core/src/planner/emit.rs
+++ b/crates/godwitstep-core/src/planner/emit.rs
@@ -64,18 +64,15 @@
         };
         let attempt = run.attempt;
         let open = |part: &&Part| part.status == super::job::Status::Committed;
-        let slots: Vec<Slot> = run
-            .parts
-            .iter()
-            .filter(open)
-            .map(|part| part.slot)
-            .collect();
-        for slot in slots {
-            self.check_place(&job, slot);
+        let parts: Vec<_> = run.parts.iter().filter(open).cloned().collect();
+        for part in parts {
+            self.check_place(&job, part.slot);
             out.push(Action::Commit {
-                worker: self.worker(slot),
+                worker: self.worker(part.slot),
                 job: job.clone(),
                 attempt,
+                tasks: part.tasks,
+                accelerators: part.accelerators,
             });
         }
     }
--- a/crates/godwitstep-core/src/planner/event.rs
+++ b/crates/godwitstep-core/src/planner/event.rs
@@ -216,6 +216,10 @@
         job: JobId,
         /// Number of the run.
         attempt: Attempt,
+        /// Tasks of the part, as recorded.
+        tasks: u32,
+        /// Accelerators of the whole part, as recorded.
+        accelerators: Accelerators,
     },
     /// Tell a part that its whole gang runs. Repeated, idempotent.
     Settle {
--- a/crates/godwitstep-core/tests/driver/mod.rs
+++ b/crates/godwitstep-core/tests/driver/mod.rs
@@ -553,7 +553,15 @@
                 worker,
                 job,
                 attempt,
-            } => (worker, order(job, attempt), Command::Commit),
+                tasks,
+                accelerators,
+            } => {
+                let command = Command::Commit {
+                    tasks,
+                    accelerators,
+                };
+                (worker, order(job, attempt), command)
+            }
             Action::Settle {
                 worker,
                 job,
--- a/crates/godwitstep-core/tests/gang_model.rs
+++ b/crates/godwitstep-core/tests/gang_model.rs
@@ -171,7 +171,15 @@
                 worker,
                 job,
                 attempt,
-            } => (worker, job, attempt, Command::Commit),
+                tasks,
+                accelerators,
+            } => {
+                let command = Command::Commit {
+                    tasks,
+                    accelerators,
+                };
+                (worker, job, attempt, command)
+            }
             Action::Settle {
                 worker,
                 job,
--- a/crates/godwitstep-core/tests/hold.rs
+++ b/crates/godwitstep-core/tests/hold.rs
@@ -9,6 +9,10 @@
     tasks: 1,
     accelerators: 3,
 };
+const COMMIT: Command = Command::Commit {
+    tasks: 1,
+    accelerators: 3,
+};
 const STOP: Command = Command::Stop { checkpoint: false };
 
 struct Agent {
@@ -51,7 +55,7 @@
 
     fn start(&mut self, job: &str) {
         self.order(1, job, 1, RESERVE);
-        self.order(1, job, 1, Command::Commit);
+        self.order(1, job, 1, COMMIT);
         self.launched(job, 1);
     }
 }
@@ -79,14 +83,14 @@
     assert_eq!(agent.table.free(), 5);
     agent.wait(1);
     assert_eq!(agent.table.free(), 8);
-    let late = agent.order(1, "j", 1, Command::Commit);
+    let late = agent.order(1, "j", 1, COMMIT);
     assert_eq!(denial(&late), Some(&Reason::HoldExpired));
     agent.order(1, "j", 1, RESERVE);
     agent.wait(4_000);
     agent.order(1, "j", 1, RESERVE);
     agent.wait(4_000);
     assert!(
-        starts(&agent.order(1, "j", 1, Command::Commit)),
+        starts(&agent.order(1, "j", 1, COMMIT)),
         "the hold was renewed"
     );
 }
@@ -96,10 +100,10 @@
 fn a_commit_is_idempotent() {
     let mut agent = Agent::new();
     agent.order(1, "j", 1, RESERVE);
-    assert!(starts(&agent.order(1, "j", 1, Command::Commit)));
-    assert!(agent.order(1, "j", 1, Command::Commit).is_empty());
+    assert!(starts(&agent.order(1, "j", 1, COMMIT)));
+    assert!(agent.order(1, "j", 1, COMMIT).is_empty());
     agent.launched("j", 1);
-    let again = agent.order(1, "j", 1, Command::Commit);
+    let again = agent.order(1, "j", 1, COMMIT);
     assert!(matches!(again[..], [Action::Started { .. }]));
 }
 
@@ -122,20 +126,14 @@
     let mut agent = Agent::new();
     agent.order(4, "j", 1, RESERVE);
     agent.event(Event::Epoch(7));
-    for command in [
-        RESERVE,
-        Command::Commit,
-        Command::Settle,
-        Command::Release,
-        STOP,
-    ] {
+    for command in [RESERVE, COMMIT, Command::Settle, Command::Release, STOP] {
         let refused = agent.order(4, "j", 1, command);
         assert_eq!(
             denial(&refused),
             Some(&Reason::EpochSuperseded { newest: 7 })
         );
     }
-    assert!(starts(&agent.order(7, "j", 1, Command::Commit)));
+    assert!(starts(&agent.order(7, "j", 1, COMMIT)));
 }
 
 /// Guards against starts in a failure domain that is out of service (R3).
@@ -145,10 +143,7 @@
     agent.order(1, "held", 1, RESERVE);
     agent.event(Event::Service(false));
     let domain = Reason::DomainOut { domain: "a".into() };
-    assert_eq!(
-        denial(&agent.order(1, "held", 1, Command::Commit)),
-        Some(&domain)
-    );
+    assert_eq!(denial(&agent.order(1, "held", 1, COMMIT)), Some(&domain));
     assert_eq!(denial(&agent.order(1, "new", 1, RESERVE)), Some(&domain));
 }
 
@@ -190,16 +185,16 @@
     for job in ["early", "held", "done", "stopped"] {
         for _ in 0..2 {
             assert!(!starts(&agent.order(1, job, 1, RESERVE)), "{job}");
-            assert!(!starts(&agent.order(1, job, 1, Command::Commit)), "{job}");
+            assert!(!starts(&agent.order(1, job, 1, COMMIT)), "{job}");
             agent.wait(1_000);
         }
     }
     agent.order(1, "released", 1, RESERVE);
     agent.order(1, "released", 1, Command::Release);
-    assert!(!starts(&agent.order(1, "released", 1, Command::Commit)));
+    assert!(!starts(&agent.order(1, "released", 1, COMMIT)));
     // A later run of the same job is another matter.
     agent.order(1, "early", 2, RESERVE);
-    assert!(starts(&agent.order(1, "early", 2, Command::Commit)));
+    assert!(starts(&agent.order(1, "early", 2, COMMIT)));
 }
 
 /// Guards against ends that the decider never hears of.
@@ -273,10 +268,56 @@
     ));
     assert_eq!(agent.table.free(), 8, "a refused reservation holds nothing");
     agent.order(1, "j", 1, reserve(2));
-    let started = agent.order(1, "j", 1, Command::Commit);
+    let commit = Command::Commit {
+        tasks: 2,
+        accelerators: 2,
+    };
+    let started = agent.order(1, "j", 1, commit);
     let tasks = started.iter().find_map(|action| match action {
         Action::Start { tasks, .. } => Some(*tasks),
         _ => None,
     });
     assert_eq!(tasks, Some(2));
 }
+
+/// Guards against a part that starts in the size of another placement, whose reservation crossed
+/// that of the recorded one under the same number (lab random runs, seed 11).
+#[test]
+fn a_commit_carries_the_recorded_size() {
+    let mut agent = Agent::new();
+    agent.order(1, "j", 1, RESERVE);
+    let crossed = Command::Reserve {
+        tasks: 2,
+        accelerators: 5,
+    };
+    agent.order(1, "j", 1, crossed);
+    let started = agent.order(1, "j", 1, COMMIT);
+    assert!(
+        matches!(
+            started[..],
+            [Action::Start {
+                tasks: 1,
+                accelerators: 3,
+                ..
+            }]
+        ),
+        "{started:?}"
+    );
+    assert_eq!(agent.table.free(), 5);
+}
+
+/// Guards against over-commitment by a commit that is larger than what is held for it.
+#[test]
+fn a_commit_that_does_not_fit_is_refused() {
+    let mut agent = Agent::new();
+    let small = Command::Reserve {
+        tasks: 1,
+        accelerators: 1,
+    };
+    agent.order(1, "j", 1, small.clone());
+    agent.order(1, "k", 1, RESERVE);
+    agent.order(1, "l", 1, RESERVE);
+    let late = agent.order(1, "j", 1, COMMIT);
+    assert_eq!(denial(&late), Some(&Reason::HoldExpired));
+    assert_eq!(agent.table.free(), 2);
+}
--- a/crates/godwitstep-core/tests/planner_scale.rs
+++ b/crates/godwitstep-core/tests/planner_scale.rs
@@ -89,6 +89,7 @@
                 worker,
                 job,
                 attempt,
+                ..
             } => {
                 self.running.push((worker.clone(), job.clone(), attempt));
                 Some(Event::Started {
--- a/crates/godwitstep-lab/src/compare/baseline/steps.rs
+++ b/crates/godwitstep-lab/src/compare/baseline/steps.rs
@@ -64,6 +64,8 @@
             worker: part.worker.clone(),
             job: job.clone(),
             attempt: run.attempt,
+            tasks: part.tasks,
+            accelerators: part.accelerators,
         }));
     }
 
--- a/crates/godwitstep-lab/src/scale/region.rs
+++ b/crates/godwitstep-lab/src/scale/region.rs
@@ -181,6 +181,7 @@
                 worker,
                 job,
                 attempt,
+                ..
             } => Event::Started {
                 worker,
                 job,
--- a/crates/godwitstep-lab/src/world.rs
+++ b/crates/godwitstep-lab/src/world.rs
@@ -308,6 +308,7 @@
                 worker,
                 job,
                 attempt,
+                ..
             }
             | Action::Settle {
                 worker,
--- a/crates/godwitstep-lab/src/world/agent.rs
+++ b/crates/godwitstep-lab/src/world/agent.rs
@@ -104,7 +104,7 @@
         }
         let wait = match command {
             Command::Reserve { .. } => Some(hold::HOLD_LIFE),
-            Command::Commit => Some(hold::SETTLE_LIMIT),
+            Command::Commit { .. } => Some(hold::SETTLE_LIMIT),
             _ => None,
         };
         if let Some(wait) = wait {
--- a/crates/godwitstep-lab/src/world/decider.rs
+++ b/crates/godwitstep-lab/src/world/decider.rs
@@ -124,7 +124,15 @@
                 worker,
                 job,
                 attempt,
-            } => self.order(epoch, &worker, job, attempt, Command::Commit),
+                tasks,
+                accelerators,
+            } => {
+                let command = Command::Commit {
+                    tasks,
+                    accelerators,
+                };
+                self.order(epoch, &worker, job, attempt, command);
+            }
             Action::Settle {
                 worker,
                 job,
--- a/crates/godwitstep-lab/tests/random.rs
+++ b/crates/godwitstep-lab/tests/random.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// Guards against a part that starts in the size of another placement under the same number, whose
+/// reservation crossed that of the recorded one.
+#[test]
+fn crossed_reservations_start_as_recorded() {
+    for seed in [11, 16, 274] {
+        let outcome = simulate(&Options::new(seed, 200_000));
+        assert_eq!(outcome.broken, None, "seed {seed}");
+    }
+}
+
 /// Checks that a breakage fails the expected check on one of a few seeds.
 fn assert_caught(breakage: Breakage, check: &str) {
     let mut seen = Vec::new();
@@ -58,6 +68,7 @@
                 worker,
                 job,
                 attempt,
+                ..
             } = action.clone()
             {
                 *action = Action::Settle {
@@ -100,6 +111,14 @@
             };
             Some(hold::Event::Command(order, command))
         }
+        hold::Event::Command(order, hold::Command::Commit { tasks, .. }) => {
+            let accelerators = 0;
+            let command = hold::Command::Commit {
+                tasks,
+                accelerators,
+            };
+            Some(hold::Event::Command(order, command))
+        }
         other => Some(other),
     };
     let breakage = Breakage {
--- a/crates/godwitstep/src/agent/orders.rs
+++ b/crates/godwitstep/src/agent/orders.rs
@@ -42,7 +42,7 @@
             let reason = reason.clone();
             return agent.send_on(link, Frame::Denied { part, reason });
         }
-        Some(_) if command == Command::Commit => {
+        Some(_) if matches!(command, Command::Commit { .. }) => {
             decide(agent, Event::Command(order.clone(), Command::Release));
         }
         _ => {}
@@ -69,5 +69,5 @@
 }
 
 const fn starts(command: &Command) -> bool {
-    matches!(command, Command::Reserve { .. } | Command::Commit)
+    matches!(command, Command::Reserve { .. } | Command::Commit { .. })
 }
--- a/crates/godwitstep/src/agent/run.rs
+++ b/crates/godwitstep/src/agent/run.rs
@@ -135,7 +135,13 @@
             };
             orders::carry(agent, id, part, command);
         }
-        Frame::Commit(part) => orders::carry(agent, id, part, Command::Commit),
+        Frame::Commit(part) => {
+            let command = Command::Commit {
+                tasks: part.tasks,
+                accelerators: part.accelerators,
+            };
+            orders::carry(agent, id, part, command);
+        }
         Frame::Settle(part) => orders::carry(agent, id, part, Command::Settle),
         Frame::Release(part) => orders::carry(agent, id, part, Command::Release),
         Frame::Stop { part, checkpoint } => {
--- a/crates/godwitstep/src/decider/drive.rs
+++ b/crates/godwitstep/src/decider/drive.rs
@@ -76,11 +76,17 @@
             worker,
             job,
             attempt,
-        } => send(
-            state,
-            &worker,
-            Frame::Commit(part(state, epoch, &worker, job, attempt)),
-        ),
+            tasks,
+            accelerators,
+        } => {
+            // The record may not have been read back yet.
+            let part = Part {
+                tasks,
+                accelerators,
+                ..part(state, epoch, &worker, job, attempt)
+            };
+            send(state, &worker, Frame::Commit(part));
+        }
         Action::Settle {
             worker,
             job,
