--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -4,6 +4,7 @@
 use super::writer::Error;
 use crate::batch::log::Log;
 use godwitstep_batch::access::JOBS_LIFE;
+use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::JobId;
 use godwitstep_batch::job::Job;
 use godwitstep_batch::ledger::Status;
@@ -55,7 +56,7 @@
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
         let verdict = verdict.await;
-        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %about.queue, priority = about.priority, workspace = %about.workspace, steps = about.steps, tasks = about.tasks, gang = about.gang, chain_ms = about.chain.as_millis(), "submission answered");
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %about.queue, priority = about.priority, workspace = %about.workspace, steps = about.steps, tasks = about.tasks, gang = about.gang, one_rack = about.one_rack, saves = about.saves, cpu = about.widest.cpu, accelerators = about.widest.accelerators, chain_ms = about.chain.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => name(verdict)).increment(1);
         verdict
     }
@@ -140,11 +141,17 @@
     steps: usize,
     tasks: u32,
     gang: bool,
+    one_rack: bool,
+    saves: bool,
+    /// What one task of the step with the largest tasks takes.
+    widest: Demand,
     chain: Duration,
 }
 
 impl About {
     fn of(job: &Job) -> Self {
+        let demands = job.steps.iter().map(|step| step.demand);
+        let widest = demands.max_by(|a, b| a.cores().total_cmp(&b.cores()));
         Self {
             queue: job.queue.name.clone(),
             priority: job.queue.priority,
@@ -152,6 +159,9 @@
             steps: job.steps.len(),
             tasks: job.steps.iter().map(|step| u32::from(step.tasks)).sum(),
             gang: job.steps.iter().any(|step| step.gang),
+            one_rack: job.steps.iter().any(|step| step.one_rack),
+            saves: job.steps.iter().all(|step| step.saves),
+            widest: widest.unwrap_or_default(),
             chain: job.chain(),
         }
     }
