feat(batch): patient work leaves room for urgent jobs that are still to come

Ruled out: slow placement (8 ms after acceptance) and slow starts (25 ms), by the agents' lines; workers that run slowly. Change: planner/headroom.rs counts what urgent jobs asked for in the last 20 s; independent tasks of the third queue leave three times what that makes in the time of a stop, at most a quarter of the pool. Gangs are exempt. Tests: headroom.rs (urgent_jobs_that_keep_coming_find_room fails without it: 2 of 20 start at once).

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -20,6 +20,7 @@
 mod ends;
 mod fleet;
 mod floor;
+mod headroom;
 mod health;
 mod order;
 mod place;
@@ -38,6 +39,7 @@
 use draft::Draft;
 use fleet::Fleet;
 use floor::Floor;
+use headroom::Headroom;
 use health::Health;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -151,6 +153,7 @@
     bounds: Bounds,
     fleet: Fleet,
     health: Health,
+    headroom: Headroom,
     /// When the decider first saw each open job, on its own clock.
     seen: HashMap<JobId, Duration>,
     /// When the decider first saw each job ended.
@@ -179,6 +182,7 @@
             fleet: Fleet::new(now, &bounds),
             bounds,
             health: Health::default(),
+            headroom: Headroom::default(),
             seen: HashMap::new(),
             ended: HashMap::new(),
             torn: HashMap::new(),
@@ -228,10 +232,13 @@
 
     fn note_jobs(&mut self, now: Duration, wall: u64, ledger: &Ledger) {
         for (id, entry) in ledger.open() {
-            self.seen.entry(id).or_insert_with(|| {
-                let waited = Duration::from_millis(wall.saturating_sub(entry.job.accepted));
-                now.saturating_sub(waited.min(MAX_BACKDATE))
-            });
+            if self.seen.contains_key(&id) {
+                continue;
+            }
+            let waited = Duration::from_millis(wall.saturating_sub(entry.job.accepted));
+            let accepted = now.saturating_sub(waited.min(MAX_BACKDATE));
+            self.seen.insert(id, accepted);
+            self.headroom.note(accepted, entry);
         }
         if self.seen.len() > 2 * ledger.open().count() + MAX_DROPS {
             self.seen
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -7,6 +7,7 @@
 use super::floor::{Floor, Occupant, Slot};
 use super::order::{self, Urgency};
 use super::{Decision, Orders, Planner, Round};
+use crate::demand::Demand;
 use crate::id::{JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::Entry;
@@ -17,6 +18,9 @@
 /// Most jobs for which room is kept at a time. Each one costs room that shorter tasks only can use.
 const MAX_RESERVATIONS: usize = 3;
 
+/// First priority whose jobs leave room for urgent ones.
+const HEADROOM_PRIORITY: u8 = 2;
+
 /// A place for one task: the number of the task in its step and the number of the slot.
 pub(super) type Seat = (u16, usize);
 
@@ -63,7 +67,12 @@
     }
 
     /// Places the waiting tasks of a step as far as there is room. Returns what is left.
-    fn place_step<'e>(&self, round: &mut Round, entry: &'e Entry, number: u16) -> Option<Want<'e>> {
+    fn place_step<'e>(
+        &mut self,
+        round: &mut Round,
+        entry: &'e Entry,
+        number: u16,
+    ) -> Option<Want<'e>> {
         let job = entry.job.id;
         let state = &round.draft.progress(job, entry).steps[usize::from(number)];
         let mut want = Want {
@@ -73,6 +82,7 @@
             step: &entry.job.steps[usize::from(number)],
             waiting: waiting(state),
         };
+        let held_back = self.leave_headroom(round, entry, &mut want);
         let seats = if want.step.gang {
             seat_gang(&want, round.floor)
         } else {
@@ -82,9 +92,30 @@
         for (index, slot) in &seats {
             self.place_task(round, &want, *index, run(*index), *slot);
         }
+        want.waiting = waiting(&round.draft.progress(job, entry).steps[usize::from(number)]);
         want.waiting
             .retain(|index| !seats.iter().any(|(seat, _)| seat == index));
-        (!want.waiting.is_empty()).then_some(want)
+        (!want.waiting.is_empty() && !held_back).then_some(want)
+    }
+
+    /// Holds back independent tasks of a later queue that would take the room that urgent jobs need soon.
+    /// Returns whether there are any. A gang, which needs its room at one time, would starve.
+    fn leave_headroom(&mut self, round: &Round, entry: &Entry, want: &mut Want) -> bool {
+        if entry.job.queue.priority < HEADROOM_PRIORITY || want.step.gang {
+            return false;
+        }
+        let slots = &round.floor.slots;
+        let wanted = self
+            .headroom
+            .wanted(round.now, want.pool, &self.bounds, slots);
+        let own = slots.iter().filter(|slot| want.allows(slot));
+        let free = own.fold(Demand::default(), |sum, slot| sum.plus(&slot.free));
+        let copies = want.step.demand.copies_in(&free.minus(&wanted));
+        let held_back = copies < want.step.demand.copies_in(&free);
+        let copies = usize::try_from(copies).unwrap_or(usize::MAX);
+        let held_back = held_back && copies < want.waiting.len();
+        want.waiting.truncate(copies);
+        held_back
     }
 
     fn place_task(&self, round: &mut Round, want: &Want, index: u16, run: Run, slot: usize) {
--- /dev/null
+++ b/crates/godwitstep-batch/tests/headroom.rs
@@ -0,0 +1,87 @@
+//! Urgent jobs that keep coming to a floor with a backlog of patient work.
+
+mod scene;
+
+use godwitstep_batch::id::JobId;
+use godwitstep_batch::planner::Decision;
+use scene::{ROOM, Scene, gang, seconds, step};
+use std::time::Duration;
+
+const WORKERS: usize = 8;
+
+/// Patient jobs: work for the whole floor for a minute.
+const PATIENT: std::ops::RangeInclusive<JobId> = 1..=80;
+
+fn fill(scene: &mut Scene) {
+    for job in PATIENT {
+        scene.submit(job, "patient", "south", vec![step(12, 1, seconds(4))]);
+    }
+}
+
+fn used(scene: &Scene) -> u64 {
+    PATIENT.map(|id| scene.places(id).len() as u64).sum()
+}
+
+/// Returns how long the job waited for its first placement.
+fn waited(scene: &Scene, job: JobId) -> Option<Duration> {
+    scene.decisions.iter().find_map(|decision| match decision {
+        Decision::Placed { task, age, .. } if task.job == job => Some(*age),
+        _ => None,
+    })
+}
+
+/// Hands in an urgent gang each 1.5 s. Returns those that started at once.
+fn urgent(scene: &mut Scene, jobs: std::ops::Range<JobId>) -> usize {
+    for job in jobs.clone() {
+        scene.submit(job, "urgent", "north", vec![gang(4, 2, seconds(1))]);
+        scene.run(Duration::from_millis(1_500));
+    }
+    jobs.filter(|job| waited(scene, *job) == Some(Duration::ZERO))
+        .count()
+}
+
+/// Guards against urgent jobs that each wait until patient tasks were stopped for them.
+#[test]
+fn urgent_jobs_that_keep_coming_find_room() {
+    let mut scene = Scene::new(WORKERS, 4);
+    fill(&mut scene);
+    scene.run(seconds(1));
+    urgent(&mut scene, 100..106);
+    let at_once = urgent(&mut scene, 106..126);
+    assert!(at_once >= 16, "{at_once} of 20 started at once");
+    let accelerators = ROOM.accelerators * WORKERS as u64;
+    assert!(
+        used(&scene) >= accelerators / 2,
+        "patient work keeps {} of {accelerators} accelerators",
+        used(&scene)
+    );
+}
+
+/// Guards against room that stays empty although no urgent job comes any more.
+#[test]
+fn patient_work_takes_the_whole_floor_when_no_urgent_jobs_come() {
+    let mut scene = Scene::new(WORKERS, 4);
+    fill(&mut scene);
+    scene.run(seconds(1));
+    assert_eq!(used(&scene), ROOM.accelerators * WORKERS as u64);
+    urgent(&mut scene, 100..106);
+    scene.run(seconds(25));
+    assert_eq!(used(&scene), ROOM.accelerators * WORKERS as u64);
+}
+
+/// Guards against a patient gang that never starts, because small tasks take all room but that which is
+/// left for urgent jobs.
+#[test]
+fn a_patient_gang_starts_between_small_tasks_and_urgent_jobs() {
+    let mut scene = Scene::new(WORKERS, 4);
+    for job in PATIENT {
+        scene.submit(job, "patient", "south", vec![step(4, 1, seconds(1))]);
+    }
+    urgent(&mut scene, 100..104);
+    scene.submit(99, "patient", "south", vec![gang(24, 1, seconds(1))]);
+    for job in 201..=300 {
+        scene.submit(job, "patient", "south", vec![step(4, 1, seconds(1))]);
+    }
+    urgent(&mut scene, 104..112);
+    assert!(scene.started(99), "the gang waits still");
+}
