feat(batch): a decider that can't write hands its place over

Ruled out: missed reports (the ends were listed), a slow claim (the next decider entered them in its first round). Change: after 500 ms without an answer to an append a decider offers its place to the other entries (POST /vacant with its epoch) and steps down if one reads the log; that one claims after a fifth of its delay. A decider keeps its place for 2 s at least, and rests for 2 s after it gave it up.

--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -47,6 +47,8 @@
     heard: Option<Duration>,
     /// Epoch of a claim whose process is known to decide no more.
     vacant: Option<Epoch>,
+    /// Epoch of a claim whose process can't write to the log, and when it said so.
+    offered: Option<(Epoch, Duration)>,
     /// When the decider's process last gave no answer.
     unanswered: Option<Duration>,
 }
@@ -59,6 +61,7 @@
             delay,
             heard: None,
             vacant: None,
+            offered: None,
             unanswered: None,
         }
     }
@@ -73,6 +76,18 @@
         self.vacant = Some(epoch);
     }
 
+    /// Notes that the process behind a claim can't write to the log and offers its place. Returns whether
+    /// this entry can take it, given the age of its view of the log.
+    pub fn offered(&mut self, now: Duration, epoch: Epoch, age: Duration) -> bool {
+        if age > FRESH {
+            return false;
+        }
+        if self.offered.is_none_or(|(known, _)| known != epoch) {
+            self.offered = Some((epoch, now));
+        }
+        true
+    }
+
     /// Notes that the process behind a claim gave no answer.
     pub const fn unanswered(&mut self, now: Duration) {
         self.unanswered = Some(now);
@@ -100,6 +115,10 @@
                 return now.saturating_sub(heard) >= self.delay / EAGERNESS;
             }
             Some(claim) if self.vacant == Some(claim.epoch) => return true,
+            Some(claim) if self.offered.is_some_and(|(epoch, _)| epoch == claim.epoch) => {
+                let since = self.offered.map_or(now, |(_, since)| since);
+                return now.saturating_sub(since) >= self.delay / EAGERNESS;
+            }
             // Silence since the decider was last heard of, in the log and by its process.
             Some(_) if self.unanswered.is_some_and(|at| at > heard) => HOST_SILENCE,
             Some(_) => SILENCE,
--- a/crates/godwitstep-batch/tests/claim.rs
+++ b/crates/godwitstep-batch/tests/claim.rs
@@ -118,3 +118,25 @@
     watch.vacant(claim(false).epoch);
     assert!(watch.should_claim(Duration::from_millis(100), Some(&claim(false)), READ_WAIT));
 }
+
+/// Guards against a place that stays with a decider that can't write to the log for as long as it would
+/// stay with one that is only slow.
+#[test]
+fn an_offered_place_is_claimed_at_once() {
+    let delay = Duration::from_millis(400);
+    let mut watch = Watch::new(delay);
+    assert!(watch.offered(Duration::ZERO, 1 << 20, READ_WAIT));
+    let at = claims_at(&mut watch, &claim(false), |_| READ_WAIT).expect("the place is claimed");
+    assert!(at <= delay, "claimed after {at:?}");
+}
+
+/// Guards against an offer that is taken by an entry that does not read the log, or for the place of a
+/// later decider.
+#[test]
+fn an_offer_counts_for_its_epoch_and_with_a_new_view_only() {
+    let mut watch = Watch::new(Duration::ZERO);
+    assert!(!watch.offered(Duration::ZERO, 1 << 20, READ_WAIT * 3));
+    assert!(watch.offered(Duration::ZERO, (1 << 20) - 1, READ_WAIT));
+    let at = claims_at(&mut watch, &claim(false), |_| READ_WAIT).expect("the place is claimed");
+    assert!(at >= SILENCE, "claimed after {at:?}");
+}
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -1,6 +1,7 @@
 //! An entry: serves callers, follows the log, and decides while it holds the claim.
 
 mod decide;
+mod handover;
 mod probe;
 mod report;
 mod submit;
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -4,7 +4,7 @@
 //! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
 //! whose place was taken records nothing.
 
-use super::{Decider, Entry, entries, probe, report};
+use super::{Decider, Entry, entries, handover, probe, report};
 use crate::batch::log::{AppendError, Fence, Item, Log};
 use crate::batch::wall_millis;
 use godwitstep_batch::bounds::{RENEWAL, VOICE};
@@ -14,6 +14,7 @@
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::{Claim, Record, cancelled_key, submitted_key};
 use smol::Timer;
+use smol::future::FutureExt;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +35,8 @@
     Fenced,
     /// The log took no renewal for too long.
     Unheard,
+    /// The log does not answer, and another entry was told to take the place.
+    HandedOver,
     /// The process is about to end.
     Stopping,
 }
@@ -47,7 +50,11 @@
             if self.should_claim() {
                 if let Some(epoch) = self.take_claim().await {
                     let down = self.preside(epoch).await;
+                    let rest = matches!(down, Down::HandedOver);
                     self.step_down(epoch, down).await;
+                    if rest {
+                        Timer::after(handover::REST).await;
+                    }
                 }
                 Timer::after(RETRY).await;
             }
@@ -153,6 +160,7 @@
 
     /// Decides in rounds until the claim is lost.
     async fn preside(&self, epoch: Epoch) -> Down {
+        let began = self.clock.now();
         let mut version = self.changes.version();
         loop {
             if self.stopping.get() {
@@ -165,7 +173,12 @@
                 return Down::Unheard;
             }
             let records = self.round();
-            if let Err(down) = self.record(epoch, records).await {
+            let handing_over = async {
+                let held = self.clock.now().saturating_sub(began);
+                self.hand_over(epoch, held).await;
+                Err(Down::HandedOver)
+            };
+            if let Err(down) = self.record(epoch, records).or(handing_over).await {
                 return down;
             }
             self.assign();
@@ -281,6 +294,7 @@
         let reason = match down {
             Down::Fenced => "another entry decides",
             Down::Unheard => "the log could not be followed",
+            Down::HandedOver => "another entry was told to take the place",
             Down::Stopping => "the process stops",
         };
         tracing::info!(epoch, reason, "decides no more");
@@ -306,7 +320,7 @@
 }
 
 /// Returns the age of a view whose newest read was sent at a time.
-fn age(read: Option<Duration>, now: Duration) -> Duration {
+pub(super) fn age(read: Option<Duration>, now: Duration) -> Duration {
     read.map_or(Duration::MAX, |read| now.saturating_sub(read))
 }
 
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,6 +1,6 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, State, entries, probe};
+use super::{Decider, Entry, State, entries, handover, probe};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
@@ -30,6 +30,9 @@
         if request.uri().path() == probe::PATH {
             return Response::new(http::full(self.voiced_epoch().to_string()));
         }
+        if request.uri().path() == handover::PATH {
+            return self.take_over(request).await;
+        }
         let body = match http::read(request.into_body(), MAX_REPORT, READ_TIME).await {
             Ok(body) => body,
             Err(error) => return bad_request(&error),
