feat(batch): a decider that can't write names its successor

Change: the decider asks all entries for the age of their view of the log (POST /offer), names the one with the newest (POST /succeed), which claims at once, and refers agents to it.

--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -38,6 +38,12 @@
     (((after >> CLAIMANT_BITS) + 1) << CLAIMANT_BITS) | own
 }
 
+/// Tells whether a view of the log of this age tells anything of the decider.
+#[must_use]
+pub fn informed(age: Duration) -> bool {
+    age <= FRESH
+}
+
 /// An entry's watch on the decider.
 #[derive(Debug)]
 pub struct Watch {
@@ -47,8 +53,6 @@
     heard: Option<Duration>,
     /// Epoch of a claim whose process is known to decide no more.
     vacant: Option<Epoch>,
-    /// Epoch of a claim whose process can't write to the log, and when it said so.
-    offered: Option<(Epoch, Duration)>,
     /// When the decider's process last gave no answer.
     unanswered: Option<Duration>,
 }
@@ -61,7 +65,6 @@
             delay,
             heard: None,
             vacant: None,
-            offered: None,
             unanswered: None,
         }
     }
@@ -76,18 +79,6 @@
         self.vacant = Some(epoch);
     }
 
-    /// Notes that the process behind a claim can't write to the log and offers its place. Returns whether
-    /// this entry can take it, given the age of its view of the log.
-    pub fn offered(&mut self, now: Duration, epoch: Epoch, age: Duration) -> bool {
-        if age > FRESH {
-            return false;
-        }
-        if self.offered.is_none_or(|(known, _)| known != epoch) {
-            self.offered = Some((epoch, now));
-        }
-        true
-    }
-
     /// Notes that the process behind a claim gave no answer.
     pub const fn unanswered(&mut self, now: Duration) {
         self.unanswered = Some(now);
@@ -100,12 +91,12 @@
         let silent = self
             .heard
             .is_none_or(|heard| now.saturating_sub(heard) > SUSPICION);
-        silent && age <= FRESH
+        silent && informed(age)
     }
 
     /// Tells whether to claim the place: given the newest claim and the age of the view of the log.
     pub fn should_claim(&mut self, now: Duration, claim: Option<&Claim>, age: Duration) -> bool {
-        if age > FRESH {
+        if !informed(age) {
             self.heard = Some(now);
             return false;
         }
@@ -115,10 +106,6 @@
                 return now.saturating_sub(heard) >= self.delay / EAGERNESS;
             }
             Some(claim) if self.vacant == Some(claim.epoch) => return true,
-            Some(claim) if self.offered.is_some_and(|(epoch, _)| epoch == claim.epoch) => {
-                let since = self.offered.map_or(now, |(_, since)| since);
-                return now.saturating_sub(since) >= self.delay / EAGERNESS;
-            }
             // Silence since the decider was last heard of, in the log and by its process.
             Some(_) if self.unanswered.is_some_and(|at| at > heard) => HOST_SILENCE,
             Some(_) => SILENCE,
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -19,7 +19,7 @@
 use godwitstep_batch::access::{self, Grant, Refusal, View};
 use godwitstep_batch::bounds::Bounds;
 use godwitstep_batch::claim::Watch;
-use godwitstep_batch::id::{Domain, Offset};
+use godwitstep_batch::id::{Domain, Epoch, Offset};
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::planner::Planner;
 use godwitstep_batch::record::Record;
@@ -56,6 +56,8 @@
     /// Offset after the newest record that was applied.
     records_end: Offset,
     watch: Watch,
+    /// Who was named to take this entry's place as the decider of an epoch.
+    successor: Option<(Epoch, SocketAddr)>,
     /// The decisions, while this entry decides.
     decider: Option<Decider>,
 }
@@ -110,6 +112,7 @@
                 operator_read: None,
                 records_end: 0,
                 watch: Watch::new(delay),
+                successor: None,
                 decider: None,
             }),
             settings,
--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -2,13 +2,14 @@
 //!
 //! The log may turn one host away and serve the others. A decider there is alive and answers, so the
 //! others would wait for the whole silence before they claim its place; meanwhile nothing starts and no
-//! end is recorded. So it tells them itself.
+//! end is recorded. So it asks the others how new their views of the log are, and names its successor.
 
 use super::Entry;
 use crate::batch::log::Log;
 use crate::http::{self, Client};
 use bytes::Bytes;
 use futures_util::future::join_all;
+use godwitstep_batch::claim;
 use godwitstep_batch::id::Epoch;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -16,13 +17,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// Path on which a decider tells that it can't write. The body is its epoch.
-pub(super) const PATH: &str = "/vacant";
+/// Path on which a decider that can't write asks for successors. The body is its epoch; the answer is
+/// the age of the view of the log in milliseconds.
+pub(super) const OFFER: &str = "/offer";
+/// Path on which it names its successor. The body is its epoch.
+pub(super) const SUCCEED: &str = "/succeed";
 /// Time without an answer to an append after which a decider hands over. Several times that of an append
 /// to a slow log, so that a log that is slow for all does not move the place around.
-pub(super) const UNSTORED: Duration = Duration::from_millis(500);
+const UNANSWERED: Duration = Duration::from_millis(500);
 /// Time for which a decider keeps its place at least: its reports have to come in first.
-pub(super) const MIN_TERM: Duration = Duration::from_secs(2);
+const MIN_TERM: Duration = Duration::from_secs(2);
 /// Time for which an entry that has handed over does not claim the place again.
 pub(super) const REST: Duration = Duration::from_secs(2);
 /// Longest time for an answer.
@@ -31,75 +35,90 @@
 const MAX_BODY: usize = 64;
 
 impl<L: Log> Entry<L> {
-    /// Waits until an append has gone without an answer for too long and another entry is ready to take
-    /// the place.
+    /// Waits until an append has gone without an answer for too long and another entry takes the place.
     pub(super) async fn hand_over(&self, epoch: Epoch, held: Duration) {
-        Timer::after(UNSTORED.max(MIN_TERM.saturating_sub(held))).await;
-        loop {
-            let others: Vec<SocketAddr> = self
-                .entries()
-                .into_iter()
-                .filter(|address| *address != self.settings.agents)
-                .collect();
-            let told = others.len();
-            let answers = join_all(others.into_iter().map(|address| tell(address, epoch))).await;
-            let ready = answers.into_iter().filter(|ready| *ready).count();
-            tracing::info!(
-                epoch,
-                told,
-                ready,
-                "offered the place of the decider: the log does not answer"
-            );
-            if ready > 0 {
-                return;
+        Timer::after(UNANSWERED.max(MIN_TERM.saturating_sub(held))).await;
+        while !self.name_successor(epoch).await {
+            Timer::after(UNANSWERED).await;
+        }
+    }
+
+    /// Names the entry with the newest view of the log as the successor. Returns whether one takes it.
+    async fn name_successor(&self, epoch: Epoch) -> bool {
+        let others = self.entries().into_iter();
+        let others: Vec<SocketAddr> = others
+            .filter(|address| *address != self.settings.agents)
+            .collect();
+        let asked = others.len();
+        let ages = join_all(others.into_iter().map(|address| offer(address, epoch))).await;
+        let mut ready: Vec<(Duration, SocketAddr)> = ages.into_iter().flatten().collect();
+        ready.sort_unstable();
+        let count = ready.len();
+        for (age, successor) in ready {
+            let taken = tell(successor, SUCCEED, epoch).await.is_some();
+            tracing::info!(epoch, asked, ready = count, %successor, view_ms = age.as_millis(), taken, "named a successor: the log does not answer");
+            if taken {
+                self.state.borrow_mut().successor = Some((epoch, successor));
+                return true;
             }
-            Timer::after(UNSTORED).await;
         }
+        if count == 0 {
+            tracing::info!(epoch, asked, "no entry can take the place of the decider");
+        }
+        false
     }
 
-    /// Takes the message of a decider that it can't write. Answers whether this entry can take its place.
-    pub(super) async fn take_over(&self, request: Request<Incoming>) -> Response<http::Body> {
+    /// Serves a message of a decider that can't write.
+    pub(super) async fn succeed(&self, request: Request<Incoming>) -> Response<http::Body> {
+        let named = request.uri().path() == SUCCEED;
         let body = http::read(request.into_body(), MAX_BODY, TIME).await;
         let text = body
             .ok()
             .and_then(|body| String::from_utf8(body.to_vec()).ok());
         let Some(epoch) = text.and_then(|text| text.parse::<Epoch>().ok()) else {
-            return answer(StatusCode::BAD_REQUEST);
-        };
-        let ready = {
-            let now = self.clock.now();
-            let mut state = self.state.borrow_mut();
-            let age = super::decide::age(state.records_read, now);
-            let current = state.ledger.epoch() == epoch && state.operator.policy().is_some();
-            let ready = current && !self.stopping.get() && state.watch.offered(now, epoch, age);
-            tracing::info!(
-                epoch,
-                ready,
-                view_ms = age.as_millis(),
-                "the decider can't write to the log"
-            );
-            ready
+            return answer(StatusCode::BAD_REQUEST, String::new());
         };
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let age = super::decide::age(state.records_read, now);
+        let current = state.ledger.epoch() == epoch && state.operator.policy().is_some();
+        let ready = current && !self.stopping.get() && claim::informed(age);
+        tracing::info!(
+            epoch,
+            ready,
+            named,
+            view_ms = age.as_millis(),
+            "the decider can't write to the log"
+        );
         if !ready {
-            return answer(StatusCode::SERVICE_UNAVAILABLE);
+            return answer(StatusCode::SERVICE_UNAVAILABLE, String::new());
+        }
+        if named {
+            state.watch.vacant(epoch);
+            drop(state);
+            self.changes.notify();
         }
-        self.changes.notify();
-        answer(StatusCode::OK)
+        answer(StatusCode::OK, age.as_millis().to_string())
     }
 }
 
-/// Tells an entry that the place is vacant. Returns whether it can take it.
-async fn tell(address: SocketAddr, epoch: Epoch) -> bool {
+/// Offers the place to an entry. Returns the age of its view of the log and its address if it can take it.
+async fn offer(address: SocketAddr, epoch: Epoch) -> Option<(Duration, SocketAddr)> {
+    let body = tell(address, OFFER, epoch).await?;
+    let age = std::str::from_utf8(&body).ok()?.parse().ok()?;
+    Some((Duration::from_millis(age), address))
+}
+
+/// Sends a message and returns the body of the answer if that is positive.
+async fn tell(address: SocketAddr, path: &str, epoch: Epoch) -> Option<Bytes> {
     let body = Bytes::from(epoch.to_string());
-    let Ok(request) = Request::post(PATH).body(body) else {
-        return false;
-    };
-    let answer = Client::new(address).exchange(request, TIME).await;
-    answer.is_ok_and(|answer| answer.status() == StatusCode::OK)
+    let request = Request::post(path).body(body).ok()?;
+    let answer = Client::new(address).exchange(request, TIME).await.ok()?;
+    (answer.status() == StatusCode::OK).then(|| answer.into_body())
 }
 
-fn answer(status: StatusCode) -> Response<http::Body> {
-    let mut response = Response::new(http::full(Bytes::new()));
+fn answer(status: StatusCode, body: String) -> Response<http::Body> {
+    let mut response = Response::new(http::full(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -30,8 +30,8 @@
         if request.uri().path() == probe::PATH {
             return Response::new(http::full(self.voiced_epoch().to_string()));
         }
-        if request.uri().path() == handover::PATH {
-            return self.take_over(request).await;
+        if [handover::OFFER, handover::SUCCEED].contains(&request.uri().path()) {
+            return self.succeed(request).await;
         }
         let body = match http::read(request.into_body(), MAX_REPORT, READ_TIME).await {
             Ok(body) => body,
@@ -149,11 +149,13 @@
 
     fn elsewhere(&self) -> Reply {
         let state = self.state.borrow();
-        let decider = state
-            .ledger
-            .claim()
-            .filter(|claim| !claim.released && claim.host != self.settings.host)
-            .map(|claim| (claim.epoch, claim.address));
+        let claim = state.ledger.claim().filter(|claim| !claim.released);
+        let decider = match claim {
+            Some(claim) if claim.host == self.settings.host => {
+                state.successor.filter(|(epoch, _)| *epoch == claim.epoch)
+            }
+            claim => claim.map(|claim| (claim.epoch, claim.address)),
+        };
         Reply::Elsewhere { decider }
     }
 }
