feat(batch): urgent gangs run on fast workers, patient tasks on slow ones

Equal tasks of one step took 0.8 to 1.27 times their median, always the same on the same worker; the workers' labels and room are alike. A gang is as slow as its slowest member. Urgent gangs are seated without slow workers first, then on all; urgent independent tasks prefer the others, patient ones the slow ones. The lines of submissions and registrations tell the objective, labels and room.

--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -137,6 +137,12 @@
         self.chain_left(|_| false)
     }
 
+    /// Returns the time in which the job should end, by the estimates.
+    #[must_use]
+    pub fn objective(&self) -> Duration {
+        self.chain().mul_f64(self.queue.stretch) + self.queue.objective
+    }
+
     /// Returns the estimated length of the longest chain of the steps that are not done.
     #[must_use]
     pub fn chain_left(&self, done: impl Fn(usize) -> bool) -> Duration {
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -23,6 +23,7 @@
 mod headroom;
 mod health;
 mod order;
+mod pace;
 mod place;
 mod preempt;
 mod reserve;
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -89,6 +89,9 @@
             .get(usize::from(end.task.step))
             .is_some_and(|step| step.gang);
         self.stopping.remove(&(end.task, end.run));
+        if !gang && matches!(end.fate, Fate::Ended(How::Done, _)) {
+            self.health.done(now, &end.life, end.task, end.run);
+        }
         self.health.ended(now, &end.life, end.task.job, &end.fate);
         let saved = match &end.fate {
             Fate::Ended(_, saved) => saved.clone(),
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -7,6 +7,7 @@
 use super::draft::Draft;
 use super::fleet::Fleet;
 use super::health::Health;
+use super::pace::SLOW;
 use crate::demand::Demand;
 use crate::id::{Host, Life, Pool, Run, Task};
 use crate::message::{Contact, Worker};
@@ -33,6 +34,8 @@
     pub free: Demand,
     /// Room that is kept for a job that waits.
     pub reservation: Option<Reservation>,
+    /// Logarithm of the length of tasks here against their equals elsewhere; 0 if not known.
+    pub pace: f64,
     /// Whether it gets new tasks.
     pub open: bool,
     pub occupants: Vec<Occupant>,
@@ -75,6 +78,11 @@
         }
     }
 
+    /// Tells whether tasks take clearly longer here than elsewhere.
+    pub fn is_slow(&self) -> bool {
+        self.pace > SLOW
+    }
+
     /// Tells whether the worker may run tasks of a pool that need a label.
     pub fn serves(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
         self.open && &*self.pool == pool && label.is_none_or(|label| self.labels.contains(label))
@@ -197,6 +205,7 @@
         room: worker.room,
         free: worker.room,
         reservation: None,
+        pace: health.pace(&worker.life),
         open,
         occupants: Vec::new(),
     }
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -6,6 +6,7 @@
 
 use super::Decision;
 use super::fleet::Fate;
+use super::pace::Pace;
 use crate::id::{JobId, Life, Run, Task};
 use crate::message::{How, Refusal, Report, Running};
 use std::collections::{BTreeMap, HashMap};
@@ -64,6 +65,7 @@
 pub(super) struct Health {
     workers: BTreeMap<Life, Conduct>,
     runs: HashMap<(Task, Run), Course>,
+    pace: Pace,
     /// Quarantines that have begun and not been told of.
     quarantines: Vec<Decision>,
 }
@@ -108,6 +110,21 @@
         }
     }
 
+    /// Returns the logarithm of the length of tasks on a worker against their equals.
+    pub fn pace(&self, life: &Life) -> f64 {
+        self.pace.of(life)
+    }
+
+    /// Counts the length of an independent task that is done. Later runs may have begun with saved work.
+    pub fn done(&mut self, now: Duration, life: &Life, task: Task, run: Run) {
+        if run != 1 {
+            return;
+        }
+        if let Some(length) = self.elapsed(now, task, run) {
+            self.pace.note(life, task, length);
+        }
+    }
+
     /// Notes the end of a run.
     pub fn ended(&mut self, now: Duration, life: &Life, job: JobId, fate: &Fate) {
         let conduct = self.workers.entry(life.clone()).or_default();
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -76,7 +76,7 @@
         claims: &Claims,
     ) -> Urgency {
         let job = &entry.job;
-        let objective = job.chain().mul_f64(job.queue.stretch) + job.queue.objective;
+        let objective = job.objective();
         let left = job.chain_left(|step| progress.steps.get(step).is_some_and(Step::done));
         let needed = self.age(now, id) + left;
         let late = needed > objective;
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -32,6 +32,10 @@
     pub step: &'a Step,
     /// Tasks that wait.
     pub waiting: Vec<u16>,
+    /// Whether the job has little time to spare.
+    pub urgent: bool,
+    /// Whether slow workers are left out.
+    pub swift: bool,
 }
 
 impl Planner {
@@ -81,10 +85,12 @@
             number,
             step: &entry.job.steps[usize::from(number)],
             waiting: waiting(state),
+            urgent: entry.job.queue.priority == 0,
+            swift: false,
         };
         let held_back = self.leave_headroom(round, entry, &mut want);
         let seats = if want.step.gang {
-            seat_gang(&want, round.floor)
+            seat_gang_swiftly(&mut want, round.floor)
         } else {
             seat_tasks(&want, round.floor)
         };
@@ -152,7 +158,7 @@
 
     /// Tells whether tasks of the step may run on a worker, room aside.
     pub fn allows(&self, slot: &Slot) -> bool {
-        slot.serves(self.pool, self.step.label.as_ref())
+        slot.serves(self.pool, self.step.label.as_ref()) && !(self.swift && slot.is_slow())
     }
 
     /// Returns the room that a worker has for a task of the step.
@@ -228,9 +234,10 @@
             .zip(&copy.slots)
             .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &want.free(slot)) > 0)
             .min_by(|(_, a), (_, b)| {
-                let key = |slot: &Slot| (away(want.step, slot), spare(want, slot));
-                let (a, b) = (key(a), key(b));
-                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+                let key = |slot: &Slot| (away(want.step, slot), slot.is_slow() == want.urgent);
+                key(a)
+                    .cmp(&key(b))
+                    .then_with(|| spare(want, a).total_cmp(&spare(want, b)))
             })
             .map(|(number, _)| number);
         let Some(number) = best else {
@@ -264,8 +271,22 @@
     want.step.gang && want.step.one_rack && rack_could_hold(want, floor)
 }
 
+/// Seats all tasks of a gang, or none: one with little time to spare on fast workers if there is room, as
+/// a gang is as slow as its slowest member.
+fn seat_gang_swiftly(want: &mut Want, floor: &Floor) -> Vec<Seat> {
+    if want.urgent {
+        want.swift = true;
+        let seats = seat_gang(want, floor);
+        want.swift = false;
+        if !seats.is_empty() {
+            return seats;
+        }
+    }
+    seat_gang(want, floor)
+}
+
 /// Seats all tasks of a gang, or none.
-pub(super) fn seat_gang(want: &Want, floor: &Floor) -> Vec<Seat> {
+fn seat_gang(want: &Want, floor: &Floor) -> Vec<Seat> {
     let all: Vec<usize> = (0..floor.slots.len()).collect();
     if !one_rack(want, floor) {
         return seat_within(want, floor, &all, |slot| want.free(slot));
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -88,8 +88,7 @@
     /// Returns how long a job may still wait before it must take room from others.
     fn patience(&self, now: Duration, entry: &Entry, urgency: Urgency) -> Duration {
         let job = &entry.job;
-        let objective = job.chain().mul_f64(job.queue.stretch) + job.queue.objective;
-        let mut limit = objective.saturating_sub(job.chain());
+        let mut limit = job.objective().saturating_sub(job.chain());
         if !urgency.unclaimed {
             limit = limit.min(self.bounds.reclaim);
         }
--- a/crates/godwitstep-batch/tests/scene/mod.rs
+++ b/crates/godwitstep-batch/tests/scene/mod.rs
@@ -33,6 +33,8 @@
     pub obeys: bool,
     /// Whether runs move; a worker that hangs does not.
     pub works: bool,
+    /// Times the length that a run takes on a worker of the usual speed.
+    pub slowness: f64,
     next_end: u64,
     sequence: u64,
 }
@@ -155,6 +157,7 @@
             heard: true,
             obeys: true,
             works: true,
+            slowness: 1.0,
             next_end: 1,
             sequence: 0,
         };
@@ -314,11 +317,8 @@
                     continue;
                 };
                 let step = &entry.job.steps[usize::from(row.task.step)];
-                let length = self
-                    .lengths
-                    .get(&row.task.job)
-                    .copied()
-                    .unwrap_or(step.estimate);
+                let length = self.lengths.get(&row.task.job).copied();
+                let length = length.unwrap_or(step.estimate).mul_f64(host.slowness);
                 let worked = self.work.entry((row.task, row.run)).or_default();
                 *worked += time;
                 if *worked >= length {
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -12,6 +12,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use godwitstep_batch::agent::{self as core, Answer, Call, Deed, Registration};
 use godwitstep_batch::bounds::COAST;
+use godwitstep_batch::demand::Demand;
 use godwitstep_batch::message::{Reply, Report};
 use smol::future::{self, FutureExt};
 use smol::{LocalExecutor, Timer};
@@ -92,10 +93,16 @@
     pub fn register(&self, registration: Registration, address: SocketAddr) {
         let life = registration.life.clone();
         let draining = registration.draining;
+        let labels = registration.labels.join(",");
+        let Demand {
+            cpu,
+            memory,
+            accelerators,
+        } = registration.room;
         let was_draining = self.core.borrow().draining();
         let new = self.core.borrow_mut().register(registration);
         if new {
-            tracing::info!(worker = %life, draining, "worker registered");
+            tracing::info!(worker = %life, draining, labels, cpu, memory, accelerators, "worker registered");
             let address = self.settings.worker.unwrap_or(address);
             *self.worker.borrow_mut() = Some(Rc::new((self.connect)(address)));
         } else if draining && !was_draining {
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -56,7 +56,7 @@
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
         let verdict = verdict.await;
-        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %about.queue, priority = about.priority, workspace = %about.workspace, steps = about.steps, tasks = about.tasks, gang = about.gang, one_rack = about.one_rack, saves = about.saves, cpu = about.widest.cpu, accelerators = about.widest.accelerators, chain_ms = about.chain.as_millis(), "submission answered");
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %about.queue, priority = about.priority, workspace = %about.workspace, steps = about.steps, tasks = about.tasks, gang = about.gang, one_rack = about.one_rack, saves = about.saves, cpu = about.widest.cpu, accelerators = about.widest.accelerators, chain_ms = about.chain.as_millis(), objective_ms = about.objective.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => name(verdict)).increment(1);
         verdict
     }
@@ -146,6 +146,7 @@
     /// What one task of the step with the largest tasks takes.
     widest: Demand,
     chain: Duration,
+    objective: Duration,
 }
 
 impl About {
@@ -163,6 +164,7 @@
             saves: job.steps.iter().all(|step| step.saves),
             widest: widest.unwrap_or_default(),
             chain: job.chain(),
+            objective: job.objective(),
         }
     }
 }
