feat(batch): callers come back at once if another entry reaches the log

Change: an entry whose view of the log is 1.35 s old asks the others (GET /log). If one reaches the log, or neither the log nor anybody answers, it refuses with a return at once, otherwise after 1 s. Test: callers_come_back_at_once_only_if_another_entry_serves (real processes).

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -4,6 +4,7 @@
 mod handover;
 mod probe;
 mod report;
+mod scope;
 mod submit;
 mod writer;
 
@@ -89,6 +90,8 @@
     /// Changes of what agents are told.
     directives: Notice,
     stopping: Cell<bool>,
+    /// Whether this host fails to reach the log and others reach it.
+    alone: Cell<bool>,
 }
 
 impl<L: Log> Entry<L> {
@@ -120,6 +123,7 @@
             changes: Notice::default(),
             directives: Notice::default(),
             stopping: Cell::new(false),
+            alone: Cell::new(false),
         })
     }
 
@@ -145,11 +149,14 @@
         let writing = async move { entry.writer.run(&entry.log, &entry.clock).await };
         let entry = self.clone();
         let deciding = async move { entry.decide().await };
+        let entry = self.clone();
+        let asking = async move { entry.watch_scope().await };
         let announcing = async move { self.announce().await };
         tasks.spawn(records).detach();
         tasks.spawn(operator).detach();
         tasks.spawn(writing).detach();
         tasks.spawn(deciding).detach();
+        tasks.spawn(asking).detach();
         tasks.spawn(announcing).detach();
         tasks.run(std::future::pending::<()>()).await;
     }
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,6 +1,6 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, State, entries, handover, probe};
+use super::{Decider, Entry, State, entries, handover, probe, scope};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
@@ -30,6 +30,9 @@
         if request.uri().path() == probe::PATH {
             return Response::new(http::full(self.voiced_epoch().to_string()));
         }
+        if request.uri().path() == scope::PATH {
+            return self.reaches_log();
+        }
         if [handover::OFFER, handover::SUCCEED].contains(&request.uri().path()) {
             return self.succeed(request).await;
         }
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -19,9 +19,7 @@
 /// Time for which an append is repeated that the log refuses; callers reach another entry sooner.
 const REFUSED_TIME: Duration = Duration::from_millis(400);
 /// Time without a stored append, or age of the view of the log, at which new work is refused at once.
-const LOG_FAILING: Duration = Duration::from_millis(1_500);
-/// When a caller should come back after a refusal for want of the log.
-const COME_BACK: Duration = Duration::from_secs(1);
+pub(super) const LOG_FAILING: Duration = Duration::from_millis(1_500);
 
 /// Answer to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,7 +50,9 @@
                 job = format_args!("{id:016x}"),
                 "submission refused: the log does not answer"
             );
-            return Verdict::Refused { again: COME_BACK };
+            return Verdict::Refused {
+                again: self.come_back(),
+            };
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
         let verdict = verdict.await;
@@ -67,7 +67,11 @@
             Some(Status::Ended(_)) => return Verdict::Stored,
             Some(Status::Queued | Status::Running) => {}
             None if self.knows_jobs() => return Verdict::Unknown,
-            None => return Verdict::Refused { again: COME_BACK },
+            None => {
+                return Verdict::Refused {
+                    again: self.come_back(),
+                };
+            }
         }
         let cancelled = || matches!(self.status(id), Some(Status::Ended(_)));
         let verdict = self
@@ -102,14 +106,16 @@
                 return if doubt {
                     Verdict::InDoubt
                 } else {
-                    Verdict::Refused { again: COME_BACK }
+                    Verdict::Refused {
+                        again: self.come_back(),
+                    }
                 };
             }
             Timer::after(RETRY).await;
         }
     }
 
-    fn log_fails(&self) -> bool {
+    pub(super) fn log_fails(&self) -> bool {
         let unread = self.with_view(|view| view.jobs_age > LOG_FAILING);
         unread || self.writer.failing(self.clock.now()) > LOG_FAILING
     }
