fix(batch): the room left for urgent jobs is a part of the open workers

Workers that get no tasks counted in the quarter of the pool that may be left free, so that with half of them closed patient work could wait while half of the open ones was free. Test: patient_work_starts_while_half_of_the_floor_is_free.

--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -20,7 +20,7 @@
 const CHANGE: Duration = Duration::from_millis(300);
 /// Times the mean demand that is kept free: arrivals are uneven.
 const SPARE: f64 = 3.0;
-/// Largest part of a pool that is kept free.
+/// Largest part of a pool's open workers that is kept free.
 const MAX_SHARE: f64 = 0.25;
 
 /// What urgent jobs have asked for lately.
@@ -65,7 +65,7 @@
             .fold(none, |sum, (_, demand)| sum.plus(demand));
         let time = bounds.stop + CHANGE;
         let part = SPARE * time.as_secs_f64() / WINDOW.as_secs_f64();
-        let own = slots.iter().filter(|slot| &*slot.pool == pool);
+        let own = slots.iter().filter(|slot| slot.open && &*slot.pool == pool);
         let all = own.fold(none, |sum, slot| sum.plus(&slot.room));
         asked.scaled(part).least(&all.scaled(MAX_SHARE))
     }
--- a/crates/godwitstep-batch/tests/headroom.rs
+++ b/crates/godwitstep-batch/tests/headroom.rs
@@ -85,3 +85,19 @@
     urgent(&mut scene, 104..112);
     assert!(scene.started(99), "the gang waits still");
 }
+
+/// Guards against patient jobs that wait although less than half of the floor is in use.
+#[test]
+fn patient_work_starts_while_half_of_the_floor_is_free() {
+    let mut scene = Scene::new(WORKERS, 4);
+    urgent(&mut scene, 100..110);
+    for number in 0..4 {
+        scene.host(number).worker.draining = true;
+    }
+    for job in PATIENT {
+        scene.submit(job, "patient", "south", vec![step(2, 1, seconds(30))]);
+    }
+    scene.run(seconds(1));
+    let open = ROOM.accelerators * WORKERS as u64 / 2;
+    assert!(used(&scene) >= open / 2, "{} of {open}", used(&scene));
+}
