--- a/crates/godwitstep-cli/tests/proofs/rig/load.rs
+++ b/crates/godwitstep-cli/tests/proofs/rig/load.rs
@@ -25,6 +25,8 @@
     pub outcomes: Vec<String>,
     /// Names of the attempts that were told not to have run.
     pub not_run: Vec<String>,
+    /// What those attempts were told beside that: the reason of each refusal.
+    pub reasons: Vec<String>,
     /// Whether an answer that came is that of the request.
     pub whole: bool,
     pub sent: u64,
@@ -123,6 +125,7 @@
     let sent = wall_us();
     let mut ask = first.clone();
     let (mut outcomes, mut not_run) = (Vec::new(), Vec::new());
+    let mut reasons = Vec::new();
     let mut whole = true;
     for attempt in 0..ATTEMPTS {
         let client = &clients[(start + attempt) % clients.len()];
@@ -131,6 +134,7 @@
                 whole &= is_whole(&ask, &reply);
                 if reply.outcome == "not_run" {
                     not_run.push(reply.request);
+                    reasons.push(String::from_utf8_lossy(&reply.body).into_owned());
                 }
                 outcomes.push(reply.outcome);
             }
@@ -153,6 +157,7 @@
         ask: first,
         outcomes,
         not_run,
+        reasons,
         whole,
         sent,
         done: wall_us(),
