fix(batch): room that is made for an urgent job stays with it

A gang of three had 11 tasks stopped at 42.12 s; the moment the last one had ended, a gang of two that came 1.4 s later took two of the three workers, and the first one had 11 more tasks stopped at 46.25 s. The room was kept within a round and against later queues only, and room that was not free yet counted for each job that looked at it. Ruled out: late reports (the ends are entered at once), a worker that closed (all three were used right after).

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -25,6 +25,7 @@
 mod order;
 mod pace;
 mod place;
+mod pledge;
 mod preempt;
 mod reserve;
 mod stuck;
@@ -42,6 +43,7 @@
 use floor::Floor;
 use headroom::Headroom;
 use health::Health;
+use pledge::Pledge;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
@@ -163,6 +165,8 @@
     torn: HashMap<(JobId, u16, Run), Duration>,
     /// Runs that are stopped although their jobs go on.
     stopping: HashSet<(Task, Run)>,
+    /// Room that is being made for jobs.
+    pledges: HashMap<JobId, Pledge>,
     /// What the ledger assigns to each host.
     assigned: BTreeMap<crate::id::Host, Vec<Assignment>>,
 }
@@ -188,6 +192,7 @@
             ended: HashMap::new(),
             torn: HashMap::new(),
             stopping: HashSet::new(),
+            pledges: HashMap::new(),
             assigned: BTreeMap::new(),
         }
     }
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -32,6 +32,8 @@
     pub labels: Vec<Arc<str>>,
     pub room: Demand,
     pub free: Demand,
+    /// Room that is kept for jobs though it is not free yet.
+    pub promised: Demand,
     /// Room that is kept for a job that waits.
     pub reservation: Option<Reservation>,
     /// Logarithm of the length of tasks here against their equals elsewhere; 0 if not known.
@@ -59,6 +61,7 @@
 
     /// Takes room for a time.
     pub fn take(&mut self, demand: &Demand, estimate: Duration) {
+        self.promised = self.promised.plus(&demand.minus(&self.free));
         self.free = self.free.minus(demand);
         if let Some(reservation) = &mut self.reservation
             && estimate > reservation.start
@@ -204,6 +207,7 @@
         labels: worker.labels.clone(),
         room: worker.room,
         free: worker.room,
+        promised: Demand::default(),
         reservation: None,
         pace: health.pace(&worker.life),
         open,
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -23,6 +23,8 @@
     /// Whether it can no longer end in time to be worth something.
     pub hopeless: bool,
     pub priority: u8,
+    /// Whether no room is being made for it.
+    pub unpledged: bool,
     /// Whether it has no claim on its workspace's guarantee.
     pub unclaimed: bool,
     /// Whether it can no longer be on time.
@@ -93,6 +95,7 @@
         Urgency {
             hopeless,
             priority: job.queue.priority,
+            unpledged: !self.pledged(now, id),
             unclaimed: !claimed,
             late,
             slack: millis(bound) - millis(needed),
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -45,6 +45,9 @@
         entry: &Entry,
         want: &Want,
     ) {
+        if self.keep_pledge(round, want) {
+            return;
+        }
         let Round {
             now, draft, floor, ..
         } = round;
@@ -68,12 +71,13 @@
         for seat in worth_it(want, &seats, limit) {
             *needed.entry(seat.slot).or_default() += 1;
         }
+        let mut stops_any = false;
         for (number, tasks) in needed {
             let demand = want.step.demand.times(tasks);
             let slot = &floor.slots[number];
             let stops = self.stops(slot, &demand, &losses).unwrap_or_default();
             for (task, run) in stops {
-                self.stopping.insert((task, run));
+                stops_any |= self.stopping.insert((task, run));
                 round.plan.decisions.push(Decision::Preempted {
                     task,
                     run,
@@ -82,7 +86,10 @@
             }
         }
         let seats: Vec<Seat> = seats.iter().map(|seat| (seat.index, seat.slot)).collect();
-        keep(floor, want, &seats);
+        if stops_any && want.step.gang {
+            self.pledge(round, want, &seats);
+        }
+        keep(round.floor, want, &seats);
     }
 
     /// Returns how long a job may still wait before it must take room from others.
@@ -109,6 +116,7 @@
                 .iter()
                 .filter(|own| self.left(now, draft, own) <= time)
                 .fold(slot.free, |free, own| free.plus(&own.demand))
+                .minus(&slot.promised)
         };
         let seats = if place::one_rack(want, floor) {
             place::racks(want, floor)
@@ -123,6 +131,15 @@
         (!seats.is_empty()).then_some(seats)
     }
 
+    /// Returns what is free on a worker once the runs have ended that are being stopped.
+    pub(super) fn free_after_stops(&self, slot: &Slot) -> Demand {
+        slot.occupants
+            .iter()
+            .filter(|own| self.is_stopping(own))
+            .fold(slot.free, |free, own| free.plus(&own.demand))
+            .minus(&slot.promised)
+    }
+
     pub(super) fn is_stopping(&self, own: &Occupant) -> bool {
         self.stopping.contains(&(own.task, own.run))
     }
@@ -227,11 +244,7 @@
     /// Returns the runs to stop on a worker so that a demand fits, those with the least loss; `None`
     /// if it does not fit whatever is stopped.
     fn stops(&self, slot: &Slot, demand: &Demand, losses: &Losses) -> Option<Vec<(Task, Run)>> {
-        let mut free = slot
-            .occupants
-            .iter()
-            .filter(|own| self.is_stopping(own))
-            .fold(slot.free, |free, own| free.plus(&own.demand));
+        let mut free = self.free_after_stops(slot);
         let mut candidates: Vec<(&Occupant, f64)> = slot
             .occupants
             .iter()
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -83,7 +83,9 @@
         let mut waits = Vec::new();
         let mut free = slot.free;
         let mut note = |free: &Demand, wait: Duration| {
-            let copies = want.copies(slot, free).min(want.waiting.len() as u64);
+            let copies = want
+                .copies(slot, &free.minus(&slot.promised))
+                .min(want.waiting.len() as u64);
             while (waits.len() as u64) < copies {
                 waits.push(wait);
             }
@@ -102,6 +104,7 @@
             .iter()
             .filter(|own| self.left(now, draft, own) <= time)
             .fold(slot.free, |free, own| free.plus(&own.demand))
+            .minus(&slot.promised)
     }
 
     /// Returns how long a run is expected to stay.
