refactor(batch): one copy of the planner's repeated pieces

Found on reading the change again: what is free after some runs stood three times (preempt, pledge, reserve), the choice between the racks and all workers four times, counting seats by worker three times, and the look for a live pledge twice. Independent tasks were seated on a copy of the whole floor, once a step and round, and then placed again on the floor itself; the room for urgent jobs was computed for each patient step of a round, the standstill of a worker by a pass over all runs for each worker. Change: Slot::free_once, place::groups, place::count, Demand::sum, Planner::pledged; tasks are placed one by one on the floor; headroom and standstills are computed once a round. No decision changes.

--- a/crates/godwitstep-batch/src/demand.rs
+++ b/crates/godwitstep-batch/src/demand.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Returns the sum of any number.
+    #[must_use]
+    pub fn sum<'a>(demands: impl IntoIterator<Item = &'a Self>) -> Self {
+        let none = Self::default();
+        demands
+            .into_iter()
+            .fold(none, |sum, demand| sum.plus(demand))
+    }
+
     /// Returns the difference, at least zero in each dimension.
     #[must_use]
     pub const fn minus(&self, other: &Self) -> Self {
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -146,6 +146,8 @@
     draft: &'r mut Draft<'l>,
     /// The room that is left.
     floor: &'r mut Floor,
+    /// Room that patient work leaves free.
+    headroom: headroom::Wanted,
     plan: &'r mut Plan,
 }
 
@@ -220,10 +222,12 @@
         self.conclude(now, &mut draft, &mut plan);
         if orders.age < VIEW_LIFE {
             let mut floor = Floor::new(now, &self.fleet, &self.health, &draft, orders);
+            let headroom = self.headroom.wanted(now, &self.bounds, &floor.slots);
             let mut round = Round {
                 now,
                 draft: &mut draft,
                 floor: &mut floor,
+                headroom,
                 plan: &mut plan,
             };
             self.place(&mut round, orders);
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -6,7 +6,7 @@
 use super::Orders;
 use super::draft::Draft;
 use super::fleet::Fleet;
-use super::health::Health;
+use super::health::{Health, Standstills};
 use super::pace::SLOW;
 use crate::demand::Demand;
 use crate::id::{Host, Life, Pool, Run, Task};
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 /// A run that takes room.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Occupant {
     pub task: Task,
     pub run: Run,
@@ -24,7 +24,7 @@
 }
 
 /// One worker.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Slot {
     pub life: Life,
     pub pool: Pool,
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Returns what is free once the runs are over for which `over` holds, beside the room that is promised.
+    pub fn free_once(&self, over: impl Fn(&Occupant) -> bool) -> Demand {
+        let over = self.occupants.iter().filter(|own| over(own));
+        let freed = Demand::sum(over.map(|own| &own.demand));
+        self.free.plus(&freed).minus(&self.promised)
+    }
+
     /// Returns the room for a task of this length: it may not outlast the start of a job for which
     /// room is kept, unless there is room beside that.
     pub fn free_for(&self, estimate: Duration) -> Demand {
@@ -93,7 +100,7 @@
 }
 
 /// All workers, in the order of their hosts.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub(super) struct Floor {
     pub slots: Vec<Slot>,
     by_host: HashMap<Host, usize>,
@@ -107,9 +114,10 @@
         draft: &Draft,
         orders: &Orders,
     ) -> Self {
+        let standstills = health.standstills(now);
         let slots: Vec<Slot> = fleet
             .workers(now)
-            .map(|(age, worker)| slot(now, age, worker, health, orders))
+            .map(|(age, worker)| slot(now, age, worker, health, &standstills, orders))
             .collect();
         let by_host = (0..)
             .zip(&slots)
@@ -194,12 +202,19 @@
     }
 }
 
-fn slot(now: Duration, age: Duration, worker: &Worker, health: &Health, orders: &Orders) -> Slot {
+fn slot(
+    now: Duration,
+    age: Duration,
+    worker: &Worker,
+    health: &Health,
+    standstills: &Standstills,
+    orders: &Orders,
+) -> Slot {
     let open = Fleet::fresh(age)
         && worker.contact == Contact::Answers
         && !worker.draining
         && !orders.out.contains(&worker.domain)
-        && health.trusted(now, &worker.life);
+        && health.trusted(now, &worker.life, standstills);
     Slot {
         life: worker.life.clone(),
         pool: worker.pool.clone(),
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -23,6 +23,9 @@
 /// Largest part of a pool's open workers that is kept free.
 const MAX_SHARE: f64 = 0.25;
 
+/// Room that is to be left free, by pool.
+pub(super) type Wanted = HashMap<Pool, Demand>;
+
 /// What urgent jobs have asked for lately.
 #[derive(Debug, Default)]
 pub(super) struct Headroom {
@@ -48,25 +51,24 @@
         }
     }
 
-    /// Returns the room that is to be left free in a pool.
-    pub fn wanted(&mut self, now: Duration, pool: &str, bounds: &Bounds, slots: &[Slot]) -> Demand {
-        let Some(arrivals) = self.arrivals.get_mut(pool) else {
-            return Demand::default();
-        };
-        while arrivals
-            .front()
-            .is_some_and(|(accepted, _)| *accepted + WINDOW < now)
-        {
-            arrivals.pop_front();
-        }
-        let none = Demand::default();
-        let asked = arrivals
-            .iter()
-            .fold(none, |sum, (_, demand)| sum.plus(demand));
+    /// Returns the room that is to be left free in each pool that urgent jobs came to lately.
+    pub fn wanted(&mut self, now: Duration, bounds: &Bounds, slots: &[Slot]) -> Wanted {
         let time = bounds.stop + CHANGE;
         let part = SPARE * time.as_secs_f64() / WINDOW.as_secs_f64();
-        let own = slots.iter().filter(|slot| slot.open && &*slot.pool == pool);
-        let all = own.fold(none, |sum, slot| sum.plus(&slot.room));
-        asked.scaled(part).least(&all.scaled(MAX_SHARE))
+        let mut wanted = Wanted::new();
+        for (pool, arrivals) in &mut self.arrivals {
+            while arrivals
+                .front()
+                .is_some_and(|(accepted, _)| *accepted + WINDOW < now)
+            {
+                arrivals.pop_front();
+            }
+            let asked = Demand::sum(arrivals.iter().map(|(_, demand)| demand));
+            let open = slots.iter().filter(|slot| slot.open && slot.pool == *pool);
+            let all = Demand::sum(open.map(|slot| &slot.room));
+            let room = asked.scaled(part).least(&all.scaled(MAX_SHARE));
+            wanted.insert(pool.clone(), room);
+        }
+        wanted
     }
 }
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -7,7 +7,7 @@
 use super::Decision;
 use super::fleet::Fate;
 use super::pace::Pace;
-use crate::id::{JobId, Life, Run, Task};
+use crate::id::{Host, JobId, Life, Run, Task};
 use crate::message::{How, Refusal, Report, Running};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
@@ -34,6 +34,9 @@
 /// and sound workers differ by a quarter.
 const SLOW: f64 = 0.3;
 
+/// For how long nothing has moved, by host.
+pub(super) type Standstills = HashMap<Host, Duration>;
+
 /// Record of one worker.
 #[derive(Debug, Default)]
 struct Conduct {
@@ -46,7 +49,7 @@
 /// Progress of one run.
 #[derive(Debug)]
 struct Course {
-    host: crate::id::Host,
+    host: Host,
     percent: u8,
     moved: Duration,
     /// When the run was first listed.
@@ -80,7 +83,7 @@
         }
     }
 
-    fn progress(&mut self, now: Duration, host: &crate::id::Host, row: &Running) {
+    fn progress(&mut self, now: Duration, host: &Host, row: &Running) {
         let course = self
             .runs
             .entry((row.task, row.run))
@@ -221,24 +224,28 @@
             .is_some_and(|course| course.whole)
     }
 
-    /// Returns for how long nothing has moved on a worker, if the progress of some run there is known.
-    pub fn standstill(&self, now: Duration, host: &str) -> Option<Duration> {
-        self.runs
-            .values()
-            .filter(|course| &*course.host == host && course.moves())
-            .map(|course| now.saturating_sub(course.moved))
-            .min()
+    /// Returns for how long nothing has moved on each worker where the progress of some run is known.
+    pub fn standstills(&self, now: Duration) -> Standstills {
+        let mut standstills = Standstills::new();
+        for course in self.runs.values().filter(|course| course.moves()) {
+            let still = now.saturating_sub(course.moved);
+            standstills
+                .entry(course.host.clone())
+                .and_modify(|least| *least = still.min(*least))
+                .or_insert(still);
+        }
+        standstills
     }
 
     /// Tells whether a worker gets new tasks.
-    pub fn trusted(&self, now: Duration, life: &Life) -> bool {
+    pub fn trusted(&self, now: Duration, life: &Life, standstills: &Standstills) -> bool {
         let punished = self
             .workers
             .get(life)
             .is_some_and(|conduct| conduct.until > now);
-        let still = self
-            .standstill(now, &life.host)
-            .is_some_and(|still| still > STILL);
+        let still = standstills
+            .get(&life.host)
+            .is_some_and(|still| *still > STILL);
         !punished && !still
     }
 }
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -99,7 +99,7 @@
             .workspace
             .as_ref()
             .is_some_and(|workspace| claims.get(workspace) == Some(&true));
-        let room = if self.pledged(now, id) {
+        let room = if self.pledged(now, id).is_some() {
             Room::Pledged
         } else {
             Room::Unpledged
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -71,12 +71,7 @@
     }
 
     /// Places the waiting tasks of a step as far as there is room. Returns what is left.
-    fn place_step<'e>(
-        &mut self,
-        round: &mut Round,
-        entry: &'e Entry,
-        number: u16,
-    ) -> Option<Want<'e>> {
+    fn place_step<'e>(&self, round: &mut Round, entry: &'e Entry, number: u16) -> Option<Want<'e>> {
         let job = entry.job.id;
         let state = &round.draft.progress(job, entry).steps[usize::from(number)];
         let mut want = Want {
@@ -88,42 +83,24 @@
             urgent: entry.job.queue.priority == 0,
             swift: false,
         };
-        let held_back = self.leave_headroom(round, entry, &mut want);
-        let seats = if want.step.gang {
-            seat_gang_swiftly(&mut want, round.floor)
-        } else {
-            seat_tasks(&want, round.floor)
-        };
+        let held_back = leave_headroom(round, entry, &mut want);
         let run = next_run(want.step.gang, state);
-        for (index, slot) in &seats {
-            self.place_task(round, &want, *index, run(*index), *slot);
+        if want.step.gang {
+            for (index, slot) in seat_gang_swiftly(&mut want, round.floor) {
+                self.place_task(round, &want, index, run(index), slot);
+            }
+        } else {
+            for &index in &want.waiting {
+                let Some(slot) = best_slot(&want, round.floor) else {
+                    break;
+                };
+                self.place_task(round, &want, index, run(index), slot);
+            }
         }
         want.waiting = waiting(&round.draft.progress(job, entry).steps[usize::from(number)]);
-        want.waiting
-            .retain(|index| !seats.iter().any(|(seat, _)| seat == index));
         (!want.waiting.is_empty() && !held_back).then_some(want)
     }
 
-    /// Holds back independent tasks of a later queue that would take the room that urgent jobs need soon.
-    /// Returns whether there are any. A gang, which needs its room at one time, would starve.
-    fn leave_headroom(&mut self, round: &Round, entry: &Entry, want: &mut Want) -> bool {
-        if entry.job.queue.priority < HEADROOM_PRIORITY || want.step.gang {
-            return false;
-        }
-        let slots = &round.floor.slots;
-        let wanted = self
-            .headroom
-            .wanted(round.now, want.pool, &self.bounds, slots);
-        let own = slots.iter().filter(|slot| want.allows(slot));
-        let free = own.fold(Demand::default(), |sum, slot| sum.plus(&slot.free));
-        let copies = want.step.demand.copies_in(&free.minus(&wanted));
-        let held_back = copies < want.step.demand.copies_in(&free);
-        let copies = usize::try_from(copies).unwrap_or(usize::MAX);
-        let held_back = held_back && copies < want.waiting.len();
-        want.waiting.truncate(copies);
-        held_back
-    }
-
     fn place_task(&self, round: &mut Round, want: &Want, index: u16, run: Run, slot: usize) {
         let task = want.task(index);
         let slot = &mut round.floor.slots[slot];
@@ -181,6 +158,27 @@
     }
 }
 
+/// Holds back independent tasks of a later queue that would take the room that urgent jobs need soon.
+/// Returns whether there are any. A gang, which needs its room at one time, would starve.
+fn leave_headroom(round: &Round, entry: &Entry, want: &mut Want) -> bool {
+    if entry.job.queue.priority < HEADROOM_PRIORITY || want.step.gang {
+        return false;
+    }
+    let Some(wanted) = round.headroom.get(want.pool) else {
+        return false;
+    };
+    let own = round.floor.slots.iter().filter(|slot| want.allows(slot));
+    let free = Demand::sum(own.map(|slot| &slot.free));
+    let copies = |room: &Demand| {
+        let copies = want.step.demand.copies_in(room);
+        usize::try_from(copies).unwrap_or(usize::MAX)
+    };
+    let allowed = copies(&free.minus(wanted));
+    let held_back = allowed < copies(&free).min(want.waiting.len());
+    want.waiting.truncate(allowed);
+    held_back
+}
+
 /// Returns the steps that have waiting tasks and whose earlier steps are done.
 fn ready_steps(entry: &Entry, progress: &progress::Progress) -> Vec<u16> {
     let done = |other: &u16| {
@@ -225,33 +223,18 @@
     }
 }
 
-/// Seats as many of the waiting tasks as there is room for.
-fn seat_tasks(want: &Want, floor: &Floor) -> Vec<Seat> {
-    let mut copy = floor.clone();
-    let mut seats = Vec::new();
-    for index in &want.waiting {
-        let best = (0..)
-            .zip(&copy.slots)
-            .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &want.free(slot)) > 0)
-            .min_by(|(_, a), (_, b)| {
-                let key = |slot: &Slot| (away(want.step, slot), slot.is_slow() == want.urgent);
-                key(a)
-                    .cmp(&key(b))
-                    .then_with(|| spare(want, a).total_cmp(&spare(want, b)))
-            })
-            .map(|(number, _)| number);
-        let Some(number) = best else {
-            break;
-        };
-        let occupant = Occupant {
-            task: want.task(*index),
-            run: 0,
-            demand: want.step.demand,
-        };
-        copy.slots[number].occupy(occupant, want.step.estimate);
-        seats.push((*index, number));
-    }
-    seats
+/// Returns the slot that one more independent task fills best, if there is room.
+fn best_slot(want: &Want, floor: &Floor) -> Option<usize> {
+    (0..)
+        .zip(&floor.slots)
+        .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &want.free(slot)) > 0)
+        .min_by(|(_, a), (_, b)| {
+            let key = |slot: &Slot| (away(want.step, slot), slot.is_slow() == want.urgent);
+            key(a)
+                .cmp(&key(b))
+                .then_with(|| spare(want, a).total_cmp(&spare(want, b)))
+        })
+        .map(|(number, _)| number)
 }
 
 /// Tells whether a worker is not beside the step's data.
@@ -267,7 +250,7 @@
 }
 
 /// Tells whether a step has to run within one rack.
-pub(super) fn one_rack(want: &Want, floor: &Floor) -> bool {
+fn one_rack(want: &Want, floor: &Floor) -> bool {
     want.step.gang && want.step.one_rack && rack_could_hold(want, floor)
 }
 
@@ -287,27 +270,36 @@
 
 /// Seats all tasks of a gang, or none.
 fn seat_gang(want: &Want, floor: &Floor) -> Vec<Seat> {
-    let all: Vec<usize> = (0..floor.slots.len()).collect();
-    if !one_rack(want, floor) {
-        return seat_within(want, floor, &all, |slot| want.free(slot));
-    }
-    racks(want, floor)
-        .into_values()
+    groups(want, floor)
+        .into_iter()
         .map(|slots| seat_within(want, floor, &slots, |slot| want.free(slot)))
         .filter(|seats| !seats.is_empty())
         .min_by(|a, b| leftover(floor, a).total_cmp(&leftover(floor, b)))
         .unwrap_or_default()
 }
 
-/// Returns the slots of each rack that the step may use.
-pub(super) fn racks(want: &Want, floor: &Floor) -> BTreeMap<Option<Arc<str>>, Vec<usize>> {
-    let mut racks: BTreeMap<_, Vec<usize>> = BTreeMap::new();
+/// Returns the slots among which all tasks of a step have to be seated: those of each rack for a gang that
+/// has to run within one, else all.
+pub(super) fn groups(want: &Want, floor: &Floor) -> Vec<Vec<usize>> {
+    if !one_rack(want, floor) {
+        return vec![(0..floor.slots.len()).collect()];
+    }
+    let mut racks: BTreeMap<&Option<Arc<str>>, Vec<usize>> = BTreeMap::new();
     for (number, slot) in (0..).zip(&floor.slots) {
         if want.allows(slot) {
-            racks.entry(slot.rack.clone()).or_default().push(number);
+            racks.entry(&slot.rack).or_default().push(number);
         }
     }
-    racks
+    racks.into_values().collect()
+}
+
+/// Counts how often each slot occurs.
+pub(super) fn count(slots: impl Iterator<Item = usize>) -> BTreeMap<usize, u64> {
+    let mut counts = BTreeMap::new();
+    for slot in slots {
+        *counts.entry(slot).or_default() += 1;
+    }
+    counts
 }
 
 /// Tells whether some rack could hold the whole gang if it were empty. Workers that are closed for
--- a/crates/godwitstep-batch/src/planner/pledge.rs
+++ b/crates/godwitstep-batch/src/planner/pledge.rs
@@ -4,7 +4,7 @@
 //! smaller urgent job that came later takes what is free already. Then the gang has others stopped, and so on.
 
 use super::floor::Floor;
-use super::place::{Seat, Want};
+use super::place::{self, Seat, Want};
 use super::{Planner, Round};
 use crate::id::{JobId, Life};
 use std::time::Duration;
@@ -23,35 +23,28 @@
 impl Planner {
     /// Notes that runs are stopped to make room for a job.
     pub(super) fn pledge(&mut self, round: &Round, want: &Want, seats: &[Seat]) {
-        let mut counts: Vec<(Life, u64)> = Vec::new();
-        for (_, number) in seats {
-            let life = &round.floor.slots[*number].life;
-            match counts.iter_mut().find(|(own, _)| own == life) {
-                Some((_, count)) => *count += 1,
-                None => counts.push((life.clone(), 1)),
-            }
-        }
-        let until = round.now + self.bounds.stop + GRACE;
+        let counts = place::count(seats.iter().map(|(_, number)| *number));
+        let life = |number: usize| round.floor.slots[number].life.clone();
+        let pledge = Pledge {
+            until: round.now + self.bounds.stop + GRACE,
+            seats: counts
+                .into_iter()
+                .map(|(number, count)| (life(number), count))
+                .collect(),
+        };
         self.pledges.retain(|_, pledge| round.now < pledge.until);
-        self.pledges.insert(
-            want.job,
-            Pledge {
-                until,
-                seats: counts,
-            },
-        );
+        self.pledges.insert(want.job, pledge);
     }
 
-    /// Tells whether room is being made for a job.
-    pub(super) fn pledged(&self, now: Duration, job: JobId) -> bool {
+    /// Returns the room that is being made for a job, if any.
+    pub(super) fn pledged(&self, now: Duration, job: JobId) -> Option<&Pledge> {
         let pledge = self.pledges.get(&job);
-        pledge.is_some_and(|pledge| now < pledge.until)
+        pledge.filter(|pledge| now < pledge.until)
     }
 
     /// Keeps the room that is being made for a job. Returns whether it still comes free.
     pub(super) fn keep_pledge(&self, round: &mut Round, want: &Want) -> bool {
-        let pledge = self.pledges.get(&want.job);
-        let Some(pledge) = pledge.filter(|pledge| round.now < pledge.until) else {
+        let Some(pledge) = self.pledged(round.now, want.job) else {
             return false;
         };
         let tasks: u64 = pledge.seats.iter().map(|(_, count)| count).sum();
@@ -74,7 +67,7 @@
         let Some(slot) = floor.at(life).filter(|slot| want.allows(slot)) else {
             return false;
         };
-        let free = self.free_after_stops(slot);
+        let free = slot.free_once(|own| self.is_stopping(own));
         want.step.demand.times(count).fits(&free)
     }
 }
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -67,10 +67,11 @@
             f64::INFINITY
         };
         let seats = self.cheapest(floor, want, &losses);
-        let mut needed: BTreeMap<usize, u64> = BTreeMap::new();
-        for seat in worth_it(want, &seats, limit) {
-            *needed.entry(seat.slot).or_default() += 1;
-        }
+        let needed = place::count(
+            worth_it(want, &seats, limit)
+                .into_iter()
+                .map(|seat| seat.slot),
+        );
         let mut stops_any = false;
         for (number, tasks) in needed {
             let demand = want.step.demand.times(tasks);
@@ -111,33 +112,11 @@
         want: &Want,
         time: Duration,
     ) -> Option<Vec<Seat>> {
-        let soon = |slot: &Slot| {
-            slot.occupants
-                .iter()
-                .filter(|own| self.left(now, draft, own) <= time)
-                .fold(slot.free, |free, own| free.plus(&own.demand))
-                .minus(&slot.promised)
-        };
-        let seats = if place::one_rack(want, floor) {
-            place::racks(want, floor)
-                .into_values()
-                .map(|slots| place::seat_within(want, floor, &slots, soon))
-                .find(|seats| !seats.is_empty())
-                .unwrap_or_default()
-        } else {
-            let all: Vec<usize> = (0..floor.slots.len()).collect();
-            place::seat_within(want, floor, &all, soon)
-        };
-        (!seats.is_empty()).then_some(seats)
-    }
-
-    /// Returns what is free on a worker once the runs have ended that are being stopped.
-    pub(super) fn free_after_stops(&self, slot: &Slot) -> Demand {
-        slot.occupants
-            .iter()
-            .filter(|own| self.is_stopping(own))
-            .fold(slot.free, |free, own| free.plus(&own.demand))
-            .minus(&slot.promised)
+        let soon = |slot: &Slot| slot.free_once(|own| self.left(now, draft, own) <= time);
+        place::groups(want, floor)
+            .into_iter()
+            .map(|slots| place::seat_within(want, floor, &slots, soon))
+            .find(|seats| !seats.is_empty())
     }
 
     pub(super) fn is_stopping(&self, own: &Occupant) -> bool {
@@ -188,12 +167,8 @@
     /// Returns seats where the least is lost: for all members of a gang, or none; for as many
     /// independent tasks as there could be room for.
     fn cheapest(&self, floor: &Floor, want: &Want, losses: &Losses) -> Vec<Costly> {
-        let all: Vec<usize> = (0..floor.slots.len()).collect();
-        if !place::one_rack(want, floor) {
-            return self.cheapest_within(floor, want, losses, &all);
-        }
-        place::racks(want, floor)
-            .into_values()
+        place::groups(want, floor)
+            .into_iter()
             .map(|slots| self.cheapest_within(floor, want, losses, &slots))
             .filter(|seats| !seats.is_empty())
             .min_by(|a, b| total(a).total_cmp(&total(b)))
@@ -244,7 +219,7 @@
     /// Returns the runs to stop on a worker so that a demand fits, those with the least loss; `None`
     /// if it does not fit whatever is stopped.
     fn stops(&self, slot: &Slot, demand: &Demand, losses: &Losses) -> Option<Vec<(Task, Run)>> {
-        let mut free = self.free_after_stops(slot);
+        let mut free = slot.free_once(|own| self.is_stopping(own));
         let mut candidates: Vec<(&Occupant, f64)> = slot
             .occupants
             .iter()
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -9,6 +9,7 @@
 use super::place::{self, Want};
 use super::{Planner, Round};
 use crate::demand::Demand;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 impl Planner {
@@ -18,12 +19,7 @@
             now, draft, floor, ..
         } = round;
         let now = *now;
-        let groups: Vec<Vec<usize>> = if place::one_rack(want, floor) {
-            place::racks(want, floor).into_values().collect()
-        } else {
-            vec![(0..floor.slots.len()).collect()]
-        };
-        let best = groups
+        let best = place::groups(want, floor)
             .into_iter()
             .filter_map(|slots| self.start(now, draft, floor, want, &slots))
             .min_by_key(|(start, _)| *start);
@@ -32,7 +28,7 @@
         };
         for (number, tasks) in seats {
             let slot = &mut floor.slots[number];
-            let free = self.free_after(now, draft, slot, start);
+            let free = slot.free_once(|own| self.left(now, draft, own) <= start);
             slot.reservation = Some(Reservation {
                 start,
                 beside: free.minus(&want.step.demand.times(tasks)),
@@ -49,7 +45,7 @@
         floor: &Floor,
         want: &Want,
         slots: &[usize],
-    ) -> Option<(Duration, Vec<(usize, u64)>)> {
+    ) -> Option<(Duration, BTreeMap<usize, u64>)> {
         let mut seats: Vec<(Duration, usize)> = Vec::new();
         for &number in slots {
             let slot = &floor.slots[number];
@@ -62,14 +58,8 @@
         seats.sort_unstable();
         let needed = want.waiting.len();
         let (start, _) = *seats.get(needed.checked_sub(1)?)?;
-        let mut counts: Vec<(usize, u64)> = Vec::new();
-        for (_, number) in seats.into_iter().take(needed) {
-            match counts.iter_mut().find(|(own, _)| *own == number) {
-                Some((_, count)) => *count += 1,
-                None => counts.push((number, 1)),
-            }
-        }
-        Some((start, counts))
+        let numbers = seats.into_iter().take(needed).map(|(_, number)| number);
+        Some((start, place::count(numbers)))
     }
 
     /// Returns after which times a slot has room for one, two and more tasks of a step.
@@ -98,15 +88,6 @@
         waits
     }
 
-    /// Returns what is free on a slot after a time.
-    fn free_after(&self, now: Duration, draft: &Draft, slot: &Slot, time: Duration) -> Demand {
-        slot.occupants
-            .iter()
-            .filter(|own| self.left(now, draft, own) <= time)
-            .fold(slot.free, |free, own| free.plus(&own.demand))
-            .minus(&slot.promised)
-    }
-
     /// Returns how long a run is expected to stay.
     pub(super) fn left(&self, now: Duration, draft: &Draft, own: &Occupant) -> Duration {
         if self.is_stopping(own) {
--- a/crates/godwitstep-batch/src/planner/stuck.rs
+++ b/crates/godwitstep-batch/src/planner/stuck.rs
@@ -6,7 +6,7 @@
 
 use super::draft::Draft;
 use super::{Decision, Plan, Planner};
-use crate::id::{Life, Run, Task};
+use crate::id::{Run, Task};
 use crate::ledger::Entry;
 use std::time::Duration;
 
@@ -44,10 +44,12 @@
     /// Stops runs that stand still and gangs that don't come together.
     pub(super) fn unstick(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stop = Vec::new();
+        let standstills = self.health.standstills(now);
         for (job, entry, progress) in draft.open() {
             for (step, index, placed, life) in progress.placed() {
                 let task = Task { job, step, index };
-                let still = self.standing(now, entry, task, placed.run, life);
+                let still =
+                    self.standing(now, entry, task, placed.run, standstills.get(&life.host));
                 if let Some(still) = still
                     && !self.stopping.contains(&(task, placed.run))
                 {
@@ -61,17 +63,15 @@
         }
     }
 
-    /// Returns for how long a run has stood still, if it is better stopped and started elsewhere.
-    ///
-    /// Nobody knows how long a standstill will last, so a run waits for as long as it takes to do its
-    /// lost work again.
+    /// Returns for how long a run has stood still, if it is better stopped and started elsewhere;
+    /// `standstill` is for how long nothing has moved on its worker.
     fn standing(
         &self,
         now: Duration,
         entry: &Entry,
         task: Task,
         run: Run,
-        life: &Life,
+        standstill: Option<&Duration>,
     ) -> Option<Duration> {
         let step = &entry.job.steps[usize::from(task.step)];
         let elapsed = self.health.elapsed(now, task, run)?;
@@ -86,7 +86,7 @@
             still
         } else {
             // Its progress is not shown; that of others on the worker may be.
-            self.health.standstill(now, &life.host)?.min(elapsed)
+            *standstill?.min(&elapsed)
         };
         let done = lost.saturating_sub(still);
         (still > STUCK + done).then_some(still)
