refactor: one way to answer, one age of a view, one list of the other entries

Change: http::respond, entry::age, Entry::others; the relation of the limits is asserted at compile time; decider/drive.rs builds both sized parts from part(). No answer and no decision changes. Checked: linter of the workspace; tests of godwitstep and godwitstep-platform, among them the seeded soak.

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -259,13 +259,11 @@
     fn with_view<R>(&self, act: impl FnOnce(View) -> R) -> R {
         let now = self.clock.now();
         let state = self.state.borrow();
-        let age =
-            |read: Option<Duration>| read.map_or(Duration::MAX, |read| now.saturating_sub(read));
         let policy = state.operator.policy().cloned();
         act(View {
             policy: policy.as_deref(),
-            policy_age: age(state.operator_read),
-            jobs_age: age(state.records_read),
+            policy_age: age(state.operator_read, now),
+            jobs_age: age(state.records_read, now),
         })
     }
 
@@ -303,6 +301,13 @@
         self.changes.notify();
     }
 
+    /// Returns the addresses of all other announced entries.
+    fn others(&self) -> Vec<SocketAddr> {
+        let mut addresses = entries(&self.state.borrow().ledger);
+        addresses.retain(|address| *address != self.settings.agents);
+        addresses
+    }
+
     /// Tells whether this entry decides.
     #[must_use]
     pub fn decides(&self) -> bool {
@@ -333,6 +338,11 @@
     tracing::info!(offset, what, changed, "operator's record applied");
 }
 
+/// Returns the age of a view whose newest read was sent at a time.
+fn age(read: Option<Duration>, now: Duration) -> Duration {
+    read.map_or(Duration::MAX, |read| now.saturating_sub(read))
+}
+
 /// Addresses of all announced entries.
 fn entries(ledger: &Ledger) -> Vec<SocketAddr> {
     ledger.entries().map(|entry| entry.address).collect()
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -4,7 +4,7 @@
 //! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
 //! whose place was taken records nothing.
 
-use super::{Decider, Entry, entries, handover, probe, report};
+use super::{Decider, Entry, age, handover, probe};
 use crate::batch::log::{AppendError, Fence, Item, Log};
 use crate::batch::wall_millis;
 use godwitstep_batch::bounds::{RENEWAL, VOICE};
@@ -210,7 +210,7 @@
         let orders = Orders {
             policy: &policy,
             out: &out,
-            age: report::operator_age(state, now),
+            age: age(state.operator_read, now),
         };
         let Some(decider) = &mut state.decider else {
             return Vec::new();
@@ -311,17 +311,6 @@
             tracing::warn!(epoch, %error, "the claim could not be released");
         }
     }
-
-    /// Returns the addresses of all announced entries.
-    #[must_use]
-    pub fn entries(&self) -> Vec<std::net::SocketAddr> {
-        entries(&self.state.borrow().ledger)
-    }
-}
-
-/// Returns the age of a view whose newest read was sent at a time.
-pub(super) fn age(read: Option<Duration>, now: Duration) -> Duration {
-    read.map_or(Duration::MAX, |read| now.saturating_sub(read))
 }
 
 fn item(record: &Record) -> Item {
--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -4,7 +4,7 @@
 //! others would wait for the whole silence before they claim its place; meanwhile nothing starts and no
 //! end is recorded. So it asks the others how new their views of the log are, and names its successor.
 
-use super::Entry;
+use super::{Entry, age};
 use crate::batch::log::Log;
 use crate::http::{self, Client};
 use bytes::Bytes;
@@ -45,10 +45,7 @@
 
     /// Names the entry with the newest view of the log as the successor. Returns whether one takes it.
     async fn name_successor(&self, epoch: Epoch) -> bool {
-        let others = self.entries().into_iter();
-        let others: Vec<SocketAddr> = others
-            .filter(|address| *address != self.settings.agents)
-            .collect();
+        let others = self.others();
         let asked = others.len();
         let ages = join_all(others.into_iter().map(|address| offer(address, epoch))).await;
         let mut ready: Vec<(Duration, SocketAddr)> = ages.into_iter().flatten().collect();
@@ -76,11 +73,11 @@
             .ok()
             .and_then(|body| String::from_utf8(body.to_vec()).ok());
         let Some(epoch) = text.and_then(|text| text.parse::<Epoch>().ok()) else {
-            return answer(StatusCode::BAD_REQUEST, String::new());
+            return http::respond(StatusCode::BAD_REQUEST, Bytes::new());
         };
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let age = super::decide::age(state.records_read, now);
+        let age = age(state.records_read, now);
         let current = state.ledger.epoch() == epoch && state.operator.policy().is_some();
         let ready = current && !self.stopping.get() && claim::informed(age);
         tracing::info!(
@@ -91,14 +88,14 @@
             "the decider can't write to the log"
         );
         if !ready {
-            return answer(StatusCode::SERVICE_UNAVAILABLE, String::new());
+            return http::respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
         if named {
             state.watch.vacant(epoch);
             drop(state);
             self.changes.notify();
         }
-        answer(StatusCode::OK, age.as_millis().to_string())
+        http::respond(StatusCode::OK, age.as_millis().to_string())
     }
 }
 
@@ -116,9 +113,3 @@
     let answer = Client::new(address).exchange(request, TIME).await.ok()?;
     (answer.status() == StatusCode::OK).then(|| answer.into_body())
 }
-
-fn answer(status: StatusCode, body: String) -> Response<http::Body> {
-    let mut response = Response::new(http::full(Bytes::from(body)));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,9 +1,8 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, State, entries, handover, probe, scope};
+use super::{Decider, Entry, age, entries, handover, probe, scope};
 use crate::batch::log::Log;
 use crate::http;
-use bytes::Bytes;
 use godwitstep_batch::bounds::VOICE;
 use godwitstep_batch::id::Epoch;
 use godwitstep_batch::message::{self, Directive, Reply, Report};
@@ -28,7 +27,7 @@
     /// Serves one exchange with an agent.
     pub async fn serve_agent(&self, request: Request<Incoming>) -> Response<http::Body> {
         if request.uri().path() == probe::PATH {
-            return Response::new(http::full(self.voiced_epoch().to_string()));
+            return http::respond(StatusCode::OK, self.voiced_epoch().to_string());
         }
         if request.uri().path() == scope::PATH {
             return self.reaches_log();
@@ -41,7 +40,10 @@
             Err(error) => return bad_request(&error),
         };
         match message::decode::<Report>(&body) {
-            Ok(report) => respond(&self.report(report).await),
+            Ok(report) => {
+                let reply = self.report(report).await;
+                http::respond(StatusCode::OK, message::encode(&reply))
+            }
             Err(error) => bad_request(&error),
         }
     }
@@ -103,7 +105,7 @@
         let nothing = Rc::new(Policy::default());
         let policy = state.operator.policy().unwrap_or(&nothing).clone();
         let out = state.operator.out().clone();
-        let age = operator_age(state, now);
+        let age = age(state.operator_read, now);
         let addresses = entries(&state.ledger);
         let decider = state
             .decider
@@ -170,13 +172,6 @@
     }
 }
 
-/// Returns the age of the entry's view of the operators' orders.
-pub(super) fn operator_age(state: &State, now: Duration) -> Duration {
-    state
-        .operator_read
-        .map_or(Duration::MAX, |read| now.saturating_sub(read))
-}
-
 const fn orders_any(directive: &Directive) -> bool {
     !directive.start.is_empty() || !directive.stop.is_empty()
 }
@@ -193,12 +188,6 @@
     hasher.finish()
 }
 
-fn respond(reply: &Reply) -> Response<http::Body> {
-    Response::new(http::full(message::encode(reply)))
-}
-
 fn bad_request(error: &dyn std::error::Error) -> Response<http::Body> {
-    let mut response = Response::new(http::full(Bytes::from(format!("{error}\n"))));
-    *response.status_mut() = StatusCode::BAD_REQUEST;
-    response
+    http::respond(StatusCode::BAD_REQUEST, format!("{error}\n"))
 }
--- a/crates/godwitstep/src/batch/entry/scope.rs
+++ b/crates/godwitstep/src/batch/entry/scope.rs
@@ -6,7 +6,7 @@
 use super::Entry;
 use super::submit::LOG_FAILING;
 use crate::batch::log::Log;
-use crate::http::Client;
+use crate::http::{self, Client};
 use bytes::Bytes;
 use futures_util::future::join_all;
 use hyper::{Request, Response, StatusCode};
@@ -46,13 +46,13 @@
     }
 
     /// Tells another entry whether this one reaches the log.
-    pub(super) fn reaches_log(&self) -> Response<crate::http::Body> {
-        let fails = self.log_fails() || self.in_doubt();
-        let mut response = Response::new(crate::http::full(Bytes::new()));
-        if fails {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
-        response
+    pub(super) fn reaches_log(&self) -> Response<http::Body> {
+        let status = if self.in_doubt() {
+            StatusCode::SERVICE_UNAVAILABLE
+        } else {
+            StatusCode::OK
+        };
+        http::respond(status, Bytes::new())
     }
 
     fn in_doubt(&self) -> bool {
@@ -79,9 +79,7 @@
     /// Returns whether only this host fails to reach the log, as far as the others tell. A host that
     /// reaches neither the log nor the others is cut off.
     async fn ask_others(&self) -> bool {
-        let others = self.entries().into_iter();
-        let others = others.filter(|address| *address != self.settings.agents);
-        let answers = join_all(others.map(ask)).await;
+        let answers = join_all(self.others().into_iter().map(ask)).await;
         let fails = answers.contains(&Answer::Fails);
         let reaches = answers.contains(&Answer::Reaches);
         !answers.is_empty() && (reaches || !fails)
@@ -99,4 +97,6 @@
     }
 }
 
+// An entry that refuses for want of the log counts as one that does not reach it.
 const _: () = assert!(DOUBTFUL.as_millis() < LOG_FAILING.as_millis());
+const _: () = assert!(TICK.as_millis() < LOG_FAILING.as_millis());
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -115,7 +115,7 @@
         }
     }
 
-    pub(super) fn log_fails(&self) -> bool {
+    fn log_fails(&self) -> bool {
         let unread = self.with_view(|view| view.jobs_age > LOG_FAILING);
         unread || self.writer.failing(self.clock.now()) > LOG_FAILING
     }
--- a/crates/godwitstep/src/caller/answer.rs
+++ b/crates/godwitstep/src/caller/answer.rs
@@ -1,7 +1,7 @@
 //! Mapping of outcomes and faults to HTTP responses.
 
 use super::{OUTCOME, REQUEST};
-use crate::http::{Body, full};
+use crate::http::{self, Body};
 use bytes::Bytes;
 use godwitstep_core::Reason;
 use godwitstep_core::router::Outcome;
@@ -92,8 +92,7 @@
 }
 
 fn whole(status: StatusCode, outcome: &str, request: &str, body: Bytes) -> Response<Body> {
-    let mut response = Response::new(full(body));
-    *response.status_mut() = status;
+    let mut response = http::respond(status, body);
     for (name, text) in [(OUTCOME, outcome), (REQUEST, request)] {
         if let Ok(value) = HeaderValue::from_str(text) {
             response.headers_mut().insert(name, value);
--- a/crates/godwitstep/src/decider/drive.rs
+++ b/crates/godwitstep/src/decider/drive.rs
@@ -57,18 +57,11 @@
             tasks,
             accelerators,
         } => {
-            let run = state
-                .registry
-                .borrow()
-                .job(&job)
-                .and_then(|found| found.spec.run_s);
+            // It is not recorded yet.
             let part = Part {
-                epoch,
-                job,
-                attempt,
                 tasks,
                 accelerators,
-                run: run.map(Duration::from_secs),
+                ..part(state, epoch, &worker, job, attempt)
             };
             send(state, &worker, Frame::Reserve(part));
         }
--- a/crates/godwitstep/src/entry/requests.rs
+++ b/crates/godwitstep/src/entry/requests.rs
@@ -3,7 +3,7 @@
 use super::State;
 use super::links::Agent;
 use crate::caller::{Front, Options, Order};
-use crate::http::{Body, full};
+use crate::http::{Body, respond};
 use godwitstep_core::id::Name;
 use godwitstep_core::reason::Reason;
 use godwitstep_core::router::{Event, KeyState, Settings, Target};
@@ -73,9 +73,7 @@
 }
 
 pub(super) fn unavailable() -> Response<Body> {
-    let mut response = Response::new(full("the entry starts\n"));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    response
+    respond(StatusCode::SERVICE_UNAVAILABLE, "the entry starts\n")
 }
 
 /// Takes in what an agent says about its target.
--- a/crates/godwitstep/src/http.rs
+++ b/crates/godwitstep/src/http.rs
@@ -29,6 +29,6 @@
 mod client;
 mod server;
 
-pub use body::{Body, BoxError, ReadError, empty, full, read, stream};
+pub use body::{Body, BoxError, ReadError, empty, full, read, respond, stream};
 pub use client::{Cause, Client, Error, Options, Step};
 pub use server::{Limits, Shutdown, Signal, serve};
--- a/crates/godwitstep/src/http/body.rs
+++ b/crates/godwitstep/src/http/body.rs
@@ -5,6 +5,7 @@
 use futures_util::StreamExt;
 use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::Frame;
+use hyper::{Response, StatusCode};
 use smol::Timer;
 use smol::future::FutureExt;
 use std::pin::Pin;
@@ -47,6 +48,14 @@
     Box::pin(Full::new(bytes.into()).map_err(|never| match never {}))
 }
 
+/// Returns a whole response without headers of its own.
+#[must_use]
+pub fn respond(status: StatusCode, bytes: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full(bytes));
+    *response.status_mut() = status;
+    response
+}
+
 /// Returns a body whose parts are sent as they come. An error ends the connection.
 #[must_use]
 pub fn stream(parts: impl Stream<Item = Result<Bytes, BoxError>> + 'static) -> Body {
--- a/crates/godwitstep/src/http/server.rs
+++ b/crates/godwitstep/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Server helper: accept loop, limits, shutdown that lets requests in progress end.
 
-use super::body::{Body, full};
+use super::body::{Body, respond};
 use futures_util::future::{Either, select};
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::body::Incoming;
@@ -176,8 +176,7 @@
 }
 
 fn refusal() -> Response<Body> {
-    let mut response = Response::new(full("too many connections\n"));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
     let headers = response.headers_mut();
     headers.insert(CONNECTION, HeaderValue::from_static("close"));
     headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
--- a/crates/godwitstep/src/resources/reply.rs
+++ b/crates/godwitstep/src/resources/reply.rs
@@ -142,8 +142,7 @@
 }
 
 pub(super) fn json(status: StatusCode, body: &Value) -> Response<Body> {
-    let mut response = Response::new(http::full(format!("{body}\n")));
-    *response.status_mut() = status;
+    let mut response = http::respond(status, format!("{body}\n"));
     let kind = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, kind);
     response
@@ -175,8 +174,7 @@
 }
 
 pub(super) fn text(status: StatusCode, body: impl Into<String>) -> Response<Body> {
-    let mut response = Response::new(http::full(body.into()));
-    *response.status_mut() = status;
+    let mut response = http::respond(status, body.into());
     let kind = HeaderValue::from_static("text/plain; charset=utf-8");
     response.headers_mut().insert(CONTENT_TYPE, kind);
     response
