refactor(batch): what a worker says of itself is one type

Found on reading the change again: the registration that an agent takes and the worker that it reports repeated seven fields, and the agent's seat held the life beside it once more. Change: message::About stands in both; the seat keeps no second life. Labels are joined for the log line only when there is one, not on each heartbeat. Reports between processes of one version carry the same content, one level deeper.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -103,18 +103,18 @@
     /// Takes what the worker says of itself. Returns whether it begins a new life.
     pub fn register(&mut self, registration: Registration) -> bool {
         if let Some(seat) = &mut self.seat {
-            if seat.life == registration.life {
+            if seat.about.life == registration.about.life {
                 seat.refresh(registration);
                 return false;
             }
-            if registration.life.born < seat.life.born {
+            if registration.about.life.born < seat.about.life.born {
                 return false;
             }
         }
         let over = self
             .left
             .as_ref()
-            .is_some_and(|(_, life)| *life == registration.life);
+            .is_some_and(|(_, life)| *life == registration.about.life);
         if over {
             return false;
         }
@@ -126,8 +126,8 @@
     /// Takes the worker's farewell. Returns whether it was that of the current life.
     pub fn leave(&mut self, now: Duration, worker: &str) -> bool {
         match self.seat.take() {
-            Some(seat) if &*seat.life.worker == worker => {
-                self.left = Some((now, seat.life));
+            Some(seat) if &*seat.about.life.worker == worker => {
+                self.left = Some((now, seat.about.life));
                 self.forget_calls();
                 true
             }
@@ -147,7 +147,7 @@
     /// Returns the current life of the worker.
     #[must_use]
     pub fn life(&self) -> Option<&Life> {
-        self.seat.as_ref().map(|seat| &seat.life)
+        self.seat.as_ref().map(|seat| &seat.about.life)
     }
 
     /// Returns the highest epoch that the agent has heard of.
@@ -193,7 +193,7 @@
         let deadline = deadline.map(|clock| clock + millis(hold));
         seat.note_deadline(deadline);
         Some(Hold {
-            life: seat.life.clone(),
+            life: seat.about.life.clone(),
             epoch,
             recorded: seat.recorded,
             deadline,
@@ -204,7 +204,7 @@
     /// Takes the lists that the worker answered to a look requested at `requested`. Returns whether they show
     /// something new.
     pub fn look(&mut self, now: Duration, requested: Duration, life: &Life, lists: Lists) -> bool {
-        let Some(seat) = self.seat.as_mut().filter(|seat| seat.life == *life) else {
+        let Some(seat) = self.seat.as_mut().filter(|seat| seat.about.life == *life) else {
             return false;
         };
         let changed = seat.look(now, lists);
@@ -233,7 +233,7 @@
 
     /// Notes that the worker gave no answer to a look.
     pub fn unanswered(&mut self, life: &Life) {
-        if let Some(seat) = self.seat.as_mut().filter(|seat| seat.life == *life) {
+        if let Some(seat) = self.seat.as_mut().filter(|seat| seat.about.life == *life) {
             seat.misses += 1;
         }
     }
@@ -271,13 +271,7 @@
             percent: 0,
         }));
         Worker {
-            life: seat.life.clone(),
-            pool: seat.about.pool.clone(),
-            domain: seat.about.domain.clone(),
-            room: seat.about.room,
-            labels: seat.about.labels.clone(),
-            rack: seat.about.rack.clone(),
-            draining: seat.about.draining,
+            about: seat.about.clone(),
             contact: seat.contact(now),
             running,
             ended: seat.ended.clone(),
@@ -307,7 +301,7 @@
         let Some(seat) = &mut self.seat else {
             return true;
         };
-        if directive.life.as_ref() != Some(&seat.life) {
+        if directive.life.as_ref() != Some(&seat.about.life) {
             return true;
         }
         seat.recorded = seat.recorded.max(directive.recorded);
@@ -391,7 +385,7 @@
             }
             pending.begin();
             calls.push(Call {
-                life: seat.life.clone(),
+                life: seat.about.life.clone(),
                 key: *key,
                 epoch,
                 deed: pending.deed.clone(),
--- a/crates/godwitstep-batch/src/agent/seat.rs
+++ b/crates/godwitstep-batch/src/agent/seat.rs
@@ -2,34 +2,19 @@
 
 use super::Key;
 use crate::bounds::WORKER_DRIFT;
-use crate::demand::Demand;
-use crate::id::{Domain, Life, Pool};
-use crate::message::{Contact, Ended, Running};
-use std::sync::Arc;
+use crate::message::{About, Contact, Ended, Running};
 use std::time::Duration;
 
 /// Looks without an answer after which a worker counts as silent.
 const MISSES: u32 = 2;
 
-/// What a worker says of itself.
+/// One registration of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
-    /// Current life.
-    pub life: Life,
+    /// What it says of itself.
+    pub about: About,
     /// Rises within a life; an older registration changes nothing.
     pub sequence: u64,
-    /// Pool that it serves.
-    pub pool: Pool,
-    /// Failure domain.
-    pub domain: Domain,
-    /// Everything that it has.
-    pub room: Demand,
-    /// Labels.
-    pub labels: Vec<Arc<str>>,
-    /// Rack; `None` where it names none.
-    pub rack: Option<Arc<str>>,
-    /// Whether it is about to leave.
-    pub draining: bool,
 }
 
 /// What a worker lists.
@@ -46,8 +31,9 @@
 /// One life of the worker.
 #[derive(Debug)]
 pub(super) struct Seat {
-    pub life: Life,
-    pub about: Registration,
+    pub about: About,
+    /// Number of the registration that it comes from.
+    sequence: u64,
     pub running: Vec<Running>,
     pub ended: Vec<Ended>,
     /// Ends up to this number are recorded.
@@ -63,10 +49,10 @@
 }
 
 impl Seat {
-    pub fn new(about: Registration) -> Self {
+    pub fn new(registration: Registration) -> Self {
         Self {
-            life: about.life.clone(),
-            about,
+            about: registration.about,
+            sequence: registration.sequence,
             running: Vec::new(),
             ended: Vec::new(),
             recorded: 0,
@@ -79,10 +65,11 @@
 
     /// Takes a newer registration of the same life. Draining never ends within a life.
     pub fn refresh(&mut self, registration: Registration) {
-        if registration.sequence >= self.about.sequence {
-            let draining = self.about.draining || registration.draining;
-            self.about = registration;
+        if registration.sequence >= self.sequence {
+            let draining = self.about.draining || registration.about.draining;
+            self.about = registration.about;
             self.about.draining = draining;
+            self.sequence = registration.sequence;
         }
     }
 
--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -39,9 +39,9 @@
     pub wait: bool,
 }
 
-/// A worker and what runs there.
+/// What a worker says of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Worker {
+pub struct About {
     /// Current life.
     pub life: Life,
     /// Pool that it serves.
@@ -56,6 +56,13 @@
     pub rack: Option<Arc<str>>,
     /// Whether it is about to leave.
     pub draining: bool,
+}
+
+/// A worker and what runs there.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Worker {
+    /// What it says of itself.
+    pub about: About,
     /// Whether the agent reaches it, which tells what the lists are worth.
     pub contact: Contact,
     /// Runs under way.
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -67,7 +67,7 @@
             fleet
                 .get(&life.host)
                 .and_then(|report| report.worker.as_ref())
-                .is_some_and(|worker| worker.life == *life)
+                .is_some_and(|worker| worker.about.life == *life)
         });
     }
 
@@ -90,7 +90,7 @@
         };
         directive.sequence = report.sequence;
         if let Some(worker) = &report.worker {
-            directive.life = Some(worker.life.clone());
+            directive.life = Some(worker.about.life.clone());
             directive.recorded = recorded(worker, ledger);
             self.order(worker, ledger, orders, &mut directive);
         }
@@ -100,10 +100,10 @@
     fn order(&self, worker: &Worker, ledger: &Ledger, orders: &Orders, directive: &mut Directive) {
         let assigned = self
             .assigned
-            .get(&worker.life.host)
+            .get(&worker.about.life.host)
             .map_or(&[][..], Vec::as_slice);
-        let here = || assigned.iter().filter(|own| own.life == worker.life);
-        let closed = worker.draining || orders.out.contains(&worker.domain);
+        let here = || assigned.iter().filter(|own| own.life == worker.about.life);
+        let closed = worker.about.draining || orders.out.contains(&worker.about.domain);
         for own in here().filter(|own| !settled(worker, own)) {
             let listed = worker
                 .running
@@ -122,9 +122,9 @@
             }
         }
         // What was meant for an earlier life under the same name may be carried out by this one.
-        let earlier = assigned
-            .iter()
-            .filter(|own| own.life != worker.life && own.life.worker == worker.life.worker);
+        let earlier = assigned.iter().filter(|own| {
+            own.life != worker.about.life && own.life.worker == worker.about.life.worker
+        });
         for own in earlier.filter(|own| !settled(worker, own)) {
             directive.stop.push((own.task, own.run));
         }
@@ -180,7 +180,7 @@
     let Some(task) = entry.progress.task(row.task.step, row.task.index) else {
         return true;
     };
-    let placed = task.run == row.run && task.place() == Some(&worker.life);
+    let placed = task.run == row.run && task.place() == Some(&worker.about.life);
     let unnoticed =
         row.how == How::Done && task.state != State::Done && entry.progress.outcome.is_none();
     !placed && !unnoticed
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -119,7 +119,7 @@
                     .task(end.task.step, end.task.index)
                     .is_some_and(|task| task.state != State::Done);
                 if open && progress.outcome.is_none() {
-                    late.push((end.task.job, end.task, end.run, worker.life.clone()));
+                    late.push((end.task.job, end.task, end.run, worker.about.life.clone()));
                 }
             }
         }
--- a/crates/godwitstep-batch/src/planner/fleet.rs
+++ b/crates/godwitstep-batch/src/planner/fleet.rs
@@ -66,7 +66,12 @@
         if stale {
             return false;
         }
-        let life = |report: &Report| report.worker.as_ref().map(|worker| worker.life.clone());
+        let life = |report: &Report| {
+            report
+                .worker
+                .as_ref()
+                .map(|worker| worker.about.life.clone())
+        };
         let life_since = match self.hosts.get(&report.host) {
             Some(seen) if life(&seen.report) == life(&report) => seen.life_since,
             _ => now,
@@ -96,7 +101,7 @@
     pub fn leaves(&self, life: &Life) -> bool {
         self.get(&life.host)
             .and_then(|report| report.worker.as_ref())
-            .is_some_and(|worker| worker.life == *life && worker.draining)
+            .is_some_and(|worker| worker.about.life == *life && worker.about.draining)
     }
 
     /// Returns the workers with the age of what is known of them.
@@ -118,11 +123,11 @@
             return (now > self.since + self.silence).then_some(Fate::Silent);
         };
         if let Some(worker) = &seen.report.worker {
-            if worker.life == *life {
+            if worker.about.life == *life {
                 if let Some(fate) = listed(worker, task, run) {
                     return Some(fate);
                 }
-            } else if worker.life.born >= life.born {
+            } else if worker.about.life.born >= life.born {
                 let unsettled = now <= seen.life_since + self.unsettled;
                 return replaced(worker, life, task, run, unsettled);
             }
@@ -140,7 +145,7 @@
 /// when it arrives late. So the run is over only once the new life lists its end, or has taken a stop of
 /// it and lists nothing of it.
 fn replaced(worker: &Worker, life: &Life, task: Task, run: Run, unsettled: bool) -> Option<Fate> {
-    if worker.life.worker != life.worker {
+    if worker.about.life.worker != life.worker {
         return Some(Fate::Gone);
     }
     match listed(worker, task, run) {
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -152,7 +152,7 @@
     fn count_listed(&mut self, now: Duration, fleet: &Fleet, draft: &Draft) {
         for (_, worker) in fleet.workers(now) {
             for row in &worker.running {
-                let Some(slot) = self.at(&worker.life) else {
+                let Some(slot) = self.at(&worker.about.life) else {
                     continue;
                 };
                 let counted = slot
@@ -212,19 +212,19 @@
 ) -> Slot {
     let open = Fleet::fresh(age)
         && worker.contact == Contact::Answers
-        && !worker.draining
-        && !orders.out.contains(&worker.domain)
-        && health.trusted(now, &worker.life, standstills);
+        && !worker.about.draining
+        && !orders.out.contains(&worker.about.domain)
+        && health.trusted(now, &worker.about.life, standstills);
     Slot {
-        life: worker.life.clone(),
-        pool: worker.pool.clone(),
-        rack: worker.rack.clone(),
-        labels: worker.labels.clone(),
-        room: worker.room,
-        free: worker.room,
+        life: worker.about.life.clone(),
+        pool: worker.about.pool.clone(),
+        rack: worker.about.rack.clone(),
+        labels: worker.about.labels.clone(),
+        room: worker.about.room,
+        free: worker.about.room,
         promised: Demand::default(),
         reservation: None,
-        pace: health.pace(&worker.life),
+        pace: health.pace(&worker.about.life),
         open,
         occupants: Vec::new(),
     }
--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -4,7 +4,7 @@
 use godwitstep_batch::bounds::{Bounds, COAST, ORDER_LIFE};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Epoch, Life, Run, Task};
-use godwitstep_batch::message::{Contact, Directive, Ended, How, Refusal, Running, Start};
+use godwitstep_batch::message::{About, Contact, Directive, Ended, How, Refusal, Running, Start};
 use std::time::Duration;
 
 const EPOCH: Epoch = 1 << 20;
@@ -27,16 +27,16 @@
 }
 
 fn registration(born: u64, sequence: u64) -> Registration {
-    Registration {
+    let about = About {
         life: life(born),
-        sequence,
         pool: "floor".into(),
         domain: "domain-1".into(),
         room: Demand::default(),
         labels: Vec::new(),
         rack: None,
         draining: false,
-    }
+    };
+    Registration { about, sequence }
 }
 
 /// An agent whose worker is known and has been looked at, at zero.
@@ -56,7 +56,7 @@
         Directive {
             epoch: EPOCH,
             sequence: report.sequence,
-            life: report.worker.map(|worker| worker.life),
+            life: report.worker.map(|worker| worker.about.life),
             ..directive
         },
     )
@@ -217,10 +217,8 @@
 fn nothing_starts_on_a_draining_worker() {
     let mut agent = agent();
     direct(&mut agent, millis(10), start(1));
-    let draining = Registration {
-        draining: true,
-        ..registration(1, 2)
-    };
+    let mut draining = registration(1, 2);
+    draining.about.draining = true;
     agent.register(draining);
     assert!(agent.calls(millis(20)).is_empty());
     agent.register(registration(1, 3));
--- a/crates/godwitstep-batch/tests/headroom.rs
+++ b/crates/godwitstep-batch/tests/headroom.rs
@@ -92,7 +92,7 @@
     let mut scene = Scene::new(WORKERS, 4);
     urgent(&mut scene, 100..110);
     for number in 0..4 {
-        scene.host(number).worker.draining = true;
+        scene.host(number).worker.about.draining = true;
     }
     for job in PATIENT {
         scene.submit(job, "patient", "south", vec![step(2, 1, seconds(30))]);
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -153,7 +153,7 @@
     assert_eq!(places.len(), 3);
     let racks: std::collections::BTreeSet<_> = places
         .iter()
-        .map(|host| scene.hosts[host].worker.rack.clone())
+        .map(|host| scene.hosts[host].worker.about.rack.clone())
         .collect();
     assert_eq!(racks.len(), 1, "{places:?}");
 }
@@ -383,7 +383,7 @@
 fn closed_workers_get_nothing_and_what_has_not_begun_there_is_withdrawn() {
     let mut scene = Scene::new(3, 3);
     scene.out.insert("domain-0".into());
-    scene.host(1).worker.draining = true;
+    scene.host(1).worker.about.draining = true;
     for job in 1..=3 {
         scene.submit(job, "normal", "north", vec![step(1, 8, seconds(60))]);
     }
@@ -454,7 +454,7 @@
 #[test]
 fn constraints_of_a_step_hold() {
     let mut scene = Scene::new(4, 2);
-    scene.host(3).worker.labels.push("b".into());
+    scene.host(3).worker.about.labels.push("b".into());
     let labelled = Step {
         label: Some("b".into()),
         ..step(1, 1, seconds(30))
@@ -526,7 +526,7 @@
     scene.round();
     let leaving = scene.places(1)[0].clone();
     assert_eq!(scene.places(2), std::slice::from_ref(&leaving));
-    scene.hosts.get_mut(&leaving).unwrap().worker.draining = true;
+    scene.hosts.get_mut(&leaving).unwrap().worker.about.draining = true;
     scene.run(seconds(1));
     assert_ne!(scene.places(1), std::slice::from_ref(&leaving));
     assert_eq!(scene.places(2), [leaving]);
--- a/crates/godwitstep-batch/tests/scene/mod.rs
+++ b/crates/godwitstep-batch/tests/scene/mod.rs
@@ -8,7 +8,7 @@
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::{Ledger, Status};
 use godwitstep_batch::message::{
-    Contact, Directive, Ended, How, Refusal, Refused, Report, Running, Worker,
+    About, Contact, Directive, Ended, How, Refusal, Refused, Report, Running, Worker,
 };
 use godwitstep_batch::planner::{Decision, Orders, Planner};
 use godwitstep_batch::policy::{Policy, Queue, Workspace};
@@ -134,7 +134,7 @@
 
     fn add_host(&mut self, number: usize, per_rack: usize) {
         let name = format!("host-{number:02}");
-        let worker = Worker {
+        let about = About {
             life: Life {
                 host: name.as_str().into(),
                 worker: format!("worker-{number:02}").into(),
@@ -146,6 +146,9 @@
             labels: vec!["a".into()],
             rack: Some(format!("rack-{}", number / per_rack).into()),
             draining: false,
+        };
+        let worker = Worker {
+            about,
             contact: Contact::Answers,
             running: Vec::new(),
             ended: Vec::new(),
@@ -367,7 +370,7 @@
                     Some(entry.job.steps[usize::from(row.task.step)].demand)
                 })
                 .fold(Demand::default(), |sum, demand| sum.plus(&demand));
-            assert!(used.fits(&host.worker.room), "{name} runs {used:?}");
+            assert!(used.fits(&host.worker.about.room), "{name} runs {used:?}");
         }
     }
 }
@@ -395,7 +398,7 @@
 
     /// Replaces the worker by a new life that runs nothing.
     pub fn reborn(&mut self) {
-        self.worker.life.born += 1;
+        self.worker.about.life.born += 1;
         self.worker.running.clear();
         self.worker.ended.clear();
         self.worker.refused.clear();
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -91,17 +91,17 @@
 
     /// Takes what the worker says of itself.
     pub fn register(&self, registration: Registration, address: SocketAddr) {
-        let life = registration.life.clone();
-        let draining = registration.draining;
-        let labels = registration.labels.join(",");
-        let Demand {
-            cpu,
-            memory,
-            accelerators,
-        } = registration.room;
+        let about = registration.about.clone();
+        let (life, draining) = (about.life, about.draining);
         let was_draining = self.core.borrow().draining();
         let new = self.core.borrow_mut().register(registration);
         if new {
+            let labels = about.labels.join(",");
+            let Demand {
+                cpu,
+                memory,
+                accelerators,
+            } = about.room;
             tracing::info!(worker = %life, draining, labels, cpu, memory, accelerators, "worker registered");
             let address = self.settings.worker.unwrap_or(address);
             *self.worker.borrow_mut() = Some(Rc::new((self.connect)(address)));
