test(batch): the planner's tests by what they guard

Its 29 tests stand in planner.rs (placing), preempt.rs, stuck.rs and ends.rs now; the status of a done job and the question whether something was decided are the scene's; the two tests of pledge.rs share their floor. No test, bound or assertion is changed.

--- a/crates/godwitstep-batch/tests/scene/mod.rs
+++ b/crates/godwitstep-batch/tests/scene/mod.rs
@@ -12,6 +12,7 @@
 };
 use godwitstep_batch::planner::{Decision, Orders, Planner};
 use godwitstep_batch::policy::{Policy, Queue, Workspace};
+use godwitstep_batch::progress::Outcome;
 use godwitstep_batch::record::Record;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// Time between two rounds of the scene.
 pub const STEP: Duration = Duration::from_millis(100);
 
+/// Status of a job that is done.
+pub const DONE: Option<Status> = Some(Status::Ended(Outcome::Completed));
+
 pub const fn seconds(value: u64) -> Duration {
     Duration::from_secs(value)
 }
@@ -337,6 +341,11 @@
         }
     }
 
+    /// Tells whether something was decided.
+    pub fn decided(&self, which: impl Fn(&Decision) -> bool) -> bool {
+        self.decisions.iter().any(which)
+    }
+
     pub fn status(&self, job: JobId) -> Option<Status> {
         self.ledger.status(job)
     }
