fix(batch): a job does not go back to the worker that failed it

Ruled out: an own fault of the job (each run failed within 50 ms on that worker, tasks elsewhere were done), a quarantine that is too late (it needs failures of two jobs, as one job can be at fault itself).

Change: `planner/shun.rs` remembers the workers on which each job failed and leaves them out as long as other open workers could take it; a worker whose newest run failed comes last for all.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -28,6 +28,7 @@
 mod pledge;
 mod preempt;
 mod reserve;
+mod shun;
 mod stuck;
 
 use crate::bounds::{Bounds, VIEW_LIFE};
@@ -44,6 +45,7 @@
 use headroom::Headroom;
 use health::Health;
 use pledge::Pledge;
+use shun::Failures;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
@@ -158,6 +160,7 @@
     bounds: Bounds,
     fleet: Fleet,
     health: Health,
+    failures: Failures,
     headroom: Headroom,
     /// When the decider first saw each open job, on its own clock.
     seen: HashMap<JobId, Duration>,
@@ -189,6 +192,7 @@
             fleet: Fleet::new(now, &bounds),
             bounds,
             health: Health::default(),
+            failures: Failures::default(),
             headroom: Headroom::default(),
             seen: HashMap::new(),
             ended: HashMap::new(),
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -62,6 +62,8 @@
         };
         self.stopping
             .retain(|(task, run)| ledger_places(*task, *run));
+        self.failures
+            .retain(|job| ledger.job(job).is_some_and(|entry| !entry.settled()));
         let fleet = &self.fleet;
         self.health.retain(ledger_places, |life| {
             fleet
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -93,6 +93,9 @@
             self.health.done(now, &end.life, end.task, end.run);
         }
         self.health.ended(now, &end.life, end.task.job, &end.fate);
+        if matches!(end.fate, Fate::Ended(How::Failed, _)) {
+            self.failures.note(end.task.job, &end.life);
+        }
         let saved = match &end.fate {
             Fate::Ended(_, saved) => saved.clone(),
             // What the last report showed of a run that is lost.
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -237,6 +237,13 @@
         standstills
     }
 
+    /// Tells whether the newest run that ended on a worker by itself failed.
+    pub fn suspect(&self, life: &Life) -> bool {
+        self.workers
+            .get(life)
+            .is_some_and(|conduct| !conduct.failed.is_empty())
+    }
+
     /// Tells whether a worker gets new tasks.
     pub fn trusted(&self, now: Duration, life: &Life, standstills: &Standstills) -> bool {
         let punished = self
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -8,7 +8,7 @@
 use super::order::{self, Urgency};
 use super::{Decision, Orders, Planner, Round};
 use crate::demand::Demand;
-use crate::id::{JobId, Run, Task};
+use crate::id::{JobId, Life, Run, Task};
 use crate::job::Step;
 use crate::ledger::Entry;
 use crate::progress::{self, State};
@@ -36,6 +36,10 @@
     pub urgent: bool,
     /// Whether slow workers are left out.
     pub swift: bool,
+    /// Whether workers whose newest run failed are left out.
+    pub steady: bool,
+    /// Workers that are left out because the job failed there.
+    pub shunned: BTreeSet<Life>,
 }
 
 impl Planner {
@@ -82,11 +86,14 @@
             waiting: waiting(state),
             urgent: entry.job.queue.priority == 0,
             swift: false,
+            steady: false,
+            shunned: BTreeSet::new(),
         };
+        want.shunned = self.failures.shunned(&want, round.floor);
         let held_back = leave_headroom(round, entry, &mut want);
         let run = next_run(want.step.gang, state);
         if want.step.gang {
-            for (index, slot) in seat_gang_swiftly(&mut want, round.floor) {
+            for (index, slot) in seat_gang_well(&mut want, round.floor) {
                 self.place_task(round, &want, index, run(index), slot);
             }
         } else {
@@ -135,7 +142,10 @@
 
     /// Tells whether tasks of the step may run on a worker, room aside.
     pub fn allows(&self, slot: &Slot) -> bool {
-        slot.serves(self.pool, self.step.label.as_ref()) && !(self.swift && slot.is_slow())
+        slot.serves(self.pool, self.step.label.as_ref())
+            && !(self.swift && slot.is_slow())
+            && !(self.steady && slot.suspect)
+            && !self.shunned.contains(&slot.life)
     }
 
     /// Returns the room that a worker has for a task of the step.
@@ -229,7 +239,10 @@
         .zip(&floor.slots)
         .filter(|(_, slot)| want.allows(slot) && want.copies(slot, &want.free(slot)) > 0)
         .min_by(|(_, a), (_, b)| {
-            let key = |slot: &Slot| (away(want.step, slot), slot.is_slow() == want.urgent);
+            let key = |slot: &Slot| {
+                let misfit = slot.is_slow() == want.urgent;
+                (away(want.step, slot), slot.suspect, misfit)
+            };
             key(a)
                 .cmp(&key(b))
                 .then_with(|| spare(want, a).total_cmp(&spare(want, b)))
@@ -250,22 +263,28 @@
 }
 
 /// Tells whether a step has to run within one rack.
-fn one_rack(want: &Want, floor: &Floor) -> bool {
+pub(super) fn one_rack(want: &Want, floor: &Floor) -> bool {
     want.step.gang && want.step.one_rack && rack_could_hold(want, floor)
 }
 
-/// Seats all tasks of a gang, or none: one with little time to spare on fast workers if there is room, as
-/// a gang is as slow as its slowest member.
-fn seat_gang_swiftly(want: &mut Want, floor: &Floor) -> Vec<Seat> {
-    if want.urgent {
-        want.swift = true;
-        let seats = seat_gang(want, floor);
-        want.swift = false;
-        if !seats.is_empty() {
-            return seats;
-        }
+/// Seats all tasks of a gang, or none: on workers whose newest run did not fail if there is room there, and
+/// if it has little time to spare on fast ones, as a gang is as slow as its slowest member.
+fn seat_gang_well(want: &mut Want, floor: &Floor) -> Vec<Seat> {
+    let anywhere = seat_gang(want, floor);
+    if anywhere.is_empty() {
+        return anywhere;
     }
-    seat_gang(want, floor)
+    let urgent = want.urgent;
+    let best = [(true, true), (true, false), (false, true)]
+        .into_iter()
+        .filter(|(_, swift)| urgent || !swift)
+        .find_map(|(steady, swift)| {
+            (want.steady, want.swift) = (steady, swift);
+            let seats = seat_gang(want, floor);
+            (!seats.is_empty()).then_some(seats)
+        });
+    (want.steady, want.swift) = (false, false);
+    best.unwrap_or(anywhere)
 }
 
 /// Seats all tasks of a gang, or none.
