fix(batch): entries claim a vacant place in turns

With 35 entries: 29 claims within a second of the first configuration (4 of them stored one after the other, each ending the term before), 17 to 35 at each hand-over, 170 in the five seconds of the slow log, which takes 200 ms for each. The hand-over itself began because the log was slow for all, and a decider without voice said that its place was vacant.

Ruled out: the size of the appends (2 MB are far away), the time for the fold (the successor's claim was the one that did not get through).

Change: turns by a hash of the ended claim and the announced hosts; a read of the log's end before a claim, and on a slow log time for those whose turn is before; failed claims are repeated after 400 ms; an entry takes over by hand only if the log answers it within 100 ms; a decider that holds the claim and can't write says so and keeps its place for 5 s; it is asked at most each 300 ms by each entry; the first configuration starts the turns.

--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -142,10 +142,10 @@
 
     /// Tells whether tasks of the step may run on a worker, room aside.
     pub fn allows(&self, slot: &Slot) -> bool {
-        slot.serves(self.pool, self.step.label.as_ref())
-            && !(self.swift && slot.is_slow())
-            && !(self.steady && slot.suspect)
-            && !self.shunned.contains(&slot.life)
+        let left_out = (self.swift && slot.is_slow())
+            || (self.steady && slot.suspect)
+            || self.shunned.contains(&slot.life);
+        slot.serves(self.pool, self.step.label.as_ref()) && !left_out
     }
 
     /// Returns the room that a worker has for a task of the step.
--- a/crates/godwitstep-batch/tests/claim.rs
+++ b/crates/godwitstep-batch/tests/claim.rs
@@ -2,6 +2,7 @@
 
 use godwitstep_batch::bounds::{HOST_SILENCE, SILENCE};
 use godwitstep_batch::claim::{self, Watch};
+use godwitstep_batch::id::Host;
 use godwitstep_batch::record::Claim;
 use std::time::Duration;
 
@@ -115,7 +116,7 @@
 fn a_vacant_place_is_claimed_at_once() {
     let mut watch = Watch::new(Duration::from_secs(1));
     watch.heard(Duration::ZERO);
-    watch.vacant(claim(false).epoch);
+    watch.vacant(Duration::ZERO, claim(false).epoch);
     assert!(watch.should_claim(Duration::from_millis(100), Some(&claim(false)), READ_WAIT));
 }
 
@@ -125,12 +126,120 @@
 fn a_vacancy_counts_for_its_epoch_and_with_a_new_view_only() {
     assert!(claim::informed(READ_WAIT) && !claim::informed(READ_WAIT * 3));
     let mut watch = Watch::new(Duration::ZERO);
-    watch.vacant(1 << 20);
+    watch.vacant(Duration::ZERO, 1 << 20);
     assert_eq!(
         claims_at(&mut watch, &claim(false), |now| now + READ_WAIT * 3),
         None
     );
-    watch.vacant((1 << 20) - 1);
+    watch.vacant(Duration::ZERO, (1 << 20) - 1);
     let at = claims_at(&mut watch, &claim(false), |_| READ_WAIT).expect("the place is claimed");
     assert!(at >= SILENCE, "claimed after {at:?}");
 }
+
+/// Number of entries of the large Windsock Works deployment.
+const ENTRIES: usize = 35;
+
+fn hosts() -> Vec<Host> {
+    (0..ENTRIES)
+        .map(|number| format!("entry-{number}").into())
+        .collect()
+}
+
+/// Returns how many entries claim a place that all of them find vacant at the same time, when a claim can be
+/// read `visible` after it was sent.
+fn claims_until(visible: Duration) -> usize {
+    let hosts = hosts();
+    let claim = claim(false);
+    let mut watches: Vec<Watch> = hosts
+        .iter()
+        .filter(|host| **host != claim.host)
+        .map(|host| {
+            let mut watch = Watch::new(Duration::from_millis(250));
+            watch.heard(Duration::ZERO);
+            watch.vacant(Duration::ZERO, claim.epoch);
+            watch.set_turn(claim::turn(hosts.iter(), &claim, host));
+            watch
+        })
+        .collect();
+    let mut first = None;
+    let mut claims = 0;
+    for now in (0..600).map(Duration::from_millis) {
+        if first.is_some_and(|at| now >= at + visible) {
+            break;
+        }
+        let before = watches.len();
+        watches.retain_mut(|watch| !watch.should_claim(now, Some(&claim), Duration::ZERO));
+        claims += before - watches.len();
+        first = first.or((claims > 0).then_some(now));
+    }
+    claims
+}
+
+/// Guards against all entries of a large system claiming a vacant place at once: each claim that is stored ends
+/// the term of the one before (large, trouble-2: 33 claims within a second, 8 s without a decision).
+#[test]
+fn entries_claim_a_vacant_place_one_after_the_other() {
+    assert_eq!(claims_until(Duration::from_millis(40)), 1);
+}
+
+/// Guards against turns that differ between entries or leave the place empty.
+#[test]
+fn one_entry_comes_first_and_the_decider_that_is_gone_has_no_turn() {
+    let hosts = hosts();
+    let claim = claim(false);
+    let turns: Vec<Option<u32>> = hosts
+        .iter()
+        .map(|host| claim::turn(hosts.iter(), &claim, host))
+        .collect();
+    let mut known: Vec<u32> = turns.iter().copied().flatten().collect();
+    known.sort_unstable();
+    assert_eq!(known, (0..34).collect::<Vec<u32>>());
+    assert_eq!(turns[1], None, "the host of the claim");
+}
+
+/// Guards against a successor that waits for its turn, and against others that take its place from it on a log
+/// that is slow for all.
+#[test]
+fn a_named_successor_comes_first() {
+    let claim = claim(false);
+    let mut watch = Watch::new(Duration::from_millis(250));
+    watch.heard(Duration::ZERO);
+    watch.set_turn(Some(7));
+    assert!(!watch.should_claim(Duration::ZERO, Some(&claim), Duration::ZERO));
+    watch.named(claim.epoch);
+    assert!(watch.should_claim(Duration::ZERO, Some(&claim), Duration::ZERO));
+    assert_eq!(watch.turn(claim.epoch), Some(0));
+    let slow = Duration::from_millis(200);
+    assert_eq!(
+        claim::courtesy(watch.turn(claim.epoch), slow),
+        Duration::ZERO
+    );
+    assert!(claim::courtesy(Some(1), slow) > slow * 2);
+    assert_eq!(
+        claim::courtesy(Some(9), Duration::from_millis(8)),
+        Duration::ZERO
+    );
+}
+
+/// Guards against all entries claiming the place of a decider that the log has kept waiting, on a log that is
+/// slow for all.
+#[test]
+fn a_decider_that_says_that_it_cannot_write_keeps_its_place_longer() {
+    let mut watch = Watch::new(Duration::ZERO);
+    watch.heard(Duration::ZERO);
+    watch.struggles(Duration::from_secs(1));
+    let claims = |watch: &mut Watch, now| watch.should_claim(now, Some(&claim(false)), READ_WAIT);
+    assert!(!claims(&mut watch, SILENCE + Duration::from_millis(100)));
+    assert!(claims(&mut watch, SILENCE * 2));
+}
+
+/// Guards against questions to a silent decider in a quick sequence from every entry.
+#[test]
+fn a_silent_decider_is_not_asked_again_at_once() {
+    let mut watch = Watch::new(Duration::ZERO);
+    let at = Duration::from_secs(5);
+    assert!(watch.suspects(at, READ_WAIT));
+    watch.asked(at);
+    assert!(!watch.suspects(at + Duration::from_millis(100), READ_WAIT));
+    assert!(watch.suspects(at + Duration::from_millis(400), READ_WAIT));
+}
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -5,7 +5,7 @@
 //! whose place was taken records nothing.
 
 use super::{Decider, Entry, age, handover, probe};
-use crate::batch::log::{AppendError, Fence, Item, Log};
+use crate::batch::log::{AppendError, Fence, Item, Log, ReadError, Stream};
 use crate::batch::wall_millis;
 use godwitstep_batch::bounds::{RENEWAL, VOICE};
 use godwitstep_batch::claim;
@@ -28,6 +28,8 @@
 const DEAF: Duration = Duration::from_secs(5);
 /// Pause before an append without an answer is repeated.
 const RETRY: Duration = Duration::from_millis(100);
+/// Pause before a claim that failed is repeated: the log may be busy with those of others.
+const CLAIM_RETRY: Duration = Duration::from_millis(400);
 
 /// Why an entry stopped deciding.
 enum Down {
@@ -47,7 +49,7 @@
         loop {
             let version = self.changes.version();
             self.ask_decider().await;
-            if self.should_claim() {
+            if self.should_claim() && self.has_turn().await {
                 if let Some(epoch) = self.take_claim().await {
                     let down = self.preside(epoch).await;
                     let rest = matches!(down, Down::HandedOver);
@@ -55,8 +57,9 @@
                     if rest {
                         Timer::after(handover::REST).await;
                     }
+                } else {
+                    Timer::after(CLAIM_RETRY).await;
                 }
-                Timer::after(RETRY).await;
             }
             self.changes.changed(version, TICK).await;
         }
@@ -78,6 +81,7 @@
         let Some(claim) = claim.filter(|_| suspected) else {
             return;
         };
+        self.state.borrow_mut().watch.asked(now);
         let answer = if claim.host == self.settings.host {
             probe::Answer::Vacant
         } else {
@@ -87,7 +91,8 @@
         let watch = &mut self.state.borrow_mut().watch;
         match answer {
             probe::Answer::Decides => return,
-            probe::Answer::Vacant => watch.vacant(claim.epoch),
+            probe::Answer::Vacant => watch.vacant(now, claim.epoch),
+            probe::Answer::Struggles => watch.struggles(now),
             probe::Answer::None => watch.unanswered(now),
         }
         tracing::info!(epoch = claim.epoch, host = %claim.host, answer = ?answer, "asked a silent decider");
@@ -96,11 +101,57 @@
     fn should_claim(&self) -> bool {
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let age = age(state.records_read, now);
+        // Entries that get their first policy at the same time claim in turns as well.
         let configured = state.operator.policy().is_some();
+        let age = if configured {
+            age(state.records_read, now)
+        } else {
+            Duration::MAX
+        };
         let claim = state.ledger.claim().cloned();
+        let turn = claim.as_ref().and_then(|claim| {
+            let hosts = state.ledger.entries().map(|entry| &entry.host);
+            claim::turn(hosts, claim, &self.settings.host)
+        });
+        state.watch.set_turn(turn);
         let due = state.watch.should_claim(now, claim.as_ref(), age);
-        due && configured && !self.stopping.get()
+        due && !self.stopping.get()
+    }
+
+    /// Tells whether no other entry has claimed the place by now. While the log is slow, those whose turn comes
+    /// before get time to do so.
+    async fn has_turn(&self) -> bool {
+        let held = self.state.borrow().ledger.epoch();
+        let began = self.clock.now();
+        if self.is_claimed(held).await {
+            return false;
+        }
+        let took = self.clock.now().saturating_sub(began);
+        let turn = self.state.borrow().watch.turn(held);
+        let pause = claim::courtesy(turn, took);
+        if pause.is_zero() {
+            return true;
+        }
+        Timer::after(pause).await;
+        !self.is_claimed(held).await
+    }
+
+    /// Tells whether the log shows a claim above an epoch beyond what was applied, or can't be read.
+    async fn is_claimed(&self, held: Epoch) -> bool {
+        let from = self.state.borrow().records_end;
+        let newer = |item: &Item| {
+            let record = Record::decode(&item.key, &item.value);
+            matches!(record, Ok(Some(Record::Claimed(claim))) if claim.epoch > held)
+        };
+        match self.log.read(Stream::Records, from, Duration::ZERO).await {
+            Ok(page) => page.items.iter().flatten().any(newer),
+            // The partition begins with its first record.
+            Err(ReadError::Expired { start: 0 }) => false,
+            Err(error) => {
+                tracing::warn!(after = held, %error, "no claim: the log could not be read");
+                true
+            }
+        }
     }
 
     /// Appends a claim under a new epoch. Returns the epoch once the ledger shows the claim.
--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -2,10 +2,11 @@
 //!
 //! The log may turn one host away and serve the others. A decider there is alive and answers, so the
 //! others would wait for the whole silence before they claim its place; meanwhile nothing starts and no
-//! end is recorded. So it asks the others how new their views of the log are, and names its successor.
+//! end is recorded. So it asks the others how new their views of the log are, and names its successor. A log
+//! that is slow for all is no reason: only an entry that the log answers promptly offers to take the place.
 
 use super::{Entry, age};
-use crate::batch::log::Log;
+use crate::batch::log::{Log, Stream};
 use crate::http::{self, Client};
 use bytes::Bytes;
 use futures_util::future::join_all;
@@ -14,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use smol::Timer;
+use smol::future::FutureExt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -31,6 +33,9 @@
 pub(super) const REST: Duration = Duration::from_secs(2);
 /// Longest time for an answer.
 const TIME: Duration = Duration::from_millis(300);
+/// Longest time for a read of the log by an entry that offers to take the place: below what a decider waits
+/// for an append by several times.
+const PROMPT: Duration = Duration::from_millis(100);
 /// Longest body.
 const MAX_BODY: usize = 64;
 
@@ -75,15 +80,17 @@
         let Some(epoch) = text.and_then(|text| text.parse::<Epoch>().ok()) else {
             return http::respond(StatusCode::BAD_REQUEST, Bytes::new());
         };
+        let prompt = named || self.is_served_promptly().await;
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
         let age = age(state.records_read, now);
         let current = state.ledger.epoch() == epoch && state.operator.policy().is_some();
-        let ready = current && !self.stopping.get() && claim::informed(age);
+        let ready = current && prompt && !self.stopping.get() && claim::informed(age);
         tracing::info!(
             epoch,
             ready,
             named,
+            prompt,
             view_ms = age.as_millis(),
             "the decider can't write to the log"
         );
@@ -91,12 +98,26 @@
             return http::respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         }
         if named {
-            state.watch.vacant(epoch);
+            state.watch.named(epoch);
             drop(state);
             self.changes.notify();
         }
         http::respond(StatusCode::OK, age.as_millis().to_string())
     }
+
+    /// Tells whether the log answers this entry's reads without delay.
+    async fn is_served_promptly(&self) -> bool {
+        let from = self.state.borrow().records_end;
+        let read = async {
+            let page = self.log.read(Stream::Records, from, Duration::ZERO).await;
+            page.is_ok()
+        };
+        let late = async {
+            Timer::after(PROMPT).await;
+            false
+        };
+        read.or(late).await
+    }
 }
 
 /// Offers the place to an entry. Returns the age of its view of the log and its address if it can take it.
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -3,6 +3,7 @@
 use super::{Decider, Entry, age, entries, handover, probe, scope};
 use crate::batch::log::Log;
 use crate::http;
+use bytes::Bytes;
 use godwitstep_batch::bounds::VOICE;
 use godwitstep_batch::id::Epoch;
 use godwitstep_batch::message::{self, Directive, Reply, Report};
@@ -27,7 +28,7 @@
     /// Serves one exchange with an agent.
     pub async fn serve_agent(&self, request: Request<Incoming>) -> Response<http::Body> {
         if request.uri().path() == probe::PATH {
-            return http::respond(StatusCode::OK, self.voiced_epoch().to_string());
+            return self.tell_epoch();
         }
         if request.uri().path() == scope::PATH {
             return self.reaches_log();
@@ -48,6 +49,22 @@
         }
     }
 
+    /// Tells another entry under which epoch this one decides. One that has named a successor says nothing, so
+    /// that the others leave the place to that one.
+    fn tell_epoch(&self) -> Response<http::Body> {
+        let epoch = self.voiced_epoch();
+        let state = self.state.borrow();
+        let held = state.ledger.epoch();
+        let followed = state.successor.is_some_and(|(epoch, _)| epoch == held);
+        if epoch == 0 && state.decider.is_some() {
+            http::respond(probe::STRUGGLES, Bytes::new())
+        } else if epoch == 0 && followed {
+            http::respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+        } else {
+            http::respond(StatusCode::OK, epoch.to_string())
+        }
+    }
+
     /// Returns the epoch under which this entry decides, 0 if it does not.
     fn voiced_epoch(&self) -> Epoch {
         let now = self.clock.now();
