fix(batch): a late result does not free the room of a run that has just begun

Change: a placed run that no report lists yet is stopped first, and the result is entered once its end is known. Test `a_late_result_does_not_free_the_room_of_a_run_that_has_just_begun` fails without it.

Before, each failed run made its worker come last, which tore the floor apart.

--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -93,7 +93,9 @@
             self.health.done(now, &end.life, end.task, end.run);
         }
         self.health.ended(now, &end.life, end.task.job, &end.fate);
-        if matches!(end.fate, Fate::Ended(How::Failed, _)) {
+        let failed = matches!(end.fate, Fate::Ended(How::Failed, _));
+        if failed && self.health.failed_quickly(now, end.task, end.run) {
+            self.health.suspect(&end.life);
             self.failures.note(end.task.job, &end.life);
         }
         let saved = match &end.fate {
@@ -108,9 +110,9 @@
         enter_end(step, gang, end, &saved);
     }
 
-    /// Enters results of runs that were taken for lost. The task is done, whatever else was started
-    /// for it meanwhile.
-    fn enter_late(&self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
+    /// Enters results of runs that were taken for lost. A run that was started for the task meanwhile and that no
+    /// report lists yet is stopped first: it may have begun, and a task that is recorded as done takes no room.
+    fn enter_late(&mut self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
         let mut late: Vec<(JobId, Task, Run, Life)> = Vec::new();
         for (_, worker) in self.fleet.workers(now) {
             for end in worker.ended.iter().filter(|end| end.how == How::Done) {
@@ -132,9 +134,16 @@
                 .job(job)
                 .and_then(|entry| entry.job.steps.get(usize::from(task.step)))
                 .is_some_and(|step| step.gang);
-            if let Some(step) = draft.edit(job).steps.get_mut(usize::from(task.step)) {
-                finish(step, gang, usize::from(task.index));
+            let Some(step) = draft.edit(job).steps.get_mut(usize::from(task.step)) else {
+                continue;
+            };
+            let mut unlisted = placed(step, gang, task);
+            unlisted.retain(|(task, run)| !self.health.listed(*task, *run));
+            if !unlisted.is_empty() {
+                self.stopping.extend(unlisted);
+                continue;
             }
+            finish(step, gang, usize::from(task.index));
             plan.decisions.push(Decision::Ended {
                 task,
                 run,
@@ -172,6 +181,15 @@
     }
 }
 
+/// Returns the runs that are placed for a task, or for the members of its gang.
+fn placed(step: &Step, gang: bool, task: Task) -> Vec<(Task, Run)> {
+    (0..)
+        .zip(&step.tasks)
+        .filter(|(index, state)| (gang || *index == task.index) && state.place().is_some())
+        .map(|(index, state)| (Task { index, ..task }, state.run))
+        .collect()
+}
+
 /// Marks a task as done, or all members of its gang: they end together.
 fn finish(step: &mut Step, gang: bool, index: usize) {
     for (number, task) in step.tasks.iter_mut().enumerate() {
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -38,7 +38,7 @@
     pub reservation: Option<Reservation>,
     /// Logarithm of the length of tasks here against their equals elsewhere; 0 if not known.
     pub pace: f64,
-    /// Whether the newest run that ended here by itself failed.
+    /// Whether a run failed here by the worker's fault since one last ended well.
     pub suspect: bool,
     /// Whether it gets new tasks.
     pub open: bool,
@@ -227,7 +227,7 @@
         promised: Demand::default(),
         reservation: None,
         pace: health.pace(&worker.about.life),
-        suspect: health.suspect(&worker.about.life),
+        suspect: health.is_suspect(&worker.about.life),
         open,
         occupants: Vec::new(),
     }
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -22,6 +22,8 @@
 /// Time without progress after which a task counts as standing still.
 const STILL: Duration = Duration::from_millis(1_500);
 
+/// Time within which a run fails by the worker's fault. Runs that fail by their own fault work for a while first.
+const QUICK: Duration = Duration::from_millis(300);
 /// Span over which the rate of a run is taken.
 const RATE_SPAN: Duration = Duration::from_secs(1);
 /// Progress at which a member of a gang waits for the others. Unit: percent.
@@ -42,6 +44,8 @@
 struct Conduct {
     /// Jobs that failed since one last ended well.
     failed: Vec<JobId>,
+    /// Whether a run failed quickly since one last ended well.
+    suspect: bool,
     until: Duration,
     next: Option<Duration>,
 }
@@ -128,6 +132,18 @@
         }
     }
 
+    /// Tells whether a run that failed did so too soon for a fault of its own.
+    pub fn failed_quickly(&self, now: Duration, task: Task, run: Run) -> bool {
+        // One that was never listed ended between two reports.
+        let elapsed = self.elapsed(now, task, run);
+        elapsed.is_none_or(|elapsed| elapsed < QUICK)
+    }
+
+    /// Notes that a run failed by the worker's fault.
+    pub fn suspect(&mut self, life: &Life) {
+        self.workers.entry(life.clone()).or_default().suspect = true;
+    }
+
     /// Notes the end of a run.
     pub fn ended(&mut self, now: Duration, life: &Life, job: JobId, fate: &Fate) {
         let conduct = self.workers.entry(life.clone()).or_default();
@@ -237,11 +253,11 @@
         standstills
     }
 
-    /// Tells whether the newest run that ended on a worker by itself failed.
-    pub fn suspect(&self, life: &Life) -> bool {
+    /// Tells whether a run failed quickly on a worker since one last ended well there.
+    pub fn is_suspect(&self, life: &Life) -> bool {
         self.workers
             .get(life)
-            .is_some_and(|conduct| !conduct.failed.is_empty())
+            .is_some_and(|conduct| conduct.suspect)
     }
 
     /// Tells whether a worker gets new tasks.
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -36,7 +36,7 @@
     pub urgent: bool,
     /// Whether slow workers are left out.
     pub swift: bool,
-    /// Whether workers whose newest run failed are left out.
+    /// Whether suspect workers are left out.
     pub steady: bool,
     /// Workers that are left out because the job failed there.
     pub shunned: BTreeSet<Life>,
@@ -267,7 +267,7 @@
     want.step.gang && want.step.one_rack && rack_could_hold(want, floor)
 }
 
-/// Seats all tasks of a gang, or none: on workers whose newest run did not fail if there is room there, and
+/// Seats all tasks of a gang, or none: not on suspect workers if there is room elsewhere, and
 /// if it has little time to spare on fast ones, as a gang is as slow as its slowest member.
 fn seat_gang_well(want: &mut Want, floor: &Floor) -> Vec<Seat> {
     let anywhere = seat_gang(want, floor);
--- a/crates/godwitstep-batch/src/planner/shun.rs
+++ b/crates/godwitstep-batch/src/planner/shun.rs
@@ -2,22 +2,22 @@
 //!
 //! The pattern: a worker that fails everything at once has room again at once, so it is the first one that
 //! the job's next run finds. The job uses up its attempts there, and is given up although others could do
-//! it. So a job shuns the workers on which it failed, as long as others can take it; and a worker on which
-//! the newest run failed comes after the others for everybody.
+//! it. So a job shuns the workers on which it failed at once, as long as others can take it; and such a worker
+//! comes after the others for everybody, until a run ends well there.
 
 use super::floor::{Floor, Slot};
 use super::place::{Want, one_rack};
 use crate::id::{JobId, Life};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-/// Workers on which jobs failed.
+/// Workers by whose fault jobs failed.
 #[derive(Debug, Default)]
 pub(super) struct Failures {
     jobs: HashMap<JobId, BTreeSet<Life>>,
 }
 
 impl Failures {
-    /// Notes that a run of a job failed on a worker.
+    /// Notes that a run of a job failed by the fault of a worker.
     pub fn note(&mut self, job: JobId, life: &Life) {
         self.jobs.entry(job).or_default().insert(life.clone());
     }
--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -211,3 +211,45 @@
     let run = scene.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
     assert_eq!(run, 2, "the task was not started again");
 }
+
+/// Guards against room that is given away while a second run is about to begin there, because the first one,
+/// which was taken for lost, turns out to be done (large, scale-2 seed 1: LIMIT).
+#[test]
+fn a_late_result_does_not_free_the_room_of_a_run_that_has_just_begun() {
+    let mut scene = Scene::new(2, 2);
+    scene.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    scene.run(seconds(1));
+    let first = scene.places(1)[0].clone();
+    scene.hosts.get_mut(&first).unwrap().heard = false;
+    for _ in 0..200 {
+        scene.report();
+        scene.decide();
+        scene.obey();
+        if scene.places(1).len() == 2 {
+            break;
+        }
+        scene.pass(STEP);
+    }
+    let second = scene.places(1).into_iter().find(|host| *host != first);
+    let second = second.expect("the task is started again");
+    let host = scene.hosts.get_mut(&first).unwrap();
+    host.heard = true;
+    let row = host.worker.running[0].clone();
+    host.end(row.task, row.run, How::Done);
+    // It shows where its tasks run, and its room is gone for others.
+    scene.hosts.get_mut(&first).unwrap().worker.about.draining = true;
+    scene.submit(2, "normal", "north", vec![step(1, 8, seconds(60))]);
+    // The report that shows the second run is late.
+    scene.hosts.get_mut(&second).unwrap().heard = false;
+    scene.report();
+    scene.decide();
+    scene.hosts.get_mut(&second).unwrap().heard = true;
+    scene.obey();
+    scene.check_room();
+    for _ in 0..20 {
+        scene.round();
+        scene.check_room();
+    }
+    assert_eq!(scene.status(1), DONE);
+    assert!(scene.started(2));
+}
