fix(batch): agents go back to a decider that was silent once

The log was away from 18.0 to 22.2 s, the decider lost its voice and kept its place; 25 of 160 agents searched until 33 s, let their leases end, and the decider started their work again.

Ruled out: entries that refer wrongly (each named the decider), connections (the log lines show answers).

Change: the decider that failed is left alone for 1 s, or until it is heard again. The search is `agent::Search` without I/O; each referral is a log line.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -20,9 +20,11 @@
 //! ```
 
 mod call;
+mod search;
 mod seat;
 
 pub use call::{Answer, Call, Deed};
+pub use search::Search;
 pub use seat::{Lists, Registration};
 
 use crate::bounds::{Bounds, COAST, ORDER_LIFE};
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -186,11 +186,13 @@
                 }
             }
             Ok(Reply::Elsewhere { decider }) => {
-                self.contact.borrow_mut().elsewhere(address, decider);
+                self.contact.borrow_mut().elsewhere(now, address, decider);
             }
             Err(error) => {
                 let silence = self.core.borrow().silence(now);
-                self.contact.borrow_mut().failed(address, &error, silence);
+                self.contact
+                    .borrow_mut()
+                    .failed(now, address, &error, silence);
             }
         }
     }
--- a/crates/godwitstep/src/batch/agent/decider.rs
+++ b/crates/godwitstep/src/batch/agent/decider.rs
@@ -5,6 +5,7 @@
 use crate::batch::settings::Settings;
 use crate::batch::worker::Worker;
 use crate::http::{Client, Options};
+use godwitstep_batch::agent::Search;
 use godwitstep_batch::id::Epoch;
 use godwitstep_batch::message::{self, Directive, Reply, Report};
 use godwitstep_batch::record::Record;
@@ -22,98 +23,64 @@
 /// Path that takes reports.
 const PATH: &str = "/report";
 
-/// Where the decider is believed to be.
+/// The way to the decider.
 pub(super) struct Contact {
-    decider: Option<(Epoch, SocketAddr)>,
-    /// Entries that may know, with the next one to ask.
-    entries: Vec<SocketAddr>,
-    next: usize,
-    /// Questions since the log was last searched for a claim.
-    asked: usize,
+    search: Search,
     clients: BTreeMap<SocketAddr, Rc<Client>>,
     lost: bool,
-    /// Epoch of the decider that did not answer. It is not asked again before all entries were.
-    failed: Epoch,
 }
 
 impl Contact {
     pub fn new(settings: &Settings) -> Self {
         let port = settings.agents.port();
-        let entries = settings
-            .seeds
-            .iter()
-            .map(|seed| SocketAddr::new(seed.ip(), port))
-            .collect();
+        let entries = settings.seeds.iter();
+        let entries = entries.map(|seed| SocketAddr::new(seed.ip(), port));
         Self {
-            decider: None,
-            entries,
-            next: 0,
-            asked: usize::MAX,
+            search: Search::new(entries.collect()),
             clients: BTreeMap::new(),
             lost: false,
-            failed: 0,
         }
     }
 
     /// Tells whether a decider is known.
-    pub const fn known(&self) -> bool {
-        self.decider.is_some()
+    pub fn known(&self) -> bool {
+        self.search.decider().is_some()
     }
 
     pub fn heard(&mut self, address: SocketAddr, directive: &Directive) {
-        if self.lost || self.decider.is_none_or(|(_, known)| known != address) {
+        if self.lost || self.search.decider() != Some(address) {
             tracing::info!(decider = %address, epoch = directive.epoch, "decider answers");
         }
         self.lost = false;
-        self.decider = Some((directive.epoch, address));
-        self.asked = 0;
-        if !directive.entries.is_empty() {
-            self.entries.clone_from(&directive.entries);
-        }
+        self.search
+            .heard(address, directive.epoch, &directive.entries);
     }
 
-    pub fn elsewhere(&mut self, address: SocketAddr, decider: Option<(Epoch, SocketAddr)>) {
-        let newer = decider.filter(|(epoch, other)| {
-            let known = self.decider;
-            let newer = known.is_none_or(|(own, at)| *epoch > own || at == address);
-            newer && *other != address && *epoch != self.failed
-        });
-        match newer {
-            Some(decider) => self.decider = Some(decider),
-            None => self.forget(address),
-        }
+    pub fn elsewhere(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        decider: Option<(Epoch, SocketAddr)>,
+    ) {
+        let named = decider.map(|(epoch, _)| epoch);
+        let followed = self.search.referred(now, address, decider);
+        tracing::info!(entry = %address, named, followed, "referred by an entry that does not decide");
     }
 
-    pub fn failed(&mut self, address: SocketAddr, error: &str, silence: Option<Duration>) {
+    pub fn failed(
+        &mut self,
+        now: Duration,
+        address: SocketAddr,
+        error: &str,
+        silence: Option<Duration>,
+    ) {
         if !self.lost {
             let silence_ms = silence.map(|silence| silence.as_millis());
             tracing::warn!(decider = %address, error, silence_ms, "decider does not answer");
         }
         self.lost = true;
-        if let Some((epoch, _)) = self.decider.filter(|(_, known)| *known == address) {
-            self.failed = epoch;
-        }
         self.clients.remove(&address);
-        self.forget(address);
-    }
-
-    fn forget(&mut self, address: SocketAddr) {
-        if self.decider.is_some_and(|(_, known)| known == address) {
-            self.decider = None;
-        }
-    }
-
-    /// Returns whom to ask next; `None` when the log should be searched.
-    fn candidate(&mut self) -> Option<SocketAddr> {
-        if let Some((_, address)) = self.decider {
-            return Some(address);
-        }
-        if self.asked >= self.entries.len() {
-            return None;
-        }
-        self.asked += 1;
-        self.next += 1;
-        self.entries.get(self.next % self.entries.len()).copied()
+        self.search.failed(now, address);
     }
 
     fn client(&mut self, address: SocketAddr) -> Rc<Client> {
@@ -154,22 +121,18 @@
 impl<L: Log, W: Worker> Agent<L, W> {
     /// Returns whom to report to.
     pub(super) async fn find_decider(&self) -> Option<SocketAddr> {
-        let candidate = self.contact.borrow_mut().candidate();
+        let candidate = self.contact.borrow_mut().search.next();
         if candidate.is_some() {
             return candidate;
         }
-        let found = self.search_log().await;
-        let mut contact = self.contact.borrow_mut();
-        contact.asked = 0;
-        contact.failed = 0;
-        if found.is_some() {
-            contact.decider = found;
-        }
-        contact.candidate()
+        let (entries, found) = self.search_log().await;
+        let search = &mut self.contact.borrow_mut().search;
+        search.found(entries, found);
+        search.next()
     }
 
     /// Searches the log's newest records for a claim, and for entries on the way.
-    async fn search_log(&self) -> Option<(Epoch, SocketAddr)> {
+    async fn search_log(&self) -> (Vec<SocketAddr>, Option<(Epoch, SocketAddr)>) {
         let mut after: Option<String> = None;
         let mut entries = Vec::new();
         let mut found = None;
@@ -193,9 +156,6 @@
                 break;
             }
         }
-        if !entries.is_empty() {
-            self.contact.borrow_mut().entries = entries;
-        }
-        found
+        (entries, found)
     }
 }
