feat(batch): callers' records go to the log with those of the decider

Change: an entry hands its records to the decider, which appends all that came meanwhile with its own. A decider that has not stored them after 0.5 s says so, and the entry waits until the log shows them. Any trouble leaves the entry's own append; a refusal is only told if nothing may be stored.

--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -14,8 +14,9 @@
 use crate::demand::Demand;
 use crate::id::{Domain, Epoch, Host, Life, Pool, Run, Task};
 use bytes::Bytes;
-use serde::de::DeserializeOwned;
-use serde::{Deserialize, Serialize};
+use serde::de::{self, DeserializeOwned, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -202,6 +203,43 @@
     },
 }
 
+/// Records of callers that an entry hands to the decider: keys and values as they go to the log.
+pub type Records = Vec<(String, Value)>;
+
+/// Bytes of a record. Written as one string of bytes; the derived form would take up to twice the room.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Value(pub Bytes);
+
+impl Serialize for Value {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for Value {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_byte_buf(ValueVisitor)
+    }
+}
+
+struct ValueVisitor;
+
+impl Visitor<'_> for ValueVisitor {
+    type Value = Value;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("a string of bytes")
+    }
+
+    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Value, E> {
+        Ok(Value(Bytes::copy_from_slice(bytes)))
+    }
+
+    fn visit_byte_buf<E: de::Error>(self, bytes: Vec<u8>) -> Result<Value, E> {
+        Ok(Value(bytes.into()))
+    }
+}
+
 /// Why a message can't be read.
 #[derive(Debug, thiserror::Error)]
 #[error("message can't be decoded: {0}")]
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -3,6 +3,7 @@
 mod decide;
 mod handover;
 mod probe;
+mod relay;
 mod report;
 mod scope;
 mod submit;
@@ -85,6 +86,10 @@
     read_order: ReadOrder,
     state: RefCell<State>,
     writer: Writer,
+    /// Records of callers that this entry is to store while it decides.
+    intake: relay::Intake,
+    /// Way to the decider for the records of this entry's callers.
+    way: relay::Way,
     /// Changes of anything that decisions depend on.
     changes: Notice,
     /// Changes of what agents are told.
@@ -120,6 +125,8 @@
             }),
             settings,
             writer: Writer::default(),
+            intake: relay::Intake::default(),
+            way: relay::Way::default(),
             changes: Notice::default(),
             directives: Notice::default(),
             stopping: Cell::new(false),
@@ -146,7 +153,10 @@
             follow::follow(&entry.log, Stream::Operator, &entry.clock, pause, take).await;
         };
         let entry = self.clone();
-        let writing = async move { entry.writer.run(&entry.log, &entry.clock).await };
+        let writing = async move {
+            let store = async |items: &[Item]| entry.store_items(items).await;
+            entry.writer.run(store).await;
+        };
         let entry = self.clone();
         let deciding = async move { entry.decide().await };
         let entry = self.clone();
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -4,6 +4,7 @@
 //! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
 //! whose place was taken records nothing.
 
+use super::relay::Taken;
 use super::{Decider, Entry, age, handover, probe};
 use crate::batch::log::{AppendError, Fence, Item, Log, ReadError, Stream};
 use crate::batch::wall_millis;
@@ -229,7 +230,8 @@
                 self.hand_over(epoch, held).await;
                 Err(Down::HandedOver)
             };
-            if let Err(down) = self.record(epoch, records).or(handing_over).await {
+            let taken = self.intake.take();
+            if let Err(down) = self.record(epoch, records, taken).or(handing_over).await {
                 return down;
             }
             self.assign();
@@ -277,12 +279,14 @@
         records
     }
 
-    /// Appends records and waits until the ledger shows them.
-    async fn record(&self, epoch: Epoch, records: Vec<Record>) -> Result<(), Down> {
-        if records.is_empty() {
+    /// Appends callers' records and then the decider's, and applies them.
+    async fn record(&self, epoch: Epoch, records: Vec<Record>, taken: Taken) -> Result<(), Down> {
+        if records.is_empty() && taken.is_empty() {
             return Ok(());
         }
-        let items: Vec<Item> = records.iter().flat_map(items).collect();
+        let own: Vec<Item> = records.iter().flat_map(items).collect();
+        let own_count = own.len();
+        let items: Vec<Item> = taken.items().cloned().chain(own).collect();
         let sequence = self.next_sequence();
         let began = self.clock.now();
         let mut failing = false;
@@ -296,7 +300,8 @@
                     }
                     metrics::histogram!("godwitstep_decision_append_seconds")
                         .record(self.clock.now().saturating_sub(began));
-                    self.apply_own(end, items.len(), records);
+                    self.apply_taken(end.saturating_sub(items.len() as u64), &taken);
+                    self.apply_own(end, own_count, records);
                     return Ok(());
                 }
                 Err(AppendError::Fenced) => return Err(Down::Fenced),
@@ -340,6 +345,7 @@
 
     async fn step_down(&self, epoch: Epoch, down: Down) {
         let decider = self.state.borrow_mut().decider.take();
+        self.intake.clear();
         self.directives.notify();
         metrics::gauge!("godwitstep_decides").set(0.0);
         let reason = match down {
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,6 +1,6 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, age, entries, handover, probe, scope};
+use super::{Decider, Entry, age, entries, handover, probe, relay, scope};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
@@ -30,6 +30,9 @@
         if request.uri().path() == probe::PATH {
             return self.tell_epoch();
         }
+        if request.uri().path() == relay::PATH {
+            return self.take_records(request).await;
+        }
         if request.uri().path() == scope::PATH {
             return self.reaches_log();
         }
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -1,7 +1,6 @@
-//! Appends of callers' records: one at a time, each with all records that came meanwhile.
+//! Callers' records on their way to the log: one batch at a time, each with all records that came meanwhile.
 
-use crate::batch::SharedClock;
-use crate::batch::log::{AppendError, Item, Log};
+use crate::batch::log::{AppendError, Item};
 use crate::batch::notice::Notice;
 use godwitstep_batch::record::Record;
 use smol::channel::{Sender, bounded};
@@ -66,8 +65,8 @@
             .map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
-    /// Appends for good.
-    pub async fn run<L: Log>(&self, log: &L, clock: &SharedClock) {
+    /// Has batches stored for good.
+    pub async fn run(&self, store: impl AsyncFn(&[Item]) -> Result<(), Error>) {
         loop {
             let version = self.arrivals.version();
             let batch = self.take();
@@ -78,11 +77,7 @@
                 continue;
             }
             let (items, senders): (Vec<Item>, Vec<_>) = batch.into_iter().unzip();
-            let began = clock.now();
-            let result = log.append(&items, None).await;
-            let took = clock.now().saturating_sub(began);
-            metrics::histogram!("godwitstep_log_append_seconds").record(took);
-            let result = self.note(began, clock.now(), result);
+            let result = store(&items).await;
             for sender in senders {
                 // A caller that left does not wait for the outcome.
                 let _ = sender.try_send(result);
@@ -96,12 +91,14 @@
         waiting.drain(..count).collect()
     }
 
-    fn note(
+    /// Notes the result of an append of this entry's own.
+    pub fn note(
         &self,
         began: Duration,
         now: Duration,
         result: Result<u64, AppendError>,
     ) -> Result<(), Error> {
+        metrics::histogram!("godwitstep_log_append_seconds").record(now.saturating_sub(began));
         match result {
             Ok(_) => {
                 if let Some(since) = self.failing.take() {
