fix(batch): a decider that the log refuses gives callers' records back

Change: if the log refuses an append and no earlier try of it is without an answer, the callers' records in it and all that wait go back, and no more are taken until an append is stored.

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -69,6 +69,8 @@
     planner: Planner,
     /// Sending time of the newest append that was stored.
     stored: Duration,
+    /// Whether the log refused the newest append.
+    refused: bool,
     /// Number of the next append.
     sequence: u64,
     /// What each host was last told, and when.
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -4,7 +4,7 @@
 //! ledger shows them. So each decision rests on everything that was recorded before it, and a decider
 //! whose place was taken records nothing.
 
-use super::relay::Taken;
+use super::relay::{Outcome, Taken};
 use super::{Decider, Entry, age, handover, probe};
 use crate::batch::log::{AppendError, Fence, Item, Log, ReadError, Stream};
 use crate::batch::wall_millis;
@@ -176,6 +176,7 @@
             self.state.borrow_mut().decider = Some(Decider {
                 planner,
                 stored: sent,
+                refused: false,
                 sequence: 1,
                 told: HashMap::new(),
             });
@@ -286,10 +287,12 @@
         }
         let own: Vec<Item> = records.iter().flat_map(items).collect();
         let own_count = own.len();
-        let items: Vec<Item> = taken.items().cloned().chain(own).collect();
+        let mut taken = taken;
+        let mut items: Vec<Item> = taken.items().cloned().chain(own.clone()).collect();
         let sequence = self.next_sequence();
         let began = self.clock.now();
         let mut failing = false;
+        let mut unanswered = false;
         loop {
             let sent = self.clock.now();
             let fence = Fence { epoch, sequence };
@@ -297,6 +300,7 @@
                 Ok(end) => {
                     if let Some(decider) = &mut self.state.borrow_mut().decider {
                         decider.stored = sent;
+                        decider.refused = false;
                     }
                     metrics::histogram!("godwitstep_decision_append_seconds")
                         .record(self.clock.now().saturating_sub(began));
@@ -315,6 +319,16 @@
                     }
                     failing = true;
                     metrics::counter!("godwitstep_log_append_failures_total").increment(1);
+                    if matches!(error, AppendError::Refused(_)) && !unanswered {
+                        // Nothing is stored; the callers' records may find another way.
+                        self.give_back(&std::mem::take(&mut taken));
+                        items.clone_from(&own);
+                        if items.is_empty() {
+                            return Ok(());
+                        }
+                    } else {
+                        unanswered = true;
+                    }
                     Timer::after(RETRY).await;
                 }
             }
@@ -324,6 +338,16 @@
         }
     }
 
+    /// Gives callers' records back that the log refused, with all that wait, and takes none until it stores an
+    /// append again.
+    fn give_back(&self, taken: &Taken) {
+        if let Some(decider) = &mut self.state.borrow_mut().decider {
+            decider.refused = true;
+        }
+        taken.tell(Outcome::NotTaken);
+        self.intake.give_back();
+    }
+
     /// Applies records that were just stored, ahead of the tail. What others wrote before them is
     /// not known yet: new jobs and cancellations, which no decision has to be the first to see.
     fn apply_own(&self, end: Offset, items: usize, records: Vec<Record>) {
@@ -345,7 +369,7 @@
 
     async fn step_down(&self, epoch: Epoch, down: Down) {
         let decider = self.state.borrow_mut().decider.take();
-        self.intake.clear();
+        self.intake.give_back();
         self.directives.notify();
         metrics::gauge!("godwitstep_decides").set(0.0);
         let reason = match down {
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -59,7 +59,7 @@
 /// Records of one entry that wait for the decider's next append.
 struct Batch {
     items: Vec<Item>,
-    stored: Sender<()>,
+    outcome: Sender<Outcome>,
 }
 
 impl Batch {
@@ -78,17 +78,17 @@
     waiting: RefCell<Vec<Batch>>,
 }
 
-/// Batches that are being appended. Dropped without [`Taken::stored`], it leaves their fate open.
+/// Batches that are being appended. Dropped without [`Taken::tell`], it leaves their fate open.
 #[derive(Default)]
 pub(super) struct Taken {
     batches: Vec<Batch>,
 }
 
 impl Intake {
-    /// Takes records. Returns what tells that they are stored, or `None` if too many wait.
-    fn push(&self, items: Vec<Item>) -> Option<Receiver<()>> {
-        let (stored, receiver) = bounded(1);
-        let batch = Batch { items, stored };
+    /// Takes records. Returns what tells their outcome, or `None` if too many wait.
+    fn push(&self, items: Vec<Item>) -> Option<Receiver<Outcome>> {
+        let (outcome, receiver) = bounded(1);
+        let batch = Batch { items, outcome };
         let mut waiting = self.waiting.borrow_mut();
         let size: usize = waiting.iter().map(Batch::size).sum();
         if size + batch.size() > MAX_WAITING {
@@ -112,9 +112,10 @@
         }
     }
 
-    /// Forgets all that waits; its senders are told nothing.
-    pub fn clear(&self) {
-        self.waiting.borrow_mut().clear();
+    /// Gives back all that waits.
+    pub fn give_back(&self) {
+        let batches = self.waiting.take();
+        Taken { batches }.tell(Outcome::NotTaken);
     }
 }
 
@@ -129,11 +130,11 @@
         self.batches.iter().flat_map(|batch| &batch.items)
     }
 
-    /// Tells the senders that their records are stored.
-    pub fn stored(&self) {
+    /// Tells the senders what became of their records.
+    pub fn tell(&self, outcome: Outcome) {
         for batch in &self.batches {
             // An entry that no longer waits has appended by itself.
-            let _ = batch.stored.try_send(());
+            let _ = batch.outcome.try_send(outcome);
         }
     }
 }
@@ -223,20 +224,18 @@
         let decides = {
             let state = self.state.borrow();
             let decider = state.decider.as_ref();
-            decider.is_some_and(|decider| decider.has_voice(now))
+            decider.is_some_and(|decider| decider.has_voice(now) && !decider.refused)
         };
         if !decides {
             return Outcome::NotTaken;
         }
-        let Some(stored) = self.intake.push(items) else {
+        let Some(outcome) = self.intake.push(items) else {
             return Outcome::NotTaken;
         };
         self.changes.notify();
         let waiting = async {
-            match stored.recv().await {
-                Ok(()) => Outcome::Stored,
-                Err(_) => Outcome::Unknown,
-            }
+            let told = outcome.recv().await;
+            told.unwrap_or(Outcome::Unknown)
         };
         let late = async {
             Timer::after(PATIENCE).await;
@@ -323,7 +322,7 @@
             }
         }
         drop(state);
-        taken.stored();
+        taken.tell(Outcome::Stored);
         self.changes.notify();
     }
 }
