--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -324,6 +324,7 @@
                         self.give_back(&std::mem::take(&mut taken));
                         items.clone_from(&own);
                         if items.is_empty() {
+                            self.reuse_sequence(sequence);
                             return Ok(());
                         }
                     } else {
@@ -367,6 +368,13 @@
         decider.sequence - 1
     }
 
+    /// Lets the next append have the number of one that the log refused.
+    fn reuse_sequence(&self, sequence: u64) {
+        if let Some(decider) = &mut self.state.borrow_mut().decider {
+            decider.sequence = sequence;
+        }
+    }
+
     async fn step_down(&self, epoch: Epoch, down: Down) {
         let decider = self.state.borrow_mut().decider.take();
         self.intake.give_back();
