refactor(batch): work done twice on the way of an append and of a gang

Ruled out: one count of copies by rack for `others_can_take` and `rack_could_hold` (one counts open workers, the other also closed ones).

Behaviour and assertions stay as they are.

--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -275,9 +275,10 @@
         return anywhere;
     }
     let urgent = want.urgent;
+    let suspects = floor.slots.iter().any(|slot| slot.suspect);
     let best = [(true, true), (true, false), (false, true)]
         .into_iter()
-        .filter(|(_, swift)| urgent || !swift)
+        .filter(|(steady, swift)| (suspects || !steady) && (urgent || !swift))
         .find_map(|(steady, swift)| {
             (want.steady, want.swift) = (steady, swift);
             let seats = seat_gang(want, floor);
--- a/crates/godwitstep-batch/tests/shun.rs
+++ b/crates/godwitstep-batch/tests/shun.rs
@@ -7,6 +7,13 @@
 use godwitstep_batch::progress::Outcome;
 use scene::{DONE, Scene, gang, seconds, step};
 
+/// Returns the number of a host.
+fn number(host: &str) -> usize {
+    host.trim_start_matches("host-")
+        .parse()
+        .expect("a number after the name")
+}
+
 /// Lets some hosts fail all that they run, for a number of rounds.
 fn fail_on(scene: &mut Scene, hosts: &[usize], rounds: usize) {
     for _ in 0..rounds {
@@ -27,8 +34,7 @@
     let mut scene = Scene::new(6, 3);
     scene.submit(1, "urgent", "north", vec![gang(4, 2, seconds(1))]);
     scene.round();
-    let first = scene.places(1)[0].clone();
-    let number = first.trim_start_matches("host-").parse().unwrap();
+    let number = number(&scene.places(1)[0]);
     fail_on(&mut scene, &[number], 20);
     assert_eq!(scene.status(1), DONE);
 }
@@ -58,8 +64,7 @@
     scene.submit(1, "normal", "north", vec![step(1, 1, seconds(9))]);
     scene.round();
     let failing = scene.places(1)[0].clone();
-    let number = failing.trim_start_matches("host-").parse().unwrap();
-    fail_on(&mut scene, &[number], 2);
+    fail_on(&mut scene, &[number(&failing)], 2);
     scene.submit(2, "normal", "north", vec![step(1, 1, seconds(9))]);
     scene.submit(3, "urgent", "north", vec![gang(2, 1, seconds(9))]);
     scene.round();
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -281,14 +281,19 @@
     }
 
     /// Appends callers' records and then the decider's, and applies them.
-    async fn record(&self, epoch: Epoch, records: Vec<Record>, taken: Taken) -> Result<(), Down> {
+    async fn record(
+        &self,
+        epoch: Epoch,
+        records: Vec<Record>,
+        mut taken: Taken,
+    ) -> Result<(), Down> {
         if records.is_empty() && taken.is_empty() {
             return Ok(());
         }
-        let own: Vec<Item> = records.iter().flat_map(items).collect();
-        let own_count = own.len();
-        let mut taken = taken;
-        let mut items: Vec<Item> = taken.items().cloned().chain(own.clone()).collect();
+        let mut batch: Vec<Item> = taken.items().cloned().collect();
+        let callers = batch.len();
+        batch.extend(records.iter().flat_map(items));
+        let own = batch.len() - callers;
         let sequence = self.next_sequence();
         let began = self.clock.now();
         let mut failing = false;
@@ -296,7 +301,7 @@
         loop {
             let sent = self.clock.now();
             let fence = Fence { epoch, sequence };
-            match self.log.append(&items, Some(fence)).await {
+            match self.log.append(&batch, Some(fence)).await {
                 Ok(end) => {
                     if let Some(decider) = &mut self.state.borrow_mut().decider {
                         decider.stored = sent;
@@ -304,8 +309,8 @@
                     }
                     metrics::histogram!("godwitstep_decision_append_seconds")
                         .record(self.clock.now().saturating_sub(began));
-                    self.apply_taken(end.saturating_sub(items.len() as u64), &taken);
-                    self.apply_own(end, own_count, records);
+                    self.apply_taken(end.saturating_sub(batch.len() as u64), &taken);
+                    self.apply_own(end, own, records);
                     return Ok(());
                 }
                 Err(AppendError::Fenced) => return Err(Down::Fenced),
@@ -322,8 +327,8 @@
                     if matches!(error, AppendError::Refused(_)) && !unanswered {
                         // Nothing is stored; the callers' records may find another way.
                         self.give_back(&std::mem::take(&mut taken));
-                        items.clone_from(&own);
-                        if items.is_empty() {
+                        batch.drain(..batch.len() - own);
+                        if batch.is_empty() {
                             self.reuse_sequence(sequence);
                             return Ok(());
                         }
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -247,9 +247,12 @@
     /// Waits until the log shows records that the decider is about to store. Returns whether it does in time.
     async fn come_to_show(&self, items: &[Item]) -> bool {
         let until = self.clock.now() + SLOW_TIME;
+        let decode = |item: &Item| Record::decode(&item.key, &item.value).ok().flatten();
+        let records: Vec<Option<Record>> = items.iter().map(decode).collect();
+        let shown = |record: &Option<Record>| record.as_ref().is_some_and(|own| self.shows(own));
         loop {
             let version = self.changes.version();
-            if items.iter().all(|item| self.shows(item)) {
+            if records.iter().all(shown) {
                 return true;
             }
             let left = until.saturating_sub(self.clock.now());
@@ -265,17 +268,15 @@
     }
 
     /// Tells whether the ledger shows a record of a caller.
-    fn shows(&self, item: &Item) -> bool {
-        match Record::decode(&item.key, &item.value) {
-            Ok(Some(Record::Submitted(job))) => self.status(job.id).is_some(),
-            Ok(Some(Record::Cancelled { job })) => {
-                matches!(self.status(job), Some(Status::Ended(_)))
-            }
-            Ok(Some(Record::Announced(entry))) => {
+    fn shows(&self, record: &Record) -> bool {
+        match record {
+            Record::Submitted(job) => self.status(job.id).is_some(),
+            Record::Cancelled { job } => matches!(self.status(*job), Some(Status::Ended(_))),
+            Record::Announced(entry) => {
                 let state = self.state.borrow();
-                state.ledger.entries().any(|known| *known == entry)
+                state.ledger.entries().any(|known| known == entry)
             }
-            Ok(_) | Err(_) => false,
+            Record::Progressed { .. } | Record::Dropped { .. } | Record::Claimed(_) => false,
         }
     }
 
