feat(batch): an entry that the log turns away reads it through another

Cause: while the log is cut off from one entry (node_cut, platform_down of single hosts), its callers got 503 until their attempts were used up, or the state of their jobs as it was before the cut. A zone with one entry has no other way in until the balancer has missed two looks.

Change: a tail that the log does not deliver is asked for through another entry, which reads the log at that moment. Readiness, claims and hand-over go by the answers of the log itself, as before.

--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -12,7 +12,7 @@
 //! ```
 
 use crate::demand::Demand;
-use crate::id::{Domain, Epoch, Host, Life, Pool, Run, Task};
+use crate::id::{Domain, Epoch, Host, Life, Offset, Pool, Run, Task};
 use bytes::Bytes;
 use serde::de::{self, DeserializeOwned, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -206,6 +206,24 @@
 /// Records of callers that an entry hands to the decider: keys and values as they go to the log.
 pub type Records = Vec<(String, Value)>;
 
+/// Asks another entry for what follows an offset of a stream of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TailRequest {
+    /// Name of the stream.
+    pub stream: String,
+    /// First offset.
+    pub from: Offset,
+}
+
+/// What follows an offset of a stream of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tail {
+    /// Keys and values, `None` for a record that can't be read.
+    pub items: Vec<Option<(String, Value)>>,
+    /// Offset after the last record of the stream.
+    pub end: Offset,
+}
+
 /// Bytes of a record. Written as one string of bytes; the derived form would take up to twice the room.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Value(pub Bytes);
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -7,12 +7,13 @@
 mod report;
 mod scope;
 mod submit;
+mod tail;
 mod writer;
 
 pub use submit::Verdict;
 
 use super::SharedClock;
-use super::follow::{self, Event};
+use super::follow::{Event, Follower, Source};
 use super::log::{Item, Log, Stream};
 use super::notice::Notice;
 use super::operator::{Operator, Order};
@@ -52,9 +53,8 @@
     operator: Operator,
     /// Domains out of service in the newest records that are being read again.
     reloaded_out: Option<BTreeSet<Domain>>,
-    /// Sending time of the newest read that reached the end, by stream.
-    records_read: Option<Duration>,
-    operator_read: Option<Duration>,
+    records: Reading,
+    operators: Reading,
     /// Offset after the newest record that was applied.
     records_end: Offset,
     watch: Watch,
@@ -64,6 +64,34 @@
     decider: Option<Decider>,
 }
 
+/// How new the view of a stream is.
+#[derive(Debug, Clone, Copy, Default)]
+struct Reading {
+    /// Sending time of the newest read that reached the end.
+    newest: Option<Duration>,
+    /// Sending time of the newest one that the log itself answered: whether this host reaches the log.
+    own: Option<Duration>,
+}
+
+impl Reading {
+    fn note(&mut self, sent: Duration, source: Source) {
+        self.newest = self.newest.max(Some(sent));
+        if source == Source::Log {
+            self.own = self.own.max(Some(sent));
+        }
+    }
+
+    /// Returns the age of the view.
+    fn age(&self, now: Duration) -> Duration {
+        age(self.newest, now)
+    }
+
+    /// Returns the age of the newest answer of the log itself.
+    fn own_age(&self, now: Duration) -> Duration {
+        age(self.own, now)
+    }
+}
+
 /// What the entry keeps while it decides.
 struct Decider {
     planner: Planner,
@@ -92,6 +120,8 @@
     intake: relay::Intake,
     /// Way to the decider for the records of this entry's callers.
     way: relay::Way,
+    /// Place of the entry through which the log is read, among the others.
+    peer_turn: Cell<usize>,
     /// Changes of anything that decisions depend on.
     changes: Notice,
     /// Changes of what agents are told.
@@ -118,8 +148,8 @@
                 ledger: Ledger::default(),
                 operator: Operator::default(),
                 reloaded_out: None,
-                records_read: None,
-                operator_read: None,
+                records: Reading::default(),
+                operators: Reading::default(),
                 records_end: 0,
                 watch: Watch::new(delay),
                 successor: None,
@@ -129,6 +159,7 @@
             writer: Writer::default(),
             intake: relay::Intake::default(),
             way: relay::Way::default(),
+            peer_turn: Cell::new(0),
             changes: Notice::default(),
             directives: Notice::default(),
             stopping: Cell::new(false),
@@ -145,14 +176,14 @@
         let entry = self.clone();
         let records = async move {
             let take = |event| entry.take_record(event);
-            let pause = || entry.pause();
-            follow::follow(&entry.log, Stream::Records, &entry.clock, pause, take).await;
+            entry.follow(Stream::Records, || entry.pause(), take).await;
         };
         let entry = self.clone();
         let operator = async move {
             let take = |event| entry.take_order(event);
-            let pause = || Duration::ZERO;
-            follow::follow(&entry.log, Stream::Operator, &entry.clock, pause, take).await;
+            entry
+                .follow(Stream::Operator, || Duration::ZERO, take)
+                .await;
         };
         let entry = self.clone();
         let writing = async move {
@@ -173,6 +204,16 @@
         tasks.run(std::future::pending::<()>()).await;
     }
 
+    async fn follow(&self, stream: Stream, pause: impl Fn() -> Duration, take: impl FnMut(Event)) {
+        let follower = Follower {
+            log: &self.log,
+            stream,
+            clock: &self.clock,
+            peer: async |from| self.read_through_peer(stream, from).await,
+        };
+        follower.run(pause, take).await;
+    }
+
     /// Returns the pause between two reads of the records: decisions rest on new ones, while callers
     /// may be told of a job's state a little later.
     fn pause(&self) -> Duration {
@@ -214,9 +255,9 @@
                 drop(state);
                 self.changes.notify();
             }
-            Event::Fresh { end, sent } => {
+            Event::Fresh { end, sent, source } => {
                 state.records_end = state.records_end.max(end);
-                state.records_read = Some(sent);
+                state.records.note(sent, source);
                 drop(state);
                 self.changes.notify();
             }
@@ -246,7 +287,7 @@
                 drop(state);
                 self.changes.notify();
             }
-            Event::Fresh { sent, .. } => state.operator_read = Some(sent),
+            Event::Fresh { sent, source, .. } => state.operators.note(sent, source),
         }
     }
 
@@ -262,10 +303,18 @@
         }
     }
 
-    /// Returns whether the entry takes new callers.
+    /// Returns whether the entry takes new callers: not while its host does not reach the log itself.
     #[must_use]
     pub fn ready(&self) -> bool {
-        !self.stopping.get() && self.with_view(|view| view.ready())
+        let now = self.clock.now();
+        let state = self.state.borrow();
+        let policy = state.operator.policy().cloned();
+        let view = View {
+            policy: policy.as_deref(),
+            policy_age: state.operators.own_age(now),
+            jobs_age: state.records.own_age(now),
+        };
+        !self.stopping.get() && view.ready()
     }
 
     fn with_view<R>(&self, act: impl FnOnce(View) -> R) -> R {
@@ -274,8 +323,8 @@
         let policy = state.operator.policy().cloned();
         act(View {
             policy: policy.as_deref(),
-            policy_age: age(state.operator_read, now),
-            jobs_age: age(state.records_read, now),
+            policy_age: state.operators.age(now),
+            jobs_age: state.records.age(now),
         })
     }
 
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -5,7 +5,7 @@
 //! whose place was taken records nothing.
 
 use super::relay::{Outcome, Taken};
-use super::{Decider, Entry, age, handover, probe};
+use super::{Decider, Entry, handover, probe};
 use crate::batch::log::{AppendError, Fence, Item, Log, ReadError, Stream};
 use crate::batch::wall_millis;
 use godwitstep_batch::bounds::{RENEWAL, VOICE};
@@ -71,7 +71,7 @@
         let now = self.clock.now();
         let (claim, suspected) = {
             let state = self.state.borrow();
-            let age = age(state.records_read, now);
+            let age = state.records.own_age(now);
             let claim = state
                 .ledger
                 .claim()
@@ -105,7 +105,7 @@
         // Entries that get their first policy at the same time claim in turns as well.
         let configured = state.operator.policy().is_some();
         let age = if configured {
-            age(state.records_read, now)
+            state.records.own_age(now)
         } else {
             Duration::MAX
         };
@@ -222,7 +222,7 @@
             if self.state.borrow().ledger.epoch() > epoch {
                 return Down::Fenced;
             }
-            if age(self.state.borrow().records_read, self.clock.now()) > DEAF {
+            if self.state.borrow().records.own_age(self.clock.now()) > DEAF {
                 return Down::Unheard;
             }
             let records = self.round();
@@ -264,7 +264,7 @@
         let orders = Orders {
             policy: &policy,
             out: &out,
-            age: age(state.operator_read, now),
+            age: state.operators.age(now),
         };
         let Some(decider) = &mut state.decider else {
             return Vec::new();
--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -5,7 +5,7 @@
 //! end is recorded. So it asks the others how new their views of the log are, and names its successor. A log
 //! that is slow for all is no reason: only an entry that the log answers promptly offers to take the place.
 
-use super::{Entry, age};
+use super::Entry;
 use crate::batch::log::{Log, Stream};
 use crate::http::{self, Client};
 use bytes::Bytes;
@@ -83,7 +83,7 @@
         let prompt = named || self.is_served_promptly().await;
         let now = self.clock.now();
         let mut state = self.state.borrow_mut();
-        let age = age(state.records_read, now);
+        let age = state.records.own_age(now);
         let current = state.ledger.epoch() == epoch && state.operator.policy().is_some();
         let ready = current && prompt && !self.stopping.get() && claim::informed(age);
         tracing::info!(
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,6 +1,6 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, age, entries, handover, probe, relay, scope};
+use super::{Decider, Entry, entries, handover, probe, relay, scope, tail};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
@@ -33,6 +33,9 @@
         if request.uri().path() == relay::PATH {
             return self.take_records(request).await;
         }
+        if request.uri().path() == tail::PATH {
+            return self.read_for_peer(request).await;
+        }
         if request.uri().path() == scope::PATH {
             return self.reaches_log();
         }
@@ -125,7 +128,7 @@
         let nothing = Rc::new(Policy::default());
         let policy = state.operator.policy().unwrap_or(&nothing).clone();
         let out = state.operator.out().clone();
-        let age = age(state.operator_read, now);
+        let age = state.operators.age(now);
         let addresses = entries(&state.ledger);
         let decider = state
             .decider
--- a/crates/godwitstep/src/batch/entry/scope.rs
+++ b/crates/godwitstep/src/batch/entry/scope.rs
@@ -56,8 +56,8 @@
     }
 
     fn in_doubt(&self) -> bool {
-        self.with_view(|view| view.jobs_age > DOUBTFUL)
-            || self.writer.failing(self.clock.now()) > TICK
+        let now = self.clock.now();
+        self.state.borrow().records.own_age(now) > DOUBTFUL || self.writer.failing(now) > TICK
     }
 
     /// Asks the others while the log does not answer, for good.
--- a/crates/godwitstep/src/batch/log.rs
+++ b/crates/godwitstep/src/batch/log.rs
@@ -24,6 +24,14 @@
             Self::Operator => "operator",
         }
     }
+
+    /// Returns the stream with a name.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        [Self::Records, Self::Operator]
+            .into_iter()
+            .find(|stream| stream.name() == name)
+    }
 }
 
 /// A record with its key. An empty value deletes the key.
