feat(batch): patient work leaves whole workers empty for urgent jobs

Room was kept as a sum over all workers, and only by the last queue's independent tasks, so it came in pieces.

Change: patient jobs of all lower queues, gangs too, leave as many empty workers as nine of ten recent urgent jobs need, at most 0.4 of them, as long as waiting does not make them late; not for over 2 s beside an idle floor. The former headroom is removed.

The test of the load started 1 of 16 urgent jobs at once before.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -148,8 +148,8 @@
     draft: &'r mut Draft<'l>,
     /// The room that is left.
     floor: &'r mut Floor,
-    /// Room that patient work leaves free.
-    headroom: headroom::Wanted,
+    /// Workers that patient work leaves empty, once they are known.
+    spared: headroom::Spared,
     plan: &'r mut Plan,
 }
 
@@ -226,12 +226,11 @@
         self.conclude(now, &mut draft, &mut plan);
         if orders.age < VIEW_LIFE {
             let mut floor = Floor::new(now, &self.fleet, &self.health, &draft, orders);
-            let headroom = self.headroom.wanted(now, &self.bounds, &floor.slots);
             let mut round = Round {
                 now,
                 draft: &mut draft,
                 floor: &mut floor,
-                headroom,
+                spared: headroom::Spared::new(),
                 plan: &mut plan,
             };
             self.place(&mut round, orders);
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -64,6 +64,8 @@
             .retain(|(task, run)| ledger_places(*task, *run));
         self.failures
             .retain(|job| ledger.job(job).is_some_and(|entry| !entry.settled()));
+        self.headroom
+            .retain(|job| ledger.job(job).is_some_and(|entry| !entry.settled()));
         let fleet = &self.fleet;
         self.health.retain(ledger_places, |life| {
             fleet
--- a/crates/godwitstep-batch/src/planner/floor.rs
+++ b/crates/godwitstep-batch/src/planner/floor.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Tells whether nothing takes room here.
+    pub fn is_empty(&self) -> bool {
+        self.occupants.is_empty() && self.free == self.room
+    }
+
     /// Tells whether tasks take clearly longer here than elsewhere.
     pub fn is_slow(&self) -> bool {
         self.pace > SLOW
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -7,7 +7,6 @@
 use super::floor::{Floor, Occupant, Slot};
 use super::order::{self, Urgency};
 use super::{Decision, Orders, Planner, Round};
-use crate::demand::Demand;
 use crate::id::{JobId, Life, Run, Task};
 use crate::job::Step;
 use crate::ledger::Entry;
@@ -18,9 +17,6 @@
 /// Most jobs for which room is kept at a time. Each one costs room that shorter tasks only can use.
 const MAX_RESERVATIONS: usize = 3;
 
-/// First priority whose jobs leave room for urgent ones.
-const HEADROOM_PRIORITY: u8 = 2;
-
 /// A place for one task: the number of the task in its step and the number of the slot.
 pub(super) type Seat = (u16, usize);
 
@@ -38,7 +34,7 @@
     pub swift: bool,
     /// Whether suspect workers are left out.
     pub steady: bool,
-    /// Workers that are left out because the job failed there.
+    /// Workers that are left out: the job failed there, or they are left empty.
     pub shunned: BTreeSet<Life>,
 }
 
@@ -59,7 +55,7 @@
                 continue;
             };
             for number in ready_steps(entry, round.draft.progress(urgency.job, entry)) {
-                let Some(blocked) = self.place_step(round, entry, number) else {
+                let Some(blocked) = self.place_step(round, &urgency, entry, number) else {
                     continue;
                 };
                 if urgency.hopeless {
@@ -74,8 +70,15 @@
         }
     }
 
-    /// Places the waiting tasks of a step as far as there is room. Returns what is left.
-    fn place_step<'e>(&self, round: &mut Round, entry: &'e Entry, number: u16) -> Option<Want<'e>> {
+    /// Places the waiting tasks of a step as far as there is room. Returns what is left, unless it leaves room to
+    /// others.
+    fn place_step<'e>(
+        &mut self,
+        round: &mut Round,
+        urgency: &Urgency,
+        entry: &'e Entry,
+        number: u16,
+    ) -> Option<Want<'e>> {
         let job = entry.job.id;
         let state = &round.draft.progress(job, entry).steps[usize::from(number)];
         let mut want = Want {
@@ -89,9 +92,9 @@
             steady: false,
             shunned: BTreeSet::new(),
         };
-        want.shunned = self.failures.shunned(&want, round.floor);
-        let held_back = leave_headroom(round, entry, &mut want);
         let run = next_run(want.step.gang, state);
+        want.shunned = self.failures.shunned(&want, round.floor);
+        let held_back = self.leave_headroom(round, urgency, entry, &mut want);
         if want.step.gang {
             for (index, slot) in seat_gang_well(&mut want, round.floor) {
                 self.place_task(round, &want, index, run(index), slot);
@@ -168,27 +171,6 @@
     }
 }
 
-/// Holds back independent tasks of a later queue that would take the room that urgent jobs need soon.
-/// Returns whether there are any. A gang, which needs its room at one time, would starve.
-fn leave_headroom(round: &Round, entry: &Entry, want: &mut Want) -> bool {
-    if entry.job.queue.priority < HEADROOM_PRIORITY || want.step.gang {
-        return false;
-    }
-    let Some(wanted) = round.headroom.get(want.pool) else {
-        return false;
-    };
-    let own = round.floor.slots.iter().filter(|slot| want.allows(slot));
-    let free = Demand::sum(own.map(|slot| &slot.free));
-    let copies = |room: &Demand| {
-        let copies = want.step.demand.copies_in(room);
-        usize::try_from(copies).unwrap_or(usize::MAX)
-    };
-    let allowed = copies(&free.minus(wanted));
-    let held_back = allowed < copies(&free).min(want.waiting.len());
-    want.waiting.truncate(allowed);
-    held_back
-}
-
 /// Returns the steps that have waiting tasks and whose earlier steps are done.
 fn ready_steps(entry: &Entry, progress: &progress::Progress) -> Vec<u16> {
     let done = |other: &u16| {
--- a/crates/godwitstep-batch/tests/headroom.rs
+++ b/crates/godwitstep-batch/tests/headroom.rs
@@ -57,6 +57,47 @@
     );
 }
 
+/// Guards against small patient tasks on every worker, so that urgent jobs whose tasks each take a whole worker have
+/// others stopped first.
+#[test]
+fn urgent_jobs_that_take_whole_workers_find_them_empty() {
+    let mut scene = Scene::new(WORKERS, 4);
+    let mut patient = 1;
+    let mut at_once = 0;
+    for urgent in 100..120 {
+        // Work for two thirds of the floor, of uneven lengths.
+        for _ in 0..4 {
+            let length = seconds(4 + patient * 3 % 7);
+            scene.submit(patient, "patient", "south", vec![step(4, 1, length)]);
+            patient += 1;
+        }
+        scene.run(Duration::from_millis(1_200));
+        scene.submit(urgent, "urgent", "north", vec![step(2, 8, seconds(1))]);
+        scene.run(Duration::from_millis(1_200));
+        let now = |decision: &&Decision| matches!(decision, Decision::Placed { task, age, .. } if task.job == urgent && age.is_zero());
+        let placed = scene.decisions.iter().filter(now).count();
+        // The first ones show what is to be expected.
+        at_once += usize::from(urgent >= 104 && placed == 2);
+    }
+    assert!(at_once >= 14, "{at_once} of 16 started at once");
+    let stopped = scene.decisions.iter();
+    let stopped = stopped.filter(|decision| matches!(decision, Decision::Preempted { .. }));
+    assert!(stopped.count() <= 4, "patient tasks are stopped for them");
+}
+
+/// Guards against accepted work that waits beside idle workers because urgent jobs might come.
+#[test]
+fn patient_work_does_not_wait_long_beside_idle_workers() {
+    let mut scene = Scene::new(4, 4);
+    for job in 100..104 {
+        scene.submit(job, "urgent", "north", vec![step(4, 8, seconds(1))]);
+        scene.run(seconds(2));
+    }
+    scene.submit(1, "patient", "south", vec![gang(4, 8, seconds(30))]);
+    scene.run(seconds(3));
+    assert_eq!(scene.places(1).len(), 4);
+}
+
 /// Guards against room that stays empty although no urgent job comes any more.
 #[test]
 fn patient_work_takes_the_whole_floor_when_no_urgent_jobs_come() {
