fix(batch): an agent does not ask a host that is gone once more

Cause: an agent whose decider gave no answer asked it again as an entry, or as the decider whose claim the log still showed, each for 0.9 s.

Change: an address that gave no answer rests for a second in either role, unless nobody else is known.

--- a/crates/godwitstep-batch/src/agent/search.rs
+++ b/crates/godwitstep-batch/src/agent/search.rs
@@ -10,10 +10,11 @@
 //! let entry = "10.0.0.1:7000".parse().unwrap();
 //! let decider = "10.0.0.2:7000".parse().unwrap();
 //! let mut search = Search::new(vec![entry]);
-//! search.found(Vec::new(), None);
-//! assert_eq!(search.next(), Some(entry));
-//! assert!(search.referred(Duration::ZERO, entry, Some((7, decider))));
-//! assert_eq!(search.next(), Some(decider));
+//! search.found(Duration::ZERO, Vec::new(), None);
+//! let now = Duration::ZERO;
+//! assert_eq!(search.next(now), Some(entry));
+//! assert!(search.referred(now, entry, Some((7, decider))));
+//! assert_eq!(search.next(now), Some(decider));
 //! ```
 
 use crate::id::Epoch;
@@ -36,6 +37,8 @@
     asked: usize,
     /// Epoch of the decider that gave no answer, and when.
     failed: Option<(Epoch, Duration)>,
+    /// Address that gave no answer last, and when.
+    silent: Option<(SocketAddr, Duration)>,
 }
 
 impl Search {
@@ -48,6 +51,7 @@
             last: 0,
             asked: usize::MAX,
             failed: None,
+            silent: None,
         }
     }
 
@@ -62,6 +66,7 @@
         self.decider = Some((epoch, address));
         self.asked = 0;
         self.failed = None;
+        self.silent = None;
         if !entries.is_empty() {
             self.entries = entries.to_vec();
         }
@@ -98,6 +103,7 @@
         if let Some((epoch, _)) = self.decider.filter(|(_, known)| *known == address) {
             self.failed = Some((epoch, now));
         }
+        self.silent = Some((address, now));
         self.forget(address);
     }
 
@@ -105,27 +111,41 @@
         self.decider.take_if(|(_, known)| *known == address);
     }
 
-    /// Notes what the log showed: entries, and a claim if there was one.
-    pub fn found(&mut self, entries: Vec<SocketAddr>, decider: Option<(Epoch, SocketAddr)>) {
+    /// Notes what the log showed: entries, and a claim if there was one. The log goes on showing the claim of a decider
+    /// that is gone, until another entry has claimed its place.
+    pub fn found(
+        &mut self,
+        now: Duration,
+        entries: Vec<SocketAddr>,
+        decider: Option<(Epoch, SocketAddr)>,
+    ) {
         self.asked = 0;
-        self.failed = None;
         if !entries.is_empty() {
             self.entries = entries;
         }
+        let decider = decider.filter(|(epoch, _)| !self.rests(now, *epoch));
         self.decider = decider.or(self.decider);
     }
 
     /// Returns whom to ask next; `None` when the log should be searched.
-    #[allow(clippy::should_implement_trait)] // It is no sequence.
-    pub fn next(&mut self) -> Option<SocketAddr> {
+    pub fn next(&mut self, now: Duration) -> Option<SocketAddr> {
         if let Some((_, address)) = self.decider {
             return Some(address);
         }
-        if self.asked >= self.entries.len() {
-            return None;
+        while self.asked < self.entries.len() {
+            self.asked += 1;
+            self.last += 1;
+            let entry = self.entries[self.last % self.entries.len()];
+            if !self.is_silent(now, entry) {
+                return Some(entry);
+            }
         }
-        self.asked += 1;
-        self.last += 1;
-        self.entries.get(self.last % self.entries.len()).copied()
+        None
+    }
+
+    /// Tells whether the process at an address gave no answer a short time ago.
+    fn is_silent(&self, now: Duration, address: SocketAddr) -> bool {
+        self.silent
+            .is_some_and(|(silent, at)| silent == address && now < at + FAILED_PAUSE)
     }
 }
--- a/crates/godwitstep-batch/tests/search.rs
+++ b/crates/godwitstep-batch/tests/search.rs
@@ -32,8 +32,8 @@
     let mut now = Duration::ZERO;
     search.failed(now, address(0));
     let began = now;
-    while search.next() != Some(address(0)) {
-        let asked = search.next().expect("an entry to ask");
+    while search.next(now) != Some(address(0)) {
+        let asked = search.next(now).expect("an entry to ask");
         now += REFERRAL;
         search.referred(now, asked, Some((EPOCH, address(0))));
         assert!(now < began + Duration::from_secs(2), "not asked again");
@@ -49,10 +49,10 @@
     search.heard(address(0), EPOCH, &[]);
     // It has no voice for a moment and refers to nobody.
     search.referred(now, address(0), None);
-    let entry = search.next().expect("an entry to ask");
+    let entry = search.next(now).expect("an entry to ask");
     assert_ne!(entry, address(0));
     assert!(search.referred(now, entry, Some((EPOCH, address(0)))));
-    assert_eq!(search.next(), Some(address(0)));
+    assert_eq!(search.next(now), Some(address(0)));
 }
 
 /// Guards against an agent that goes back and forth between a decider that is gone and an entry that names it.
@@ -61,24 +61,51 @@
     let mut search = agent();
     let now = Duration::from_secs(1);
     search.failed(now, address(0));
-    let entry = search.next().expect("an entry to ask");
+    let entry = search.next(now).expect("an entry to ask");
     assert!(!search.referred(now, entry, Some((EPOCH, address(0)))));
-    assert_ne!(search.next(), Some(address(0)));
+    assert_ne!(search.next(now), Some(address(0)));
     // A successor is.
     assert!(search.referred(now, entry, Some((EPOCH + 1, address(3)))));
-    assert_eq!(search.next(), Some(address(3)));
+    assert_eq!(search.next(now), Some(address(3)));
 }
 
 /// Guards against an agent that asks the same entries for good, while the log would tell.
 #[test]
 fn the_log_is_searched_once_all_entries_were_asked() {
     let mut search = agent();
-    search.referred(Duration::ZERO, address(0), None);
+    let now = Duration::ZERO;
+    search.referred(now, address(0), None);
     for _ in 0..ENTRIES {
-        let entry = search.next().expect("an entry to ask");
-        search.referred(Duration::ZERO, entry, None);
+        let entry = search.next(now).expect("an entry to ask");
+        search.referred(now, entry, None);
+    }
+    assert_eq!(search.next(now), None);
+    search.found(now, vec![address(7)], None);
+    assert_eq!(search.next(now), Some(address(7)));
+}
+
+/// Guards against an agent of a small system that asks a host that is gone once more, as an entry or as the decider
+/// that the log still shows, and misses its successor by the time of one more unanswered call.
+#[test]
+fn a_host_that_is_gone_is_not_asked_while_others_are_to_be_found() {
+    let entries: Vec<SocketAddr> = (0..3).map(address).collect();
+    let mut search = Search::new(entries.clone());
+    search.heard(address(0), EPOCH, &entries);
+    let now = Duration::from_secs(1);
+    search.failed(now, address(0));
+    while let Some(asked) = search.next(now) {
+        assert_ne!(asked, address(0), "it gave no answer a moment ago");
+        search.referred(now, asked, Some((EPOCH, address(0))));
     }
-    assert_eq!(search.next(), None);
-    search.found(vec![address(7)], None);
-    assert_eq!(search.next(), Some(address(7)));
+    // Nobody has claimed its place yet.
+    search.found(now, entries.clone(), Some((EPOCH, address(0))));
+    let asked = search.next(now).expect("an entry to ask");
+    assert_ne!(asked, address(0), "the log shows its claim still");
+    assert!(search.referred(now, asked, Some((EPOCH + 1, address(2)))));
+    assert_eq!(search.next(now), Some(address(2)));
+    // It may answer again later.
+    search.referred(now, address(2), None);
+    let later = now + Duration::from_secs(2);
+    search.found(later, entries, Some((EPOCH, address(0))));
+    assert_eq!(search.next(later), Some(address(0)));
 }
--- a/crates/godwitstep/src/batch/agent/decider.rs
+++ b/crates/godwitstep/src/batch/agent/decider.rs
@@ -121,14 +121,16 @@
 impl<L: Log, W: Worker> Agent<L, W> {
     /// Returns whom to report to.
     pub(super) async fn find_decider(&self) -> Option<SocketAddr> {
-        let candidate = self.contact.borrow_mut().search.next();
+        let now = self.clock.now();
+        let candidate = self.contact.borrow_mut().search.next(now);
         if candidate.is_some() {
             return candidate;
         }
         let (entries, found) = self.search_log().await;
         let search = &mut self.contact.borrow_mut().search;
-        search.found(entries, found);
-        search.next()
+        let now = self.clock.now();
+        search.found(now, entries, found);
+        search.next(now)
     }
 
     /// Searches the log's newest records for a claim, and for entries on the way.
