refactor(batch): callers come back after a second, whoever fails to reach the log

Cause: an entry that alone failed to reach the log told callers to come back at once. Such an entry now reads the log through another one, so the question whether others reach it decides nothing else.

Change: `scope.rs` and the path `/log` are removed; a caller that can't be served comes back after a second.

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -5,12 +5,11 @@
 mod probe;
 mod relay;
 mod report;
-mod scope;
 mod submit;
 mod tail;
 mod writer;
 
-pub use submit::Verdict;
+pub use submit::{COME_BACK, Verdict};
 
 use super::SharedClock;
 use super::follow::{Event, Follower, Source};
@@ -127,8 +126,6 @@
     /// Changes of what agents are told.
     directives: Notice,
     stopping: Cell<bool>,
-    /// Whether this host fails to reach the log and others reach it.
-    alone: Cell<bool>,
 }
 
 impl<L: Log> Entry<L> {
@@ -163,7 +160,6 @@
             changes: Notice::default(),
             directives: Notice::default(),
             stopping: Cell::new(false),
-            alone: Cell::new(false),
         })
     }
 
@@ -192,14 +188,11 @@
         };
         let entry = self.clone();
         let deciding = async move { entry.decide().await };
-        let entry = self.clone();
-        let asking = async move { entry.watch_scope().await };
         let announcing = async move { self.announce().await };
         tasks.spawn(records).detach();
         tasks.spawn(operator).detach();
         tasks.spawn(writing).detach();
         tasks.spawn(deciding).detach();
-        tasks.spawn(asking).detach();
         tasks.spawn(announcing).detach();
         tasks.run(std::future::pending::<()>()).await;
     }
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -1,6 +1,6 @@
 //! Agents' reports and what they are told.
 
-use super::{Decider, Entry, entries, handover, probe, relay, scope, tail};
+use super::{Decider, Entry, entries, handover, probe, relay, tail};
 use crate::batch::log::Log;
 use crate::http;
 use bytes::Bytes;
@@ -36,9 +36,6 @@
         if request.uri().path() == tail::PATH {
             return self.read_for_peer(request).await;
         }
-        if request.uri().path() == scope::PATH {
-            return self.reaches_log();
-        }
         if [handover::OFFER, handover::SUCCEED].contains(&request.uri().path()) {
             return self.succeed(request).await;
         }
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -19,7 +19,11 @@
 /// Time for which an append is repeated that the log refuses; callers reach another entry sooner.
 const REFUSED_TIME: Duration = Duration::from_millis(400);
 /// Time without a stored append, or age of the view of the log, at which new work is refused at once.
-pub(super) const LOG_FAILING: Duration = Duration::from_millis(1_500);
+const LOG_FAILING: Duration = Duration::from_millis(1_500);
+
+/// When a caller should come back whom this entry can't serve. The balancer takes an entry that is not ready out of
+/// rotation after two looks a second apart, so the attempts of a caller, which are few, outlast that.
+pub const COME_BACK: Duration = Duration::from_secs(1);
 
 /// Answer to a caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,10 +33,7 @@
     /// There is no such job.
     Unknown,
     /// It was not stored and never will be by this request.
-    Refused {
-        /// When to come back.
-        again: Duration,
-    },
+    Refused,
     /// It can't be told in time whether it is stored; the same request may be sent again.
     InDoubt,
 }
@@ -50,9 +51,7 @@
                 job = format_args!("{id:016x}"),
                 "submission refused: the log does not answer"
             );
-            return Verdict::Refused {
-                again: self.come_back(),
-            };
+            return Verdict::Refused;
         }
         let verdict = self.store(Record::Submitted(job), time, || self.status(id).is_some());
         let verdict = verdict.await;
@@ -68,9 +67,7 @@
             Some(Status::Queued | Status::Running) => {}
             None if self.knows_jobs() => return Verdict::Unknown,
             None => {
-                return Verdict::Refused {
-                    again: self.come_back(),
-                };
+                return Verdict::Refused;
             }
         }
         let cancelled = || matches!(self.status(id), Some(Status::Ended(_)));
@@ -106,9 +103,7 @@
                 return if doubt {
                     Verdict::InDoubt
                 } else {
-                    Verdict::Refused {
-                        again: self.come_back(),
-                    }
+                    Verdict::Refused
                 };
             }
             Timer::after(RETRY).await;
@@ -179,7 +174,7 @@
     match verdict {
         Verdict::Stored => "stored",
         Verdict::Unknown => "unknown",
-        Verdict::Refused { .. } => "refused",
+        Verdict::Refused => "refused",
         Verdict::InDoubt => "in_doubt",
     }
 }
