fix(batch): a job of absurd size or length takes no process down

Cause: callers choose `cpu`, `gpus` and `estimated_ms` freely. Amounts near the greatest number made sums and products overflow: a panic in debug builds, and in release builds room that was not there and a claim within the guarantee that was none.

Ruled out: the messages between processes. /records, /tail and the offer of the decider's place refuse what they can't read; the last did so without a line and now writes one.

Change: amounts saturate; an estimate of over a year is refused with 400.

--- a/crates/godwitstep-batch/src/demand.rs
+++ b/crates/godwitstep-batch/src/demand.rs
@@ -16,7 +16,8 @@
 /// Thousandths in a core.
 const MILLIS: u64 = 1_000;
 
-/// What a task takes, or what a worker has.
+/// What a task takes, or what a worker has. Callers choose the amounts freely, so sums and products stop at the
+/// greatest number.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Demand {
     /// Processor time. Unit: thousandths of a core.
@@ -38,9 +39,9 @@
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -77,9 +78,9 @@
     #[must_use]
     pub const fn times(&self, tasks: u64) -> Self {
         Self {
-            cpu: self.cpu * tasks,
-            memory: self.memory * tasks,
-            accelerators: self.accelerators * tasks,
+            cpu: self.cpu.saturating_mul(tasks),
+            memory: self.memory.saturating_mul(tasks),
+            accelerators: self.accelerators.saturating_mul(tasks),
         }
     }
 
@@ -136,7 +137,7 @@
     /// Returns the weight of the demand in cores, accelerators included.
     #[must_use]
     pub fn cores(&self) -> f64 {
-        ratio(self.cpu, MILLIS) + ratio(self.accelerators * CORES_PER_ACCELERATOR, 1)
+        ratio(self.cpu, MILLIS) + ratio(self.accelerators.saturating_mul(CORES_PER_ACCELERATOR), 1)
     }
 }
 
--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -22,6 +22,9 @@
 /// Most steps in one job.
 pub const MAX_STEPS: usize = 64;
 
+/// Longest time that a task may be estimated to run. Times that follow from it are several times as long.
+pub const MAX_ESTIMATE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 /// Equal tasks that run after the same other steps.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -96,6 +99,12 @@
         /// Number of the step.
         step: usize,
     },
+    /// A task is estimated to run for longer than [`MAX_ESTIMATE`].
+    #[error("step {step} is estimated to run for over a year")]
+    Estimate {
+        /// Number of the step.
+        step: usize,
+    },
     /// A step depends on itself or on a later one.
     #[error("step {step} depends on a step that is not an earlier one")]
     Dependency {
@@ -119,6 +128,9 @@
         if content.tasks == 0 || total > MAX_TASKS {
             return Err(Fault::Tasks { step });
         }
+        if content.estimate > MAX_ESTIMATE {
+            return Err(Fault::Estimate { step });
+        }
         if content
             .after
             .iter()
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -52,7 +52,8 @@
             continue;
         };
         if entry.job.queue.priority == 0 && entry.active() {
-            *needs.entry(workspace.clone()).or_default() += need(entry, progress);
+            let needed = needs.entry(workspace.clone()).or_default();
+            *needed = needed.saturating_add(need(entry, progress));
         }
     }
     needs
@@ -69,7 +70,7 @@
     let steps = entry.job.steps.iter().zip(&progress.steps);
     steps
         .filter(|(_, state)| !state.done())
-        .map(|(step, _)| u64::from(step.tasks) * step.demand.accelerators)
+        .map(|(step, _)| step.demand.times(u64::from(step.tasks)).accelerators)
         .max()
         .unwrap_or(0)
 }
--- a/crates/godwitstep-batch/tests/headroom.rs
+++ b/crates/godwitstep-batch/tests/headroom.rs
@@ -2,7 +2,9 @@
 
 mod scene;
 
+use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::JobId;
+use godwitstep_batch::job::Step;
 use godwitstep_batch::planner::Decision;
 use scene::{ROOM, Scene, gang, seconds, step};
 use std::time::Duration;
@@ -142,3 +144,34 @@
     let open = ROOM.accelerators * WORKERS as u64 / 2;
     assert!(used(&scene) >= open / 2, "{} of {open}", used(&scene));
 }
+
+/// Guards against a caller whose sizes are beyond any number that fits, which took the decider down or made room that
+/// is not there.
+#[test]
+fn absurd_sizes_take_no_room_and_stop_nobody() {
+    let mut scene = Scene::new(WORKERS, 4);
+    scene.submit(1, "patient", "south", vec![step(8, 8, seconds(4))]);
+    scene.run(seconds(1));
+    let absurd = Demand {
+        cpu: u64::MAX,
+        memory: u64::MAX / 2 + 1,
+        accelerators: u64::MAX,
+    };
+    for (job, queue) in [(100, "urgent"), (101, "normal"), (102, "patient")] {
+        let one = Step {
+            demand: absurd,
+            ..step(2, 0, seconds(1))
+        };
+        let whole = Step {
+            gang: true,
+            ..one.clone()
+        };
+        scene.submit(job, queue, "north", vec![one, whole]);
+    }
+    scene.run(seconds(2));
+    assert_eq!(scene.places(1).len(), 8, "others were stopped for it");
+    assert!((100..103).all(|job| scene.places(job).is_empty()));
+    scene.submit(103, "urgent", "north", vec![step(1, 8, seconds(1))]);
+    scene.run(seconds(8));
+    assert_eq!(scene.status(103), scene::DONE);
+}
--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -78,6 +78,7 @@
             .ok()
             .and_then(|body| String::from_utf8(body.to_vec()).ok());
         let Some(epoch) = text.and_then(|text| text.parse::<Epoch>().ok()) else {
+            tracing::warn!("another entry's offer of the decider's place is malformed");
             return http::respond(StatusCode::BAD_REQUEST, Bytes::new());
         };
         let prompt = named || self.is_served_promptly().await;
