refactor(batch): a function without callers, and one test of open jobs

Cause: Demand::scaled lost its only caller when the headroom was rewritten; the same condition stood twice in a row in directive.rs.

Change: the former is removed, the latter named once. Behaviour is the same.

--- a/crates/godwitstep-batch/src/demand.rs
+++ b/crates/godwitstep-batch/src/demand.rs
@@ -84,22 +84,6 @@
         }
     }
 
-    /// Returns a part of the demand, rounded down.
-    #[must_use]
-    #[allow(
-        clippy::cast_possible_truncation,
-        clippy::cast_precision_loss,
-        clippy::cast_sign_loss
-    )] // Amounts are far below the precision of a double, and the part is not negative.
-    pub fn scaled(&self, part: f64) -> Self {
-        let scale = |amount: u64| (amount as f64 * part.max(0.0)) as u64;
-        Self {
-            cpu: scale(self.cpu),
-            memory: scale(self.memory),
-            accelerators: scale(self.accelerators),
-        }
-    }
-
     /// Returns how many such tasks fit into the room side by side.
     #[must_use]
     pub fn copies_in(&self, room: &Self) -> u64 {
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -2,7 +2,7 @@
 
 use super::{Orders, Planner};
 use crate::bounds::VIEW_LIFE;
-use crate::id::{Life, Run, Task};
+use crate::id::{JobId, Life, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::{Directive, Ended, How, Start, Worker};
 use crate::progress::State;
@@ -62,10 +62,9 @@
         };
         self.stopping
             .retain(|(task, run)| ledger_places(*task, *run));
-        self.failures
-            .retain(|job| ledger.job(job).is_some_and(|entry| !entry.settled()));
-        self.headroom
-            .retain(|job| ledger.job(job).is_some_and(|entry| !entry.settled()));
+        let open = |job: JobId| ledger.job(job).is_some_and(|entry| !entry.settled());
+        self.failures.retain(open);
+        self.headroom.retain(open);
         let fleet = &self.fleet;
         self.health.retain(ledger_places, |life| {
             fleet
