feat: log the report behind each ended run and the registrations that are ignored

The hypotheses could not be told apart by the logs: the decider's 'run ended' did not show which report it rested on, and an agent did not say which worker a registration replaces. Change: 'run ended' has the age and epoch of the host's newest report and the worker that it lists where that is another one; agents log the replaced incarnation, and registrations that are not taken. No decision changes.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -60,6 +60,17 @@
     pub age: Duration,
 }
 
+/// Parts of an agent's report that explain a decision in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReportSummary {
+    /// Time since the report was received.
+    pub age: Duration,
+    /// Epoch up to which the agent had received directives when it reported.
+    pub epoch: Epoch,
+    /// Worker in the report, if any.
+    pub worker: Option<Incarnation>,
+}
+
 /// A decision that is reported in the process's log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -84,6 +95,8 @@
         incarnation: Incarnation,
         /// How the run ended and what shows it; written to the log and to a metric label.
         how: &'static str,
+        /// Newest report of the run's host when the run was found to have ended; `None` if there is none.
+        report: Option<ReportSummary>,
     },
     /// A run is stopped to free capacity for another job.
     Preempted {
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -41,6 +41,7 @@
                 task: end.task,
                 run: end.run,
                 how: cause_label(&end.cause),
+                report: self.reports.summary(now, &end.incarnation.host),
                 incarnation: end.incarnation,
             });
         }
@@ -165,6 +166,7 @@
             plan.decisions.push(Decision::Ended {
                 task,
                 run,
+                report: self.reports.summary(now, &incarnation.host),
                 incarnation,
                 how: "done, after it was taken for lost",
             });
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -1,5 +1,6 @@
 //! The newest report of each agent, and what it shows about a run.
 
+use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
 use crate::id::{Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
@@ -93,6 +94,17 @@
         self.hosts.get(host).map(|latest| &latest.report)
     }
 
+    /// Returns a summary of the newest report of a host for the log.
+    pub fn summary(&self, now: Duration, host: &str) -> Option<ReportSummary> {
+        let latest = self.hosts.get(host)?;
+        let worker = latest.report.worker.as_ref();
+        Some(ReportSummary {
+            age: now.saturating_sub(latest.received_at),
+            epoch: latest.report.epoch,
+            worker: worker.map(|worker| worker.info.incarnation.clone()),
+        })
+    }
+
     /// Returns whether a host's report is too old to show what runs there.
     pub fn is_stale(&self, now: Duration, host: &str) -> bool {
         self.hosts
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -94,6 +94,7 @@
         let info = registration.info.clone();
         let (incarnation, draining) = (info.incarnation, info.draining);
         let was_draining = self.state_machine.borrow().draining();
+        let previous = self.state_machine.borrow().incarnation().cloned();
         let new = self.state_machine.borrow_mut().register(registration);
         if new {
             let labels = info.labels.join(",");
@@ -102,9 +103,13 @@
                 memory,
                 accelerators,
             } = info.capacity;
-            tracing::info!(worker = %incarnation, draining, labels, cpu, memory, accelerators, "worker registered");
+            let previous = previous.map(|previous| previous.to_string());
+            tracing::info!(worker = %incarnation, previous, draining, labels, cpu, memory, accelerators, "worker registered");
             let address = self.settings.worker.unwrap_or(address);
             *self.worker.borrow_mut() = Some(Rc::new((self.connect)(address)));
+        } else if previous.as_ref() != Some(&incarnation) {
+            let current = previous.map(|previous| previous.to_string());
+            tracing::warn!(worker = %incarnation, current, "registration of another incarnation ignored");
         } else if draining && !was_draining {
             tracing::info!(worker = %incarnation, "worker is draining");
         }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -464,9 +464,17 @@
             run,
             incarnation,
             how,
+            report,
         } => {
             metrics::counter!("godwitstep_runs_ended_total", "how" => *how).increment(1);
-            tracing::info!(%task, run, worker = %incarnation, how, epoch, "run ended");
+            let report_ms = report.as_ref().map(|report| report.age.as_millis());
+            let report_epoch = report.as_ref().map(|report| report.epoch);
+            // Empty if the report lists the worker of the run, which is the usual case.
+            let other = report.as_ref().map(|report| report.worker.as_ref());
+            let other = other.filter(|worker| *worker != Some(incarnation));
+            let reported =
+                other.map(|worker| worker.map_or_else(|| "none".to_owned(), ToString::to_string));
+            tracing::info!(%task, run, worker = %incarnation, how, epoch, report_ms, report_epoch, reported, "run ended");
         }
         Decision::Preempted { task, run, by } => {
             metrics::counter!("godwitstep_preemptions_total").increment(1);
