fix(platform): check which incarnation of a worker accepts a connection

What callers would see: a task that was done runs again, or runs on a worker that its agent takes for gone (TWICE), after a worker has restarted under its name and address. Cause: a call names its addressee by the worker's name only. The next incarnation has the same name, new sequence numbers and a new clock: it took the acknowledgement and the lease of a renewal, and carried out a start whose deadline refers to the former clock. Evidence: an_acknowledgement_for_an_earlier_life_does_not_reach_the_next_one and a_start_for_an_earlier_life_does_not_reach_the_next_one failed before ('/hold {"ack_cursor":57,"deadline_ms":600000}' reached the next life) and pass now. Ruled out: detecting it by the answer; by then the call has had its effect. Change: http::Client can send a check first on each new connection; the worker's client sends a poll without acknowledgement and lease and goes on only if the expected incarnation answers. A connection ends with its process, so one check holds for all its requests.

--- a/crates/godwitstep/src/http.rs
+++ b/crates/godwitstep/src/http.rs
@@ -30,5 +30,5 @@
 mod server;
 
 pub use body::{Body, BoxError, ReadError, empty, full, read, respond, stream};
-pub use client::{Cause, Client, Error, Options, Step};
+pub use client::{Cause, Check, Checked, Client, Error, Options, Step};
 pub use server::{Limits, Shutdown, Signal, serve};
--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -14,16 +14,19 @@
 use smol_hyper::rt::FuturesIo;
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::{Duration, Instant};
 
+mod check;
 mod error;
 mod streaming;
 mod write_tracker;
 
+pub use check::{Check, Checked};
 pub use error::{Cause, Error, Step};
 use streaming::Streaming;
 use write_tracker::WriteTracker;
@@ -136,7 +139,30 @@
         time: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let progress = Progress::default();
-        let work = self.attempt(request, &progress);
+        let work = async {
+            match self.attempt(request, None, &progress).await? {
+                Checked::Response(response) | Checked::Rejected(response) => Ok(response),
+            }
+        };
+        self.with_timeout(time, work, &progress).await
+    }
+
+    /// Sends a request and reads the whole response within `time`, like [`Client::exchange`]. If a new connection has
+    /// to be opened for it, `check` is sent on that connection first, and the request only if its response is accepted.
+    ///
+    /// The process at the other end of a connection does not change, so one check holds for all requests on it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::exchange`]. `sent` concerns the request, not the check.
+    pub async fn exchange_checked(
+        &self,
+        request: Request<Bytes>,
+        check: &Check<'_>,
+        time: Duration,
+    ) -> Result<Checked, Error> {
+        let progress = Progress::default();
+        let work = self.attempt(request, Some(check), &progress);
         self.with_timeout(time, work, &progress).await
     }
 
@@ -189,8 +215,9 @@
     async fn attempt(
         &self,
         mut request: Request<Bytes>,
+        check: Option<&Check<'_>>,
         progress: &Progress,
-    ) -> Result<Response<Bytes>, (Step, Cause)> {
+    ) -> Result<Checked, (Step, Cause)> {
         self.set_host_header(&mut request);
         let _permit = self.open.acquire().await;
         while let Some(mut connection) = self.reuse().await {
@@ -201,13 +228,46 @@
                 // The server closed the idle connection. No byte was sent, so the request can be
                 // retried on another one.
                 Err(_) if !progress.sent() => {}
-                result => return self.recycle(connection, result).await,
+                result => {
+                    return self
+                        .recycle(connection, result)
+                        .await
+                        .map(Checked::Response);
+                }
             }
         }
         progress.step.set(Some(Step::Connect));
         let mut connection = self.connect().await?;
+        if let Some(check) = check
+            && let Some(rejected) = self.check(&mut connection, check).await?
+        {
+            return Ok(Checked::Rejected(rejected));
+        }
         let result = self.send_and_read(&mut connection, request, progress).await;
-        self.recycle(connection, result).await
+        self.recycle(connection, result)
+            .await
+            .map(Checked::Response)
+    }
+
+    /// Sends the check of a new connection. Returns the response if it is not accepted.
+    async fn check(
+        &self,
+        connection: &mut Connection,
+        check: &Check<'_>,
+    ) -> Result<Option<Response<Bytes>>, (Step, Cause)> {
+        let mut request = check.request.clone();
+        self.set_host_header(&mut request);
+        // The progress of the exchange is that of the request which follows.
+        let progress = Progress::default();
+        let response = self.send_and_read(connection, request, &progress).await?;
+        if !(check.accepts)(&response) {
+            return Ok(Some(response));
+        }
+        if connection.is_open().await {
+            Ok(None)
+        } else {
+            Err((Step::Connect, Cause::Io(ErrorKind::ConnectionReset.into())))
+        }
     }
 
     /// Takes an idle connection that still appears to be open from the pool.
