test: a task runs twice after an agent restarts with an earlier time of day

Two agents, the planner and workers with leases. The agent of the host with the run restarts after 5 s with a start 10 s earlier: 13.4 s later run 2 starts on the other host, while run 1 is active.

--- /dev/null
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -0,0 +1,215 @@
+//! Reports of several processes of an agent, of several deciders' times and in any order.
+
+mod simulation;
+
+use godwitstep_batch::Bounds;
+use godwitstep_batch::agent::{Agent, Answer, Operation, Registration, RunLists};
+use godwitstep_batch::id::{Run, Task};
+use godwitstep_batch::ledger::Ledger;
+use godwitstep_batch::message::{Directive, Report, Running};
+use godwitstep_batch::planner::{OperatorView, Planner};
+use godwitstep_batch::policy::Policy;
+use simulation::{Simulation, seconds, step};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Simulated time between two exchanges of an agent with the decider and its worker.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A worker that kills its runs when its lease ends.
+struct LeasedWorker {
+    registration: Registration,
+    running: BTreeSet<(Task, Run)>,
+    lease_end: Duration,
+}
+
+/// A host with an agent's state machine and a worker.
+struct LeasedHost {
+    agent: Agent,
+    worker: LeasedWorker,
+}
+
+impl LeasedHost {
+    fn new(host: &str, incarnation: u64, registration: Registration) -> Self {
+        let worker = LeasedWorker {
+            registration,
+            running: BTreeSet::new(),
+            lease_end: Duration::ZERO,
+        };
+        let mut leased = Self {
+            agent: Agent::new(host.into(), incarnation, Bounds::default()),
+            worker,
+        };
+        leased.agent.register(leased.worker.registration.clone());
+        leased
+    }
+
+    /// Replaces the agent's process.
+    fn restart_agent(&mut self, incarnation: u64) {
+        let host = &self.worker.registration.info.incarnation.host;
+        self.agent = Agent::new(host.clone(), incarnation, Bounds::default());
+        self.agent.register(self.worker.registration.clone());
+    }
+
+    /// Polls the worker and executes the calls that are due.
+    fn serve_worker(&mut self, now: Duration) {
+        if self.worker.lease_end < now {
+            self.worker.running.clear();
+        }
+        if let Some(request) = self.agent.lease_request(now) {
+            let deadline = request.deadline.map(Duration::from_millis);
+            self.worker.extend_lease(deadline);
+            let lists = self.worker.lists(now);
+            self.agent
+                .poll_answered(now, now, &request.incarnation, lists);
+        }
+        for call in self.agent.due_calls(now) {
+            match call.operation {
+                Operation::Start(_) => {
+                    let deadline = Duration::from_millis(call.deadline);
+                    self.worker.extend_lease(Some(deadline));
+                    self.worker.running.insert(call.key);
+                }
+                Operation::Stop(_) => {
+                    self.worker.running.remove(&call.key);
+                }
+            }
+            self.agent.call_answered(now, &call, Answer::Accepted);
+        }
+    }
+}
+
+impl LeasedWorker {
+    fn extend_lease(&mut self, deadline: Option<Duration>) {
+        self.lease_end = self.lease_end.max(deadline.unwrap_or_default());
+    }
+
+    fn lists(&self, now: Duration) -> RunLists {
+        RunLists {
+            clock: u64::try_from(now.as_millis()).unwrap(),
+            running: self
+                .running
+                .iter()
+                .map(|(task, run)| Running {
+                    task: *task,
+                    run: *run,
+                    saved: "".into(),
+                    percent: 0,
+                })
+                .collect(),
+            ended: Vec::new(),
+        }
+    }
+}
+
+/// A decider with agents whose workers hold leases.
+struct LeasedCluster {
+    now: Duration,
+    planner: Planner,
+    ledger: Ledger,
+    policy: Policy,
+    hosts: BTreeMap<String, LeasedHost>,
+    offset: u64,
+}
+
+impl LeasedCluster {
+    /// Creates a cluster with one job of one long task.
+    fn new(workers: usize) -> Self {
+        let mut sim = Simulation::new(workers, workers);
+        sim.submit(1, "normal", "north", vec![step(1, 8, seconds(600))]);
+        let registration = |sim: &mut Simulation, number| Registration {
+            info: sim.host(number).worker.info.clone(),
+            sequence: 1,
+        };
+        let hosts = (0..workers)
+            .map(|number| {
+                let name = format!("host-{number:02}");
+                let registration = registration(&mut sim, number);
+                let host = LeasedHost::new(&name, 1_000_000, registration);
+                (name, host)
+            })
+            .collect();
+        Self {
+            now: sim.now,
+            planner: sim.planner,
+            ledger: sim.ledger,
+            policy: sim.policy,
+            hosts,
+            offset: 1,
+        }
+    }
+
+    fn directive(&mut self, report: &Report) -> Directive {
+        self.planner.report(self.now, report.clone());
+        let domains_out = BTreeSet::new();
+        let view = OperatorView {
+            policy: &self.policy,
+            domains_out: &domains_out,
+            age: Duration::ZERO,
+        };
+        self.planner
+            .directive(&report.host, &self.ledger, &view, Vec::new())
+    }
+
+    fn decide(&mut self) {
+        let domains_out = BTreeSet::new();
+        let view = OperatorView {
+            policy: &self.policy,
+            domains_out: &domains_out,
+            age: Duration::ZERO,
+        };
+        let plan = self.planner.decide(self.now, 0, &self.ledger, &view);
+        for record in plan.records {
+            self.offset += 1;
+            self.ledger.apply(self.offset, record);
+        }
+        self.planner.refresh_assignments(&self.ledger);
+    }
+
+    /// All agents exchange a report with the decider and serve their worker; then the decider runs a round.
+    fn exchange(&mut self) {
+        let names: Vec<String> = self.hosts.keys().cloned().collect();
+        for name in names {
+            let now = self.now;
+            let report = self.hosts.get_mut(&name).unwrap().agent.report(now, false);
+            let directive = self.directive(&report);
+            let host = self.hosts.get_mut(&name).unwrap();
+            host.agent.apply_directive(now, directive);
+            host.serve_worker(now);
+        }
+        self.decide();
+        self.now += EXCHANGE_INTERVAL;
+    }
+
+    fn run_for(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.exchange();
+            let active = self.active_runs();
+            assert!(active.len() < 2, "at {:?}: {active:?}", self.now);
+        }
+    }
+
+    fn active_runs(&self) -> Vec<(String, Task, Run)> {
+        self.hosts
+            .iter()
+            .flat_map(|(name, host)| {
+                let running = host.worker.running.iter();
+                running.map(|(task, run)| (name.clone(), *task, *run))
+            })
+            .collect()
+    }
+}
+
+/// Guards against a second run of a task after an agent restarted while the time of day was set back.
+#[test]
+fn agent_restarted_after_the_clock_was_set_back_keeps_its_runs() {
+    let mut cluster = LeasedCluster::new(2);
+    cluster.run_for(seconds(5));
+    let active = cluster.active_runs();
+    let (name, ..) = active.first().expect("the task runs").clone();
+    let host = cluster.hosts.get_mut(&name).unwrap();
+    host.restart_agent(990_000);
+    cluster.run_for(seconds(30));
+    assert_eq!(cluster.active_runs(), active);
+}
