fix(batch): order the processes of an agent by their exchanges, not by the time of day

Callers would see a task run twice: an agent that restarts after the time of day was set back is taken for silent, and 13.2 s later its runs start elsewhere while its worker still holds a lease.

Cause: the decider ordered an agent's processes by their start in Unix milliseconds. Reports of a process with an earlier start were outdated, but were answered with the sequence number of its predecessor's last report. When the new process reached that number itself, it took the reply for an answer to its own report and renewed the lease for 6.5 s more.

Change: the start and a random number identify a process and have no order. The decider orders the processes of a host by their first report to it. A process takes over once it reports under the decider's epoch, which it learns from the reply to its first report; that reply counts as no answer (sequence 0) and holds no orders, as does any reply to a process that is not the current one. The agent reports again at once when a reply has taught it a newer epoch, and the first directive to a process is not held back by a long poll.

Why it works: only a process that was active after its first report had arrived can carry the decider's epoch. Processes of a host follow one another, so of two that carry it, the one that first reported later is the newer one, however its reports are delayed.

Mixed versions: the start stays in the report, for deciders of the previous version, which behave as before.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -284,6 +284,7 @@
                 .as_ref()
                 .map(|(_, incarnation)| incarnation.clone()),
             wait,
+            ..Report::default()
         }
     }
 
--- a/crates/godwitstep-batch/src/id.rs
+++ b/crates/godwitstep-batch/src/id.rs
@@ -19,6 +19,9 @@
 pub type Epoch = u64;
 /// Name of a host.
 pub type Host = Arc<str>;
+/// Identity of an agent's process: its start in Unix milliseconds and a random number. Has no order, because the
+/// time of day may be set back.
+pub type AgentProcess = (u64, u64);
 /// Name of a failure domain.
 pub type Domain = Arc<str>;
 /// Name of a workspace.
--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -12,7 +12,7 @@
 //! ```
 
 use crate::demand::Demand;
-use crate::id::{Domain, Epoch, Host, Incarnation, Offset, Pool, Run, Task};
+use crate::id::{AgentProcess, Domain, Epoch, Host, Incarnation, Offset, Pool, Run, Task};
 use bytes::Bytes;
 use serde::de::{self, DeserializeOwned, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -26,9 +26,11 @@
 pub struct Report {
     /// Host on which the agent and its worker run.
     pub host: Host,
-    /// Start of the agent's process in Unix milliseconds.
+    /// Start of the agent's process in Unix milliseconds. Only deciders of earlier versions order processes by it.
     pub incarnation: u64,
-    /// Sequence number of the report, increasing within an incarnation of the agent.
+    /// Random number of the agent's process; 0 from agents of earlier versions.
+    pub nonce: u64,
+    /// Sequence number of the report, increasing within a process of the agent.
     pub sequence: u64,
     /// Highest epoch that the agent has received.
     pub epoch: Epoch,
@@ -41,6 +43,14 @@
     pub wait: bool,
 }
 
+impl Report {
+    /// Returns the process of the agent that sent the report.
+    #[must_use]
+    pub const fn process(&self) -> AgentProcess {
+        (self.incarnation, self.nonce)
+    }
+}
+
 /// Properties that a worker registers with.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerInfo {
@@ -178,7 +188,8 @@
 pub struct Directive {
     /// Epoch of the decider. An agent ignores directives below the highest epoch that it has received.
     pub epoch: Epoch,
-    /// Sequence number of the report to which this replies; bounds the age of the orders.
+    /// Sequence number of the newest report of the agent's process; bounds the age of the orders. 0, which no
+    /// report has, if the decider does not use the reports of the process, or not yet.
     pub sequence: u64,
     /// Incarnation of the worker to which the orders apply.
     #[serde(rename = "life")]
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -4,7 +4,7 @@
 use crate::bounds::MAX_START_VIEW_AGE;
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::ledger::Ledger;
-use crate::message::{Directive, EndReason, Ended, Start, Worker};
+use crate::message::{Directive, EndReason, Ended, Report, Start, Worker};
 use crate::progress::State;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -77,12 +77,13 @@
         });
     }
 
-    /// Returns the orders for a host, based on its newest report. Without a report it contains
-    /// none.
+    /// Returns the reply to a report, which holds the orders for its host. For a process of the agent whose reports
+    /// are not used, or not yet, it holds no orders and counts as the reply to no report; the process learns the
+    /// decider's epoch from it.
     #[must_use]
     pub fn directive(
         &self,
-        host: &str,
+        report: &Report,
         ledger: &Ledger,
         view: &OperatorView,
         entries: Vec<SocketAddr>,
@@ -92,7 +93,9 @@
             entries,
             ..Directive::default()
         };
-        let Some(report) = self.reports.get(host) else {
+        let process = report.process();
+        let latest = self.reports.get(&report.host);
+        let Some(report) = latest.filter(|latest| latest.process() == process) else {
             return directive;
         };
         directive.sequence = report.sequence;
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -1,13 +1,21 @@
 //! The newest report of each agent, and what it shows about a run.
+//!
+//! Reports may arrive late and out of order, and an agent may have been replaced by another process on its host.
+//! The processes of a host are ordered by their first report to this decider. A process counts only from its
+//! first report under this decider's epoch, which it learns from the reply to an earlier report: it was active
+//! after its first report had arrived, so a process that first reported later replaced it.
 
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
-use crate::id::{Host, Incarnation, Run, Task};
+use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Number of processes of an agent that are remembered. A report of a forgotten process would have to be delayed
+/// by that many restarts.
+const MAX_PROCESSES: usize = 16;
 /// Age of a worker's newest report from which on the worker gets no new tasks.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -39,7 +47,10 @@
 /// The newest report of each agent.
 #[derive(Debug)]
 pub(super) struct AgentReports {
+    epoch: Epoch,
     hosts: BTreeMap<Host, LatestReport>,
+    /// Processes of the agent of each host, in the order of their first reports.
+    processes: BTreeMap<Host, VecDeque<AgentProcess>>,
     /// Time from which the silence of an agent that never reported counts. Until then an earlier
     /// decider may have answered it.
     silence_counted_from: Duration,
@@ -50,9 +61,11 @@
 }
 
 impl AgentReports {
-    pub fn new(now: Duration, bounds: &Bounds) -> Self {
+    pub fn new(epoch: Epoch, now: Duration, bounds: &Bounds) -> Self {
         Self {
+            epoch,
             hosts: BTreeMap::new(),
+            processes: BTreeMap::new(),
             silence_counted_from: now + DECIDER_LEASE,
             max_silence: bounds.agent_timeout(),
             late_start_window: bounds.max_lease_duration() * 2,
@@ -61,11 +74,8 @@
 
     /// Stores a report. Returns whether it is newer than the last one from that host.
     pub fn record(&mut self, now: Duration, report: Report) -> bool {
-        let outdated = self.hosts.get(&report.host).is_some_and(|latest| {
-            let version = |report: &Report| (report.incarnation, report.sequence);
-            version(&latest.report) >= version(&report)
-        });
-        if outdated {
+        self.remember(&report);
+        if !self.is_newer(&report) {
             return false;
         }
         let incarnation = |report: &Report| {
@@ -89,6 +99,44 @@
         true
     }
 
+    /// Remembers the process of an agent when it first reports.
+    fn remember(&mut self, report: &Report) {
+        let processes = self.processes.entry(report.host.clone()).or_default();
+        let process = report.process();
+        if processes.contains(&process) {
+            return;
+        }
+        let latest = self.hosts.get(&report.host);
+        let current = latest.map(|latest| latest.report.process());
+        if processes.len() == MAX_PROCESSES
+            && let Some(oldest) = processes.iter().position(|known| Some(*known) != current)
+        {
+            processes.remove(oldest);
+        }
+        processes.push_back(process);
+    }
+
+    /// Returns whether a report is newer than the stored one of its host.
+    fn is_newer(&self, report: &Report) -> bool {
+        let Some(latest) = self.hosts.get(&report.host) else {
+            return true;
+        };
+        let (current, process) = (latest.report.process(), report.process());
+        if current == process {
+            return report.sequence > latest.report.sequence;
+        }
+        let first_reported = |process| {
+            let processes = self.processes.get(&report.host)?;
+            processes.iter().position(|known| *known == process)
+        };
+        self.is_confirmed(report) && first_reported(process) > first_reported(current)
+    }
+
+    /// Returns whether a report was sent after this decider took over and had replied to the process that sent it.
+    const fn is_confirmed(&self, report: &Report) -> bool {
+        report.epoch >= self.epoch
+    }
+
     /// Returns the newest report of a host.
     pub fn get(&self, host: &str) -> Option<&Report> {
         self.hosts.get(host).map(|latest| &latest.report)
--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -4,7 +4,7 @@
 
 use godwitstep_batch::Bounds;
 use godwitstep_batch::agent::{Agent, Answer, Operation, Registration, RunLists};
-use godwitstep_batch::id::{Run, Task};
+use godwitstep_batch::id::{Epoch, Run, Task};
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::message::{Directive, Report, Running};
 use godwitstep_batch::planner::{OperatorView, Planner};
@@ -148,7 +148,7 @@
             age: Duration::ZERO,
         };
         self.planner
-            .directive(&report.host, &self.ledger, &view, Vec::new())
+            .directive(report, &self.ledger, &view, Vec::new())
     }
 
     fn decide(&mut self) {
@@ -213,3 +213,68 @@
     cluster.run_for(seconds(30));
     assert_eq!(cluster.active_runs(), active);
 }
+
+/// Returns a report of a process of the agent of the first host.
+fn report(sim: &mut Simulation, incarnation: u64, sequence: u64, epoch: Epoch) -> Report {
+    Report {
+        host: "host-00".into(),
+        incarnation,
+        sequence,
+        epoch,
+        worker: Some(sim.host(0).worker.clone()),
+        ..Report::default()
+    }
+}
+
+fn directive(sim: &Simulation, report: &Report) -> Directive {
+    let view = OperatorView {
+        policy: &sim.policy,
+        domains_out: &sim.domains_out,
+        age: Duration::ZERO,
+    };
+    sim.planner
+        .directive(report, &sim.ledger, &view, Vec::new())
+}
+
+/// Guards against a restarted agent that has to report more than twice before its reports are used.
+#[test]
+fn second_report_of_a_restarted_agent_is_used() {
+    let mut sim = Simulation::new(1, 1);
+    let (now, epoch) = (sim.now, sim.planner.epoch());
+    let former = report(&mut sim, 1_000, 70, epoch);
+    assert!(sim.planner.report(now, former.clone()));
+    let first = report(&mut sim, 990, 1, 0);
+    assert!(!sim.planner.report(now, first.clone()));
+    let reply = directive(&sim, &first);
+    assert_eq!((reply.epoch, reply.sequence), (epoch, 0));
+    let second = report(&mut sim, 990, 2, epoch);
+    assert!(sim.planner.report(now, second.clone()));
+    assert_eq!(directive(&sim, &second).sequence, 2);
+    assert_eq!(
+        directive(&sim, &former).sequence,
+        0,
+        "a replaced process is answered"
+    );
+}
+
+/// Guards against a delayed report of a replaced agent that takes the place of its successor's.
+#[test]
+fn delayed_reports_of_earlier_agents_are_not_used() {
+    let mut sim = Simulation::new(1, 1);
+    let (now, epoch) = (sim.now, sim.planner.epoch());
+    for (incarnation, sequence, carried) in [
+        (1_000, 1, 0),
+        (1_000, 2, epoch),
+        // This process is replaced before its second report arrives.
+        (990, 1, 0),
+        (2_000, 1, 0),
+        (2_000, 2, epoch),
+    ] {
+        let report = report(&mut sim, incarnation, sequence, carried);
+        sim.planner.report(now, report);
+    }
+    for (incarnation, sequence) in [(1_000, 3), (990, 2), (2_000, 1)] {
+        let delayed = report(&mut sim, incarnation, sequence, epoch);
+        assert!(!sim.planner.report(now, delayed), "process {incarnation}");
+    }
+}
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -4,7 +4,7 @@
 
 use godwitstep_batch::Bounds;
 use godwitstep_batch::demand::Demand;
-use godwitstep_batch::id::{Domain, Incarnation, JobId, Run, Task};
+use godwitstep_batch::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::{Ledger, Status};
 use godwitstep_batch::message::{
@@ -217,11 +217,8 @@
             host.sequence += 1;
             if host.reachable {
                 let report = Report {
-                    host: name.as_str().into(),
-                    incarnation: host.incarnation,
-                    sequence: host.sequence,
                     worker: Some(host.worker.clone()),
-                    ..Report::default()
+                    ..host.empty_report(name, self.planner.epoch())
                 };
                 self.planner.report(self.now, report);
             }
@@ -247,11 +244,12 @@
         };
         self.directives = self
             .hosts
-            .keys()
-            .map(|name| {
+            .iter()
+            .map(|(name, host)| {
+                let report = host.empty_report(name, self.planner.epoch());
                 let directive = self
                     .planner
-                    .directive(name, &self.ledger, &view, Vec::new());
+                    .directive(&report, &self.ledger, &view, Vec::new());
                 (name.clone(), directive)
             })
             .collect();
@@ -397,6 +395,17 @@
 }
 
 impl SimulatedHost {
+    /// Returns the agent's newest report without its worker.
+    fn empty_report(&self, name: &str, epoch: Epoch) -> Report {
+        Report {
+            host: name.into(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            epoch,
+            ..Report::default()
+        }
+    }
+
     /// Ends a run. Returns whether it was listed as running.
     pub fn end_run(&mut self, task: Task, run: Run, how: EndReason) -> bool {
         let count_before = self.worker.running.len();
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -41,6 +41,8 @@
     log: L,
     clock: SharedClock,
     settings: Settings,
+    /// Random number that tells this process from others with the same start time.
+    nonce: u64,
     connect: fn(SocketAddr) -> W,
     worker: RefCell<Option<Rc<W>>>,
     state_machine: RefCell<state_machine::Agent>,
@@ -69,6 +71,7 @@
             clock,
             worker: RefCell::default(),
             settings,
+            nonce: fastrand::u64(1..),
             connect,
             state_machine: RefCell::new(state_machine),
             decider: RefCell::new(decider),
@@ -181,18 +184,26 @@
             return;
         };
         let now = self.clock.now();
-        let report: Report = self.state_machine.borrow_mut().report(now, wait);
+        let report = Report {
+            nonce: self.nonce,
+            ..self.state_machine.borrow_mut().report(now, wait)
+        };
         let reply = decider::exchange(&self.decider, address, &report).await;
         let now = self.clock.now();
         match reply {
             Ok(Reply::Directive(directive)) => {
                 self.decider.borrow_mut().on_directive(address, &directive);
+                let epoch = self.state_machine.borrow().epoch();
+                let newer = directive.epoch > epoch;
                 let applied = self
                     .state_machine
                     .borrow_mut()
                     .apply_directive(now, directive);
                 if applied {
                     self.work_changes.notify();
+                } else if newer {
+                    // A decider that has taken over uses only reports that carry its epoch.
+                    self.report_changes.notify();
                 }
             }
             Ok(Reply::NotDecider { decider }) => {
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -5,7 +5,7 @@
 use crate::http;
 use bytes::Bytes;
 use godwitstep_batch::bounds::DECIDER_LEASE;
-use godwitstep_batch::id::Epoch;
+use godwitstep_batch::id::{AgentProcess, Epoch};
 use godwitstep_batch::message::{self, Directive, Reply, Report};
 use godwitstep_batch::planner::OperatorView;
 use godwitstep_batch::policy::Policy;
@@ -80,8 +80,6 @@
 
     /// Handles a report and returns the reply.
     pub async fn handle_report(&self, report: Report) -> Reply {
-        let host = report.host.clone();
-        let wait = report.wait;
         let deadline = self.clock.now() + LONG_POLL_TIMEOUT;
         if !self.accept_report(&report) {
             return self.refer_to_decider(&report, deadline).await;
@@ -89,10 +87,10 @@
         loop {
             let version = self.directives.version();
             let now = self.clock.now();
-            let Some((directive, due)) = self.directive_for(now, &host) else {
+            let Some((directive, due)) = self.directive_for(now, &report) else {
                 return self.referral();
             };
-            if due || !wait || now >= deadline {
+            if due || !report.wait || now >= deadline {
                 return Reply::Directive(directive);
             }
             let remaining = deadline.saturating_sub(now);
@@ -118,9 +116,9 @@
         true
     }
 
-    /// Returns the directive for a host, and whether to send it at once: because it has changed, or to repeat its
-    /// orders.
-    fn directive_for(&self, now: Duration, host: &str) -> Option<(Directive, bool)> {
+    /// Returns the reply to a report, and whether to send it at once: because it has changed, to repeat its orders, or
+    /// because the agent has to report again before it gets any.
+    fn directive_for(&self, now: Duration, report: &Report) -> Option<(Directive, bool)> {
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let default_policy = Rc::new(Policy::default());
@@ -139,16 +137,21 @@
         };
         let directive = decider
             .planner
-            .directive(host, &state.ledger, &view, addresses);
-        let digest = digest(&directive);
-        let due = match decider.last_directives.get(host) {
+            .directive(report, &state.ledger, &view, addresses);
+        if directive.sequence == 0 {
+            return Some((directive, true));
+        }
+        let digest = digest(report.process(), &directive);
+        let due = match decider.last_directives.get(&report.host) {
             Some((sent, at)) => {
                 *sent != digest || (has_orders(&directive) && now > *at + RESEND_INTERVAL)
             }
             None => true,
         };
         if due {
-            decider.last_directives.insert(host.into(), (digest, now));
+            decider
+                .last_directives
+                .insert(report.host.clone(), (digest, now));
         }
         Some((directive, due))
     }
@@ -200,9 +203,10 @@
     !directive.start.is_empty() || !directive.stop.is_empty()
 }
 
-/// Returns a digest of a directive that ignores the sequence number of the report.
-fn digest(directive: &Directive) -> u64 {
+/// Returns a digest of a directive to a process of an agent that ignores the sequence number of the report.
+fn digest(process: AgentProcess, directive: &Directive) -> u64 {
     let mut hasher = DefaultHasher::new();
+    process.hash(&mut hasher);
     directive.incarnation.hash(&mut hasher);
     directive.recorded.hash(&mut hasher);
     directive.stop.hash(&mut hasher);
