test: a report from before a take-over ends runs that are active

Four reports that a network may deliver late as the first one of a host to a new decider: the worker out of reach for longer than its lease, a former worker, a refused start, a free worker.

--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -6,8 +6,8 @@
 use godwitstep_batch::agent::{Agent, Answer, Operation, Registration, RunLists};
 use godwitstep_batch::id::{Epoch, Run, Task};
 use godwitstep_batch::ledger::Ledger;
-use godwitstep_batch::message::{Directive, Report, Running};
-use godwitstep_batch::planner::{OperatorView, Planner};
+use godwitstep_batch::message::{Directive, Reachability, Refusal, Refused, Report, Running};
+use godwitstep_batch::planner::{Decision, OperatorView, Planner};
 use godwitstep_batch::policy::Policy;
 use simulation::{Simulation, seconds, step};
 use std::collections::{BTreeMap, BTreeSet};
@@ -278,3 +278,95 @@
         assert!(!sim.planner.report(now, delayed), "process {incarnation}");
     }
 }
+
+/// Returns a simulation with one job of one task that runs on the first of two hosts, after the take-over of a
+/// new decider.
+fn taken_over() -> Simulation {
+    let mut sim = Simulation::new(2, 2);
+    sim.host(1).reachable = false;
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1), ["host-00"]);
+    sim.planner = Planner::new(2 << 20, sim.now, Bounds::default());
+    sim
+}
+
+/// Guards against a report from before a take-over that ends a run which is active: the worker was out of reach then.
+#[test]
+fn lease_expiry_from_before_a_takeover_ends_no_run() {
+    let mut sim = taken_over();
+    let mut delayed = report(&mut sim, 1, 5, 1 << 20);
+    let worker = delayed.worker.as_mut().unwrap();
+    worker.reachability = Reachability::LeaseExpired;
+    worker.running.clear();
+    sim.planner.report(sim.now, delayed);
+    sim.decide();
+    assert!(sim.decisions.iter().all(|decision| !ended(decision)));
+}
+
+/// Guards against a report from before a take-over that ends runs of a worker which has registered since.
+#[test]
+fn former_worker_from_before_a_takeover_ends_no_run() {
+    let mut sim = taken_over();
+    let mut delayed = report(&mut sim, 1, 5, 1 << 20);
+    let worker = delayed.worker.as_mut().unwrap();
+    worker.info.incarnation.worker = "worker-of-before".into();
+    worker.info.incarnation.started_ms = 9;
+    worker.running.clear();
+    sim.planner.report(sim.now, delayed);
+    sim.decide();
+    assert!(sim.decisions.iter().all(|decision| !ended(decision)));
+}
+
+/// Guards against a report from before a take-over that ends a run because a start of the agent's former process was
+/// refused, while the start of its successor was executed.
+#[test]
+fn refusal_from_before_a_takeover_ends_no_run() {
+    let mut sim = taken_over();
+    let mut delayed = report(&mut sim, 1, 5, 1 << 20);
+    let worker = delayed.worker.as_mut().unwrap();
+    let run = worker.running.remove(0);
+    worker.refused.push(Refused {
+        task: run.task,
+        run: run.run,
+        reason: Refusal::Unhealthy,
+    });
+    sim.planner.report(sim.now, delayed);
+    sim.decide();
+    assert!(sim.decisions.iter().all(|decision| !ended(decision)));
+}
+
+/// Guards against tasks on a worker that was free before a take-over and has been given another task since.
+#[test]
+fn free_worker_from_before_a_takeover_gets_no_task() {
+    let mut sim = Simulation::new(1, 1);
+    let delayed = report(&mut sim, 1, 5, 1 << 10);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.planner.report(sim.now, delayed);
+    sim.decide();
+    assert!(!sim.started(1));
+    let epoch = sim.planner.epoch();
+    let current = report(&mut sim, 1, 6, epoch);
+    sim.planner.report(sim.now, current);
+    sim.decide();
+    assert!(sim.started(1), "the next report is not used");
+}
+
+const fn ended(decision: &Decision) -> bool {
+    matches!(decision, Decision::Ended { .. })
+}
+
+/// Guards against a take-over after which agents need more than one exchange until their reports are used.
+#[test]
+fn second_reports_after_a_takeover_are_used() {
+    let mut cluster = LeasedCluster::new(2);
+    cluster.run_for(seconds(1));
+    cluster.planner = Planner::new(2 << 20, cluster.now, Bounds::default());
+    cluster.exchange();
+    cluster.exchange();
+    for (name, host) in &mut cluster.hosts {
+        let silence = host.agent.time_since_answer(cluster.now);
+        assert_eq!(silence, Some(EXCHANGE_INTERVAL), "{name}");
+        assert_eq!(host.agent.epoch(), 2 << 20);
+    }
+}
