fix(batch): use only reports that were sent after the decider took over

Callers would see a task run twice after a change of the decider, if the network delivers a report of an agent late.

Cause: a new decider took the first report of a host for its present state, also one from before its take-over. A lease that was over then, a worker that was replaced since, a start refused to the agent's former process or a free worker describe the past.

Evidence: lease_expiry_from_before_a_takeover_ends_no_run, former_worker_from_before_a_takeover_ends_no_run, refusal_from_before_a_takeover_ends_no_run ("assertion failed: ... !ended(decision)") and free_worker_from_before_a_takeover_gets_no_task ("assertion failed: !sim.started(1)") failed.

Ruled out: taking ends and refusals from any report. A refusal is no lasting fact: the next process of the agent, which does not know it, may have executed a start of the same run. An end is one, but is listed in the next report as well.

Change: a report that does not carry the decider's epoch is answered with the epoch and no orders, like the first report of a restarted agent, and is not used.

Why it works: an agent learns the epoch only from the decider itself, so a report that carries it was sent after the take-over. A take-over costs one exchange more for each agent, which reports again at once (second_reports_after_a_takeover_are_used).

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -224,7 +224,8 @@
         self.epoch
     }
 
-    /// Stores an agent's report. Returns whether it is newer than the last one from that host.
+    /// Stores an agent's report. Returns whether it is newer than the last one from that host and carries this
+    /// decider's epoch; other reports change nothing.
     pub fn report(&mut self, now: Duration, report: Report) -> bool {
         self.health.record_report(now, &report);
         self.reports.record(now, report)
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -1,9 +1,10 @@
 //! The newest report of each agent, and what it shows about a run.
 //!
 //! Reports may arrive late and out of order, and an agent may have been replaced by another process on its host.
-//! The processes of a host are ordered by their first report to this decider. A process counts only from its
-//! first report under this decider's epoch, which it learns from the reply to an earlier report: it was active
-//! after its first report had arrived, so a process that first reported later replaced it.
+//! Only reports that carry this decider's epoch are used: they were sent after it took over, and their process
+//! has received the reply to an earlier report. The processes of a host are ordered by their first report to this
+//! decider: a process that carries its epoch was active after its first report had arrived, so a process that
+//! first reported later replaced it.
 
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
@@ -116,8 +117,11 @@
         processes.push_back(process);
     }
 
-    /// Returns whether a report is newer than the stored one of its host.
+    /// Returns whether a report is newer than the stored one of its host, and not from before the take-over.
     fn is_newer(&self, report: &Report) -> bool {
+        if !self.is_confirmed(report) {
+            return false;
+        }
         let Some(latest) = self.hosts.get(&report.host) else {
             return true;
         };
@@ -129,7 +133,7 @@
             let processes = self.processes.get(&report.host)?;
             processes.iter().position(|known| *known == process)
         };
-        self.is_confirmed(report) && first_reported(process) > first_reported(current)
+        first_reported(process) > first_reported(current)
     }
 
     /// Returns whether a report was sent after this decider took over and had replied to the process that sent it.
