test: runs end too early or never when another worker is named on their host

A worker that restarts with an earlier time of day, or never returns after a restart of its agent, leaves its runs placed for ever. A worker that only registered ends the runs of the live one.

--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -269,3 +269,54 @@
     assert_eq!(sim.status(1), COMPLETED);
     assert!(sim.started(2));
 }
+
+/// Guards against runs that stay placed for ever because their worker restarted with an earlier time of day.
+#[test]
+fn worker_restarted_after_the_clock_was_set_back_ends_earlier_runs() {
+    let mut sim = Simulation::new(1, 1);
+    sim.host(0).worker.info.incarnation.started_ms = 10_000;
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(3))]);
+    sim.run_for(seconds(1));
+    let host = sim.host(0);
+    host.restart_worker();
+    host.worker.info.incarnation.started_ms = 1_000;
+    sim.run_for(ROUND_INTERVAL * 3);
+    let listed_runs = &sim.host(0).worker.running;
+    assert_eq!(listed_runs.len(), 1, "the task was not restarted");
+    assert_eq!(listed_runs[0].run, 2);
+}
+
+/// Guards against a registration that is taken for the end of a live worker: the agent has not heard from the worker
+/// that it names.
+#[test]
+fn unknown_worker_does_not_end_runs_of_the_former_one_within_its_lease() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let host = sim.hosts_running(1)[0].clone();
+    let worker = &mut sim.hosts.get_mut(&host).unwrap().worker;
+    worker.info.incarnation.worker = "another".into();
+    worker.info.incarnation.started_ms = u64::MAX;
+    worker.reachability = Reachability::Unknown;
+    worker.running.clear();
+    sim.run_for(Bounds::default().max_lease_duration());
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    assert_eq!(run(&sim), 1, "restarted within the lease");
+    sim.run_for(seconds(1));
+    assert_eq!(run(&sim), 2, "not restarted after the lease");
+}
+
+/// Guards against runs that stay placed for ever because their worker did not return after a restart of its agent.
+#[test]
+fn runs_of_a_worker_that_a_restarted_agent_never_finds_end_after_its_lease() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let host = sim.hosts_running(1)[0].clone();
+    sim.hosts.get_mut(&host).unwrap().registered = false;
+    sim.run_for(Bounds::default().max_lease_duration());
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    assert_eq!(run(&sim), 1, "restarted within the lease");
+    sim.run_for(seconds(1));
+    assert_eq!(run(&sim), 2, "not restarted after the lease");
+}
