fix(batch): a worker is gone when another one answers or its lease has ended, not by start times

Callers would see a task that stays running for ever, or runs twice: the decider took a worker for replaced if another one on its host had a later start in time of day, which may be set back, and even if that one had only registered.

Cause: end_cause compared the starts of incarnations. An earlier start left the runs of the former worker placed: their host was neither silent nor was its worker replaced. So did an agent that restarted and never found its worker again. A report that was older than the time in which late starts arrive was taken for the state after it.

Change: the order of reports alone tells which worker is the current one. Another worker shows that the former one is gone once it has answered its agent (any state but Unknown). Without that, the former one's runs are over when the reports have not listed it for longer than a lease and the delay of a report: an agent renews only the lease of the worker that it lists. The time in which a late start may be executed is measured up to the newest report, not up to now. A silent agent ends the runs in all cases.

--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -40,7 +40,8 @@
 #[derive(Debug)]
 struct LatestReport {
     received_at: Duration,
-    /// When the worker's current incarnation was first reported.
+    /// Since when each report has named this incarnation of the worker, or none. Starts anew after a report that was
+    /// late, as the agent may have listed another one meanwhile.
     incarnation_since: Duration,
     report: Report,
 }
@@ -56,6 +57,8 @@
     /// decider may have answered it.
     silence_counted_from: Duration,
     max_silence: Duration,
+    /// Time after which the lease of a worker that its agent does not list has ended, including the delay of a report.
+    max_unlisted_lease: Duration,
     /// Time after which a start that was sent to one incarnation of a worker can no longer be
     /// executed by the next one nor still run there.
     late_start_window: Duration,
@@ -69,6 +72,7 @@
             processes: BTreeMap::new(),
             silence_counted_from: now + DECIDER_LEASE,
             max_silence: bounds.agent_timeout(),
+            max_unlisted_lease: bounds.max_lease_duration() + MAX_REPORT_AGE,
             late_start_window: bounds.max_lease_duration() * 2,
         }
     }
@@ -86,7 +90,10 @@
                 .map(|worker| worker.info.incarnation.clone())
         };
         let incarnation_since = match self.hosts.get(&report.host) {
-            Some(latest) if incarnation(&latest.report) == incarnation(&report) => {
+            Some(latest)
+                if incarnation(&latest.report) == incarnation(&report)
+                    && Self::is_fresh(now.saturating_sub(latest.received_at)) =>
+            {
                 latest.incarnation_since
             }
             _ => now,
@@ -196,54 +203,73 @@
             return (now > self.silence_counted_from + self.max_silence)
                 .then_some(EndCause::AgentSilent);
         };
-        if let Some(worker) = &latest.report.worker {
-            if worker.info.incarnation == *incarnation {
-                if let Some(cause) = reported_end(worker, task, run) {
-                    return Some(cause);
-                }
-            } else if worker.info.incarnation.started_ms >= incarnation.started_ms {
-                let late_start_possible = now <= latest.incarnation_since + self.late_start_window;
-                return end_cause_after_replacement(
-                    worker,
-                    incarnation,
-                    task,
-                    run,
-                    late_start_possible,
-                );
+        let cause = match &latest.report.worker {
+            Some(worker) if worker.info.incarnation == *incarnation => {
+                reported_end(worker, task, run)
             }
-        }
-        if latest.report.deregistered.as_ref() == Some(incarnation) {
+            Some(worker) if worker.info.incarnation.worker == incarnation.worker => {
+                self.end_cause_after_restart(latest, worker, task, run)
+            }
+            other => self.end_cause_of_absent(latest, other.as_ref(), incarnation),
+        };
+        let silent = now > latest.received_at + self.max_silence;
+        cause.or(silent.then_some(EndCause::AgentSilent))
+    }
+
+    /// Returns how a run ended on an incarnation of a worker that its agent does not list any more.
+    ///
+    /// A registration of another worker does not show that this one is gone, but an answer of the other one does. The
+    /// agent renews only the lease of the worker that it lists.
+    fn end_cause_of_absent(
+        &self,
+        latest: &LatestReport,
+        other: Option<&Worker>,
+        incarnation: &Incarnation,
+    ) -> Option<EndCause> {
+        let deregistered = latest.report.deregistered.as_ref() == Some(incarnation);
+        let replaced = other.is_some_and(|other| other.reachability != Reachability::Unknown);
+        if deregistered || replaced {
             return Some(EndCause::WorkerGone);
         }
-        (now > latest.received_at + self.max_silence).then_some(EndCause::AgentSilent)
+        (latest.listed_for() > self.max_unlisted_lease).then_some(EndCause::LeaseExpired)
     }
-}
 
-/// Returns how a run ended on an incarnation of a worker that has been replaced.
-///
-/// A worker that restarts under the same name executes a start that was meant for its previous
-/// incarnation, even if it arrives late. The run is therefore over only once the new incarnation
-/// lists its end, or has received a stop for it and does not list it.
-fn end_cause_after_replacement(
-    worker: &Worker,
-    incarnation: &Incarnation,
-    task: Task,
-    run: Run,
-    late_start_possible: bool,
-) -> Option<EndCause> {
-    if worker.info.incarnation.worker != incarnation.worker {
-        return Some(EndCause::WorkerGone);
+    /// Returns how a run ended on an incarnation of a worker that has restarted under the same name.
+    ///
+    /// The worker executes a start that was meant for its previous incarnation, even if it arrives late. The run is
+    /// therefore over only once the new incarnation lists its end, or has received a stop for it and does not list
+    /// it, or does not list it when such a start can't arrive any more. An incarnation that has not answered its
+    /// agent holds no lease that the agent renewed.
+    fn end_cause_after_restart(
+        &self,
+        latest: &LatestReport,
+        worker: &Worker,
+        task: Task,
+        run: Run,
+    ) -> Option<EndCause> {
+        match reported_end(worker, task, run) {
+            Some(EndCause::Reported(how, saved)) => return Some(EndCause::Reported(how, saved)),
+            Some(_) => return Some(EndCause::WorkerGone),
+            None => {}
+        }
+        let listed = worker
+            .running
+            .iter()
+            .any(|listed_run| listed_run.task == task && listed_run.run == run);
+        let current = matches!(
+            worker.reachability,
+            Reachability::Reachable | Reachability::Unknown
+        );
+        (!listed && current && latest.listed_for() > self.late_start_window)
+            .then_some(EndCause::WorkerGone)
     }
-    match reported_end(worker, task, run) {
-        Some(EndCause::Reported(how, saved)) => return Some(EndCause::Reported(how, saved)),
-        Some(_) => return Some(EndCause::WorkerGone),
-        None => {}
+}
+
+impl LatestReport {
+    /// Returns the time for which all reports have named the same incarnation of the worker, or none.
+    const fn listed_for(&self) -> Duration {
+        self.received_at.saturating_sub(self.incarnation_since)
     }
-    let running = worker
-        .running
-        .iter()
-        .any(|listed_run| listed_run.task == task && listed_run.run == run);
-    (!running && !late_start_possible).then_some(EndCause::WorkerGone)
 }
 
 /// Returns how a run ended according to a report, if the report shows its end.
