test: a second run of a gang starts while a member of the first waits alone

The first member is listed and fails at once, the second is listed 200 ms later, then its agent falls silent: 1.6 s after its start it counts as ended with its gang, while it waits up to 3 s for the others.

--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -343,3 +343,43 @@
     sim.run_for(seconds(1));
     assert_eq!(run(&sim), 2, "not restarted");
 }
+
+/// Guards against a second run of a gang member that waits alone on a silent agent, because another member was listed
+/// before it and failed at once.
+#[test]
+fn gang_member_that_waits_alone_is_not_over_with_an_earlier_one() {
+    let mut sim = Simulation::new(4, 4);
+    sim.submit(1, "normal", "north", vec![gang(2, 8, seconds(60))]);
+    sim.round();
+    let hosts = sim.hosts_running(1);
+    let late = sim.hosts.get_mut(&hosts[1]).unwrap();
+    let waiting = late.worker.running.remove(0);
+    sim.deliver_reports();
+    let first = sim.hosts.get_mut(&hosts[0]).unwrap();
+    let failed = first.worker.running[0].clone();
+    first.end_run(failed.task, failed.run, EndReason::Failed);
+    sim.now += ROUND_INTERVAL * 2;
+    let late = sim.hosts.get_mut(&hosts[1]).unwrap();
+    late.worker.running.push(waiting);
+    let started_at = sim.now;
+    sim.deliver_reports();
+    sim.hosts.get_mut(&hosts[1]).unwrap().reachable = false;
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    while sim.now < started_at + Bounds::default().gang_start_timeout {
+        sim.decide();
+        assert_eq!(
+            run(&sim),
+            1,
+            "restarted {:?} after the start",
+            sim.now - started_at
+        );
+        sim.now += ROUND_INTERVAL;
+        sim.deliver_reports();
+    }
+    sim.run_for(seconds(2));
+    assert_eq!(
+        run(&sim),
+        2,
+        "not restarted once no member can wait any more"
+    );
+}
