fix(batch): a gang member on a silent agent is over only once it can't wait for the others any more

Callers would see two runs of a task of a gang: its first member fails at once, the second is listed 200 ms later, and its agent falls silent. After 1.5 s it counted as ended with its gang, while it waited alone for up to 3 s.

Cause: gang_was_complete holds if each member has been listed at some time, not at the same time, and does not show that the members ever worked together.

Evidence: gang_member_that_waits_alone_is_not_over_with_an_earlier_one failed with "restarted 1.6s after the start".

Ruled out: progress above 0 as a sign of a complete gang, as a run that resumes from a checkpoint may list progress from its start. Overlapping listings, as a report that the network delays makes the listing look newer than it is.

Change: the member is over if others have ended for 1.5 s and it was first listed longer ago than it may wait for the others, on a slow clock, and take to stop. gang_was_complete serves only to stop runs without progress.

Why it works: if all members were present at some time, they end together; if not, this one ends after its wait, which began before it was first listed.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -284,7 +284,7 @@
         }
     }
 
-    /// Marks the runs of gangs all of whose members are reported as running.
+    /// Marks the runs of gangs each member of which has been reported as running.
     fn mark_complete_gangs(&mut self, draft: &Draft) {
         let mut complete = Vec::new();
         for (job, job_state, progress) in draft.open() {
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -3,6 +3,7 @@
 use super::draft::Draft;
 use super::reports::EndCause;
 use super::{Decision, Plan, Planner};
+use crate::bounds::WORKER_CLOCK_DRIFT;
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Job;
 use crate::message::{EndReason, Refusal};
@@ -20,7 +21,7 @@
         .any(|task| task.failures >= attempts)
 }
 
-/// Time after the first end of a gang member within which all other members end and every reachable
+/// Time after the first end of a member of a gang that has run within which all other members end and every reachable
 /// agent reports so.
 const GANG_END_WINDOW: Duration = Duration::from_millis(1_500);
 
@@ -73,8 +74,8 @@
         ends
     }
 
-    /// Returns the end of a gang member whose agent is silent while other members have ended. A
-    /// gang that has run had all its members, and they end shortly after one another.
+    /// Returns the end of a gang member whose agent is silent while other members have ended. If all members were
+    /// present at some time, they end shortly after one another. Otherwise this one ends after waiting for the others.
     fn gang_end_cause(
         &self,
         now: Duration,
@@ -83,11 +84,16 @@
         run: Run,
     ) -> Option<EndCause> {
         let broken_since = *self.broken_gangs.get(&(task.job, task.step, run))?;
-        let all_ended = now >= broken_since + GANG_END_WINDOW;
-        (all_ended
-            && self.health.gang_was_complete(task, run)
-            && self.reports.is_stale(now, &incarnation.host))
-        .then_some(EndCause::GangEnded)
+        let ends_together = now >= broken_since + GANG_END_WINDOW;
+        let longest_wait = self
+            .bounds
+            .gang_start_timeout
+            .mul_f64(1.0 + 2.0 * WORKER_CLOCK_DRIFT)
+            + self.bounds.max_stop_time;
+        // A run starts before it is first listed.
+        let ends_alone = self.health.elapsed(now, task, run)? > longest_wait;
+        (ends_together && ends_alone && self.reports.is_stale(now, &incarnation.host))
+            .then_some(EndCause::GangEnded)
     }
 
     fn apply_end(&mut self, now: Duration, draft: &mut Draft, end: &EndedRun) {
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -60,7 +60,7 @@
     progressed_at: Duration,
     /// When a report first listed the run.
     first_listed: Duration,
-    /// Whether all members of its gang were listed at the same time.
+    /// Whether each member of its gang has been listed, though not necessarily at the same time.
     gang_complete: bool,
     /// Time and progress at the start of the period over which the rate is measured.
     rate_start: (Duration, u8),
@@ -253,14 +253,14 @@
         self.runs.contains_key(&(task, run))
     }
 
-    /// Records that all members of the run's gang are listed.
+    /// Records that each member of the run's gang has been listed.
     pub fn mark_gang_complete(&mut self, task: Task, run: Run) {
         if let Some(run_progress) = self.runs.get_mut(&(task, run)) {
             run_progress.gang_complete = true;
         }
     }
 
-    /// Returns whether all members of a run's gang were listed at the same time.
+    /// Returns whether each member of a run's gang has been listed, though not necessarily at the same time.
     pub fn gang_was_complete(&self, task: Task, run: Run) -> bool {
         self.runs
             .get(&(task, run))
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -29,7 +29,7 @@
     Refused(Refusal),
     /// The worker's lease ended while its agent could not reach it.
     LeaseExpired,
-    /// Other members of its gang ended after the gang had run, which ends all members.
+    /// Other members of its gang ended, and it has ended with them or can no longer wait for them.
     GangEnded,
     /// The worker deregistered or was replaced by another incarnation.
     WorkerGone,
