--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -5,6 +5,7 @@
 use godwitstep_batch::Bounds;
 use godwitstep_batch::agent::{Agent, Answer, Operation, Registration, RunLists};
 use godwitstep_batch::id::{Epoch, Run, Task};
+use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::message::{Directive, Reachability, Refusal, Refused, Report, Running};
 use godwitstep_batch::planner::{Decision, OperatorView, Planner};
@@ -370,3 +371,29 @@
         assert_eq!(host.agent.epoch(), 2 << 20);
     }
 }
+
+/// Guards against a checkpoint that a delayed report sets back to an earlier one.
+#[test]
+fn outdated_report_brings_back_no_earlier_checkpoint() {
+    let mut sim = Simulation::new(1, 1);
+    let long = Step {
+        checkpointable: true,
+        ..step(1, 8, seconds(60))
+    };
+    sim.submit(1, "normal", "north", vec![long]);
+    sim.run_for(seconds(1));
+    let epoch = sim.planner.epoch();
+    for (sequence, saved) in [(1_002, "second"), (1_001, "first")] {
+        sim.host(0).worker.running[0].saved = saved.into();
+        let report = report(&mut sim, 1, sequence, epoch);
+        sim.planner.report(sim.now, report);
+    }
+    let mut lost = report(&mut sim, 1, 1_003, epoch);
+    let worker = lost.worker.as_mut().unwrap();
+    worker.running.clear();
+    worker.reachability = Reachability::LeaseExpired;
+    sim.planner.report(sim.now, lost);
+    sim.decide();
+    let task = &sim.ledger.job(1).unwrap().progress.steps[0].tasks[0];
+    assert_eq!(&*task.saved, "second");
+}
