fix(batch): outdated reports change no progress and no checkpoints

Callers would see a task repeat work: a report that arrives after a newer one set the checkpoint of a run back, and the run that replaces it resumes from there. Progress and the list of runs that were seen changed too.

Cause: Planner::report recorded progress before it checked whether the report is newer than the stored one.

Evidence: outdated_report_brings_back_no_earlier_checkpoint failed with left: "first", right: "second".

Change: only the report that is stored is recorded. The test of a worker that a restarted agent never finds sends its own reports, as strict as before, so that the simulated host needs no fourth flag; on it fails with "not restarted after the lease".

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -227,8 +227,11 @@
     /// Stores an agent's report. Returns whether it is newer than the last one from that host and carries this
     /// decider's epoch; other reports change nothing.
     pub fn report(&mut self, now: Duration, report: Report) -> bool {
-        self.health.record_report(now, &report);
-        self.reports.record(now, report)
+        let Some(newer) = self.reports.record(now, report) else {
+            return false;
+        };
+        self.health.record_report(now, newer);
+        true
     }
 
     /// Runs one scheduling round over all open jobs. `wall` is the wall clock in Unix milliseconds.
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -77,11 +77,11 @@
         }
     }
 
-    /// Stores a report. Returns whether it is newer than the last one from that host.
-    pub fn record(&mut self, now: Duration, report: Report) -> bool {
+    /// Stores a report and returns it if it is newer than the last one from that host.
+    pub fn record(&mut self, now: Duration, report: Report) -> Option<&Report> {
         self.remember(&report);
         if !self.is_newer(&report) {
-            return false;
+            return None;
         }
         let incarnation = |report: &Report| {
             report
@@ -103,8 +103,9 @@
             incarnation_since,
             report,
         };
-        self.hosts.insert(latest.report.host.clone(), latest);
-        true
+        let host = latest.report.host.clone();
+        self.hosts.insert(host.clone(), latest);
+        self.get(&host)
     }
 
     /// Remembers the process of an agent when it first reports.
--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -6,7 +6,7 @@
 use godwitstep_batch::id::Task;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
-use godwitstep_batch::message::{EndReason, Reachability};
+use godwitstep_batch::message::{EndReason, Reachability, Report};
 use godwitstep_batch::progress::{Outcome, State};
 use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, gang, seconds, step};
 use std::time::Duration;
@@ -314,12 +314,28 @@
     sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
     sim.run_for(seconds(1));
     let host = sim.hosts_running(1)[0].clone();
-    sim.hosts.get_mut(&host).unwrap().registered = false;
-    sim.run_for(Bounds::default().max_lease_duration());
+    sim.hosts.get_mut(&host).unwrap().reachable = false;
+    let mut sequence = 0;
+    let mut run_without_worker = |sim: &mut Simulation, time: Duration| {
+        let end = sim.now + time;
+        while sim.now < end {
+            sequence += 1;
+            let report = Report {
+                host: host.as_str().into(),
+                incarnation: 2,
+                sequence,
+                epoch: sim.planner.epoch(),
+                ..Report::default()
+            };
+            sim.planner.report(sim.now, report);
+            sim.round();
+        }
+    };
     let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    run_without_worker(&mut sim, Bounds::default().max_lease_duration());
     assert_eq!(run(&sim), 1, "restarted within the lease");
     // A report may be late by 1.5 s.
-    sim.run_for(seconds(2));
+    run_without_worker(&mut sim, seconds(2));
     assert_eq!(run(&sim), 2, "not restarted after the lease");
 }
 
@@ -338,7 +354,11 @@
     sim.hosts.get_mut(&name).unwrap().reachable = false;
     let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
     // The agent may renew the worker's lease until then.
-    sim.run_for(Bounds::default().agent_timeout() - ROUND_INTERVAL * 2);
+    sim.run_for(
+        Bounds::default()
+            .agent_timeout()
+            .saturating_sub(ROUND_INTERVAL * 2),
+    );
     assert_eq!(run(&sim), 1, "restarted too early");
     sim.run_for(seconds(1));
     assert_eq!(run(&sim), 2, "not restarted");
@@ -371,7 +391,7 @@
             run(&sim),
             1,
             "restarted {:?} after the start",
-            sim.now - started_at
+            sim.now.saturating_sub(started_at)
         );
         sim.now += ROUND_INTERVAL;
         sim.deliver_reports();
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -34,8 +34,6 @@
     pub incarnation: u64,
     /// Whether the agent's reports reach the decider.
     pub reachable: bool,
-    /// Whether the agent knows its worker.
-    pub registered: bool,
     /// Whether the agent executes start and stop orders.
     pub executes_orders: bool,
     /// Whether runs make progress; on a hung worker they do not.
@@ -165,7 +163,6 @@
             worker,
             incarnation: 1,
             reachable: true,
-            registered: true,
             executes_orders: true,
             makes_progress: true,
             slowdown: 1.0,
@@ -220,7 +217,7 @@
             host.sequence += 1;
             if host.reachable {
                 let report = Report {
-                    worker: host.registered.then(|| host.worker.clone()),
+                    worker: Some(host.worker.clone()),
                     ..host.empty_report(name, self.planner.epoch())
                 };
                 self.planner.report(self.now, report);
