--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -204,7 +204,7 @@
     pub fn new(epoch: Epoch, now: Duration, bounds: Bounds) -> Self {
         Self {
             epoch,
-            reports: AgentReports::new(now, &bounds),
+            reports: AgentReports::new(epoch, now, &bounds),
             bounds,
             health: Health::default(),
             failures: FailedWorkers::default(),
@@ -224,10 +224,14 @@
         self.epoch
     }
 
-    /// Stores an agent's report. Returns whether it is newer than the last one from that host.
+    /// Stores an agent's report. Returns whether it is newer than the last one from that host and carries this
+    /// decider's epoch; other reports change nothing.
     pub fn report(&mut self, now: Duration, report: Report) -> bool {
-        self.health.record_report(now, &report);
-        self.reports.record(now, report)
+        let Some(newer) = self.reports.record(now, report) else {
+            return false;
+        };
+        self.health.record_report(now, newer);
+        true
     }
 
     /// Runs one scheduling round over all open jobs. `wall` is the wall clock in Unix milliseconds.
@@ -283,7 +287,7 @@
         }
     }
 
-    /// Marks the runs of gangs all of whose members are reported as running.
+    /// Marks the runs of gangs each member of which has been reported as running.
     fn mark_complete_gangs(&mut self, draft: &Draft) {
         let mut complete = Vec::new();
         for (job, job_state, progress) in draft.open() {
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -1,13 +1,22 @@
 //! The newest report of each agent, and what it shows about a run.
+//!
+//! Reports may arrive late and out of order, and an agent may have been replaced by another process on its host.
+//! Only reports that carry this decider's epoch are used: they were sent after it took over, and their process
+//! has received the reply to an earlier report. The processes of a host are ordered by their first report to this
+//! decider: a process that carries its epoch was active after its first report had arrived, so a process that
+//! first reported later replaced it.
 
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
-use crate::id::{Host, Incarnation, Run, Task};
+use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Number of processes of an agent that are remembered. A report of a forgotten process would have to be delayed
+/// by that many restarts.
+const MAX_PROCESSES: usize = 16;
 /// Age of a worker's newest report from which on the worker gets no new tasks.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 
@@ -20,7 +29,7 @@
     Refused(Refusal),
     /// The worker's lease ended while its agent could not reach it.
     LeaseExpired,
-    /// Other members of its gang ended after the gang had run, which ends all members.
+    /// Other members of its gang ended, and it has ended with them or can no longer wait for them.
     GangEnded,
     /// The worker deregistered or was replaced by another incarnation.
     WorkerGone,
@@ -31,7 +40,8 @@
 #[derive(Debug)]
 struct LatestReport {
     received_at: Duration,
-    /// When the worker's current incarnation was first reported.
+    /// Since when each report has named this incarnation of the worker, or none. Starts anew after a report that was
+    /// late, as the agent may have listed another one meanwhile.
     incarnation_since: Duration,
     report: Report,
 }
@@ -39,34 +49,39 @@
 /// The newest report of each agent.
 #[derive(Debug)]
 pub(super) struct AgentReports {
+    epoch: Epoch,
     hosts: BTreeMap<Host, LatestReport>,
+    /// Processes of the agent of each host, in the order of their first reports.
+    processes: BTreeMap<Host, VecDeque<AgentProcess>>,
     /// Time from which the silence of an agent that never reported counts. Until then an earlier
     /// decider may have answered it.
     silence_counted_from: Duration,
     max_silence: Duration,
+    /// Time after which the lease of a worker that its agent does not list has ended, including the delay of a report.
+    max_unlisted_lease: Duration,
     /// Time after which a start that was sent to one incarnation of a worker can no longer be
     /// executed by the next one nor still run there.
     late_start_window: Duration,
 }
 
 impl AgentReports {
-    pub fn new(now: Duration, bounds: &Bounds) -> Self {
+    pub fn new(epoch: Epoch, now: Duration, bounds: &Bounds) -> Self {
         Self {
+            epoch,
             hosts: BTreeMap::new(),
+            processes: BTreeMap::new(),
             silence_counted_from: now + DECIDER_LEASE,
             max_silence: bounds.agent_timeout(),
+            max_unlisted_lease: bounds.max_lease_duration() + MAX_REPORT_AGE,
             late_start_window: bounds.max_lease_duration() * 2,
         }
     }
 
-    /// Stores a report. Returns whether it is newer than the last one from that host.
-    pub fn record(&mut self, now: Duration, report: Report) -> bool {
-        let outdated = self.hosts.get(&report.host).is_some_and(|latest| {
-            let version = |report: &Report| (report.incarnation, report.sequence);
-            version(&latest.report) >= version(&report)
-        });
-        if outdated {
-            return false;
+    /// Stores a report and returns it if it is newer than the last one from that host.
+    pub fn record(&mut self, now: Duration, report: Report) -> Option<&Report> {
+        self.remember(&report);
+        if !self.is_newer(&report) {
+            return None;
         }
         let incarnation = |report: &Report| {
             report
@@ -75,7 +90,10 @@
                 .map(|worker| worker.info.incarnation.clone())
         };
         let incarnation_since = match self.hosts.get(&report.host) {
-            Some(latest) if incarnation(&latest.report) == incarnation(&report) => {
+            Some(latest)
+                if incarnation(&latest.report) == incarnation(&report)
+                    && Self::is_fresh(now.saturating_sub(latest.received_at)) =>
+            {
                 latest.incarnation_since
             }
             _ => now,
@@ -85,8 +103,50 @@
             incarnation_since,
             report,
         };
-        self.hosts.insert(latest.report.host.clone(), latest);
-        true
+        let host = latest.report.host.clone();
+        self.hosts.insert(host.clone(), latest);
+        self.get(&host)
+    }
+
+    /// Remembers the process of an agent when it first reports.
+    fn remember(&mut self, report: &Report) {
+        let processes = self.processes.entry(report.host.clone()).or_default();
+        let process = report.process();
+        if processes.contains(&process) {
+            return;
+        }
+        let latest = self.hosts.get(&report.host);
+        let current = latest.map(|latest| latest.report.process());
+        if processes.len() == MAX_PROCESSES
+            && let Some(oldest) = processes.iter().position(|known| Some(*known) != current)
+        {
+            processes.remove(oldest);
+        }
+        processes.push_back(process);
+    }
+
+    /// Returns whether a report is newer than the stored one of its host, and not from before the take-over.
+    fn is_newer(&self, report: &Report) -> bool {
+        if !self.is_confirmed(report) {
+            return false;
+        }
+        let Some(latest) = self.hosts.get(&report.host) else {
+            return true;
+        };
+        let (current, process) = (latest.report.process(), report.process());
+        if current == process {
+            return report.sequence > latest.report.sequence;
+        }
+        let first_reported = |process| {
+            let processes = self.processes.get(&report.host)?;
+            processes.iter().position(|known| *known == process)
+        };
+        first_reported(process) > first_reported(current)
+    }
+
+    /// Returns whether a report was sent after this decider took over and had replied to the process that sent it.
+    const fn is_confirmed(&self, report: &Report) -> bool {
+        report.epoch >= self.epoch
     }
 
     /// Returns the newest report of a host.
@@ -144,54 +204,73 @@
             return (now > self.silence_counted_from + self.max_silence)
                 .then_some(EndCause::AgentSilent);
         };
-        if let Some(worker) = &latest.report.worker {
-            if worker.info.incarnation == *incarnation {
-                if let Some(cause) = reported_end(worker, task, run) {
-                    return Some(cause);
-                }
-            } else if worker.info.incarnation.started_ms >= incarnation.started_ms {
-                let late_start_possible = now <= latest.incarnation_since + self.late_start_window;
-                return end_cause_after_replacement(
-                    worker,
-                    incarnation,
-                    task,
-                    run,
-                    late_start_possible,
-                );
+        let cause = match &latest.report.worker {
+            Some(worker) if worker.info.incarnation == *incarnation => {
+                reported_end(worker, task, run)
             }
-        }
-        if latest.report.deregistered.as_ref() == Some(incarnation) {
+            Some(worker) if worker.info.incarnation.worker == incarnation.worker => {
+                self.end_cause_after_restart(latest, worker, task, run)
+            }
+            other => self.end_cause_of_absent(latest, other.as_ref(), incarnation),
+        };
+        let silent = now > latest.received_at + self.max_silence;
+        cause.or(silent.then_some(EndCause::AgentSilent))
+    }
+
+    /// Returns how a run ended on an incarnation of a worker that its agent does not list any more.
+    ///
+    /// A registration of another worker does not show that this one is gone, but an answer of the other one does. The
+    /// agent renews only the lease of the worker that it lists.
+    fn end_cause_of_absent(
+        &self,
+        latest: &LatestReport,
+        other: Option<&Worker>,
+        incarnation: &Incarnation,
+    ) -> Option<EndCause> {
+        let deregistered = latest.report.deregistered.as_ref() == Some(incarnation);
+        let replaced = other.is_some_and(|other| other.reachability != Reachability::Unknown);
+        if deregistered || replaced {
             return Some(EndCause::WorkerGone);
         }
-        (now > latest.received_at + self.max_silence).then_some(EndCause::AgentSilent)
+        (latest.listed_for() > self.max_unlisted_lease).then_some(EndCause::LeaseExpired)
+    }
+
+    /// Returns how a run ended on an incarnation of a worker that has restarted under the same name.
+    ///
+    /// The worker executes a start that was meant for its previous incarnation, even if it arrives late. The run is
+    /// therefore over only once the new incarnation lists its end, or has received a stop for it and does not list
+    /// it, or does not list it when such a start can't arrive any more. An incarnation that has not answered its
+    /// agent holds no lease that the agent renewed.
+    fn end_cause_after_restart(
+        &self,
+        latest: &LatestReport,
+        worker: &Worker,
+        task: Task,
+        run: Run,
+    ) -> Option<EndCause> {
+        match reported_end(worker, task, run) {
+            Some(EndCause::Reported(how, saved)) => return Some(EndCause::Reported(how, saved)),
+            Some(_) => return Some(EndCause::WorkerGone),
+            None => {}
+        }
+        let listed = worker
+            .running
+            .iter()
+            .any(|listed_run| listed_run.task == task && listed_run.run == run);
+        let current = matches!(
+            worker.reachability,
+            Reachability::Reachable | Reachability::Unknown
+        );
+        (!listed && current && latest.listed_for() > self.late_start_window)
+            .then_some(EndCause::WorkerGone)
     }
 }
 
-/// Returns how a run ended on an incarnation of a worker that has been replaced.
-///
-/// A worker that restarts under the same name executes a start that was meant for its previous
-/// incarnation, even if it arrives late. The run is therefore over only once the new incarnation
-/// lists its end, or has received a stop for it and does not list it.
-fn end_cause_after_replacement(
-    worker: &Worker,
-    incarnation: &Incarnation,
-    task: Task,
-    run: Run,
-    late_start_possible: bool,
-) -> Option<EndCause> {
-    if worker.info.incarnation.worker != incarnation.worker {
-        return Some(EndCause::WorkerGone);
-    }
-    match reported_end(worker, task, run) {
-        Some(EndCause::Reported(how, saved)) => return Some(EndCause::Reported(how, saved)),
-        Some(_) => return Some(EndCause::WorkerGone),
-        None => {}
-    }
-    let running = worker
-        .running
-        .iter()
-        .any(|listed_run| listed_run.task == task && listed_run.run == run);
-    (!running && !late_start_possible).then_some(EndCause::WorkerGone)
+impl LatestReport {
+    /// Returns the time for which all reports have named the same incarnation of the worker, or none.
+    const fn listed_for(&self) -> Duration {
+        self.received_at.saturating_sub(self.incarnation_since)
+    }
 }
 
 /// Returns how a run ended according to a report, if the report shows its end.
--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -6,7 +6,7 @@
 use godwitstep_batch::id::Task;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
-use godwitstep_batch::message::{EndReason, Reachability};
+use godwitstep_batch::message::{EndReason, Reachability, Report};
 use godwitstep_batch::progress::{Outcome, State};
 use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, gang, seconds, step};
 use std::time::Duration;
@@ -269,3 +269,137 @@
     assert_eq!(sim.status(1), COMPLETED);
     assert!(sim.started(2));
 }
+
+/// Guards against runs that stay placed for ever because their worker restarted with an earlier time of day.
+#[test]
+fn worker_restarted_after_the_clock_was_set_back_ends_earlier_runs() {
+    let mut sim = Simulation::new(1, 1);
+    sim.host(0).worker.info.incarnation.started_ms = 10_000;
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(3))]);
+    sim.run_for(seconds(1));
+    let host = sim.host(0);
+    host.restart_worker();
+    host.worker.info.incarnation.started_ms = 1_000;
+    sim.run_for(ROUND_INTERVAL * 3);
+    let listed_runs = &sim.host(0).worker.running;
+    assert_eq!(listed_runs.len(), 1, "the task was not restarted");
+    assert_eq!(listed_runs[0].run, 2);
+}
+
+/// Guards against a registration that is taken for the end of a live worker: the agent has not heard from the worker
+/// that it names.
+#[test]
+fn unknown_worker_does_not_end_runs_of_the_former_one_within_its_lease() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let host = sim.hosts_running(1)[0].clone();
+    let worker = &mut sim.hosts.get_mut(&host).unwrap().worker;
+    worker.info.incarnation.worker = "another".into();
+    worker.info.incarnation.started_ms = u64::MAX;
+    worker.reachability = Reachability::Unknown;
+    worker.running.clear();
+    sim.run_for(Bounds::default().max_lease_duration());
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    assert_eq!(run(&sim), 1, "restarted within the lease");
+    // A report may be late by 1.5 s.
+    sim.run_for(seconds(2));
+    assert_eq!(run(&sim), 2, "not restarted after the lease");
+}
+
+/// Guards against runs that stay placed for ever because their worker did not return after a restart of its agent.
+#[test]
+fn runs_of_a_worker_that_a_restarted_agent_never_finds_end_after_its_lease() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let host = sim.hosts_running(1)[0].clone();
+    sim.hosts.get_mut(&host).unwrap().reachable = false;
+    let mut sequence = 0;
+    let mut run_without_worker = |sim: &mut Simulation, time: Duration| {
+        let end = sim.now + time;
+        while sim.now < end {
+            sequence += 1;
+            let report = Report {
+                host: host.as_str().into(),
+                incarnation: 2,
+                sequence,
+                epoch: sim.planner.epoch(),
+                ..Report::default()
+            };
+            sim.planner.report(sim.now, report);
+            sim.round();
+        }
+    };
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    run_without_worker(&mut sim, Bounds::default().max_lease_duration());
+    assert_eq!(run(&sim), 1, "restarted within the lease");
+    // A report may be late by 1.5 s.
+    run_without_worker(&mut sim, seconds(2));
+    assert_eq!(run(&sim), 2, "not restarted after the lease");
+}
+
+/// Guards against a second run of a task whose start may have been executed by the next incarnation of the worker, under
+/// the same name, after the last report of its agent.
+#[test]
+fn late_start_on_a_restarted_worker_is_not_ruled_out_by_an_old_report() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(3));
+    let name = sim.hosts_running(1)[0].clone();
+    let host = sim.hosts.get_mut(&name).unwrap();
+    host.restart_worker();
+    host.executes_orders = false;
+    sim.run_for(seconds(5));
+    sim.hosts.get_mut(&name).unwrap().reachable = false;
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    // The agent may renew the worker's lease until then.
+    sim.run_for(
+        Bounds::default()
+            .agent_timeout()
+            .saturating_sub(ROUND_INTERVAL * 2),
+    );
+    assert_eq!(run(&sim), 1, "restarted too early");
+    sim.run_for(seconds(1));
+    assert_eq!(run(&sim), 2, "not restarted");
+}
+
+/// Guards against a second run of a gang member that waits alone on a silent agent, because another member was listed
+/// before it and failed at once.
+#[test]
+fn gang_member_that_waits_alone_is_not_over_with_an_earlier_one() {
+    let mut sim = Simulation::new(4, 4);
+    sim.submit(1, "normal", "north", vec![gang(2, 8, seconds(60))]);
+    sim.round();
+    let hosts = sim.hosts_running(1);
+    let late = sim.hosts.get_mut(&hosts[1]).unwrap();
+    let waiting = late.worker.running.remove(0);
+    sim.deliver_reports();
+    let first = sim.hosts.get_mut(&hosts[0]).unwrap();
+    let failed = first.worker.running[0].clone();
+    first.end_run(failed.task, failed.run, EndReason::Failed);
+    sim.now += ROUND_INTERVAL * 2;
+    let late = sim.hosts.get_mut(&hosts[1]).unwrap();
+    late.worker.running.push(waiting);
+    let started_at = sim.now;
+    sim.deliver_reports();
+    sim.hosts.get_mut(&hosts[1]).unwrap().reachable = false;
+    let run = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.steps[0].tasks[0].run;
+    while sim.now < started_at + Bounds::default().gang_start_timeout {
+        sim.decide();
+        assert_eq!(
+            run(&sim),
+            1,
+            "restarted {:?} after the start",
+            sim.now.saturating_sub(started_at)
+        );
+        sim.now += ROUND_INTERVAL;
+        sim.deliver_reports();
+    }
+    sim.run_for(seconds(2));
+    assert_eq!(
+        run(&sim),
+        2,
+        "not restarted once no member can wait any more"
+    );
+}
