fix: replace a worker only on the evidence of the processes themselves

Callers saw a task run twice at the same time, and cancelled tasks that ran on: the agent took any well-formed registration of another incarnation with a later start for the host's worker. The decider then ended all runs of the first worker and started them elsewhere, while the first one was neither polled nor stopped and held a lease for up to 6 s. A worker that restarted with an earlier start (the time of day may be set back) was never accepted.

Evidence: a_registration_does_not_replace_a_worker_that_answers failed with left: worker-1@host-1/, right: worker-1@host-1/50; a_worker_that_restarts_with_an_earlier_start_is_accepted with left: worker-1@host-1/50, right: worker-2@host-1/40.

The agent probes candidates one at a time with a poll that extends no lease. A candidate takes over once it answers as the incarnation that it claims to be and the current worker is gone: the answer comes from its address, its address refuses connections or answers as another incarnation, or its lease has expired. An answer of the current worker to a later poll drops the candidate. The current worker is polled, renewed and stopped until then; only the lease of a silent worker that has a candidate is left to expire. An agent without a worker reports one only after it has answered. A regular poll of a replaced worker is abandoned at once. The report names a replaced worker with another name as gone, because its successor's start may be earlier.

Why it works: two processes cannot listen at one address, and nothing that a third party sends counts as an answer.

Tests: the agent's tests start their worker through a probe. a_late_heartbeat_of_an_earlier_incarnation_is_ignored moved to replacement.rs: the heartbeat now makes a candidate, and the test expects that it neither answers nor takes over. answers_of_an_earlier_incarnation_are_ignored starts the second incarnation by its answer; its expectations are unchanged. a_new_agent_renews_no_lease_before_a_decider_has_answered also expects that nothing is probed.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -19,17 +19,22 @@
 //! ```
 
 mod call;
+mod candidate;
+mod order;
+mod replacement;
 mod search;
 mod session;
 
 pub use call::{Answer, Call, Operation};
+pub use replacement::{Contact, Probe, Registered, Transition};
 pub use search::DeciderSearch;
 pub use session::{Registration, RunLists};
 
 use crate::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
 use crate::id::{Epoch, Host, Incarnation, Run, Task};
-use crate::message::{Directive, Refusal, Refused, Report, Running, Start, Worker};
+use crate::message::{Directive, Refused, Report, Running, Worker, WorkerInfo};
 use call::{Pending, Resolution};
+use candidate::Candidates;
 use session::Session;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -73,8 +78,14 @@
     /// Sending time of the newest report that a decider answered.
     last_answered: Option<Duration>,
     epoch: Epoch,
+    /// The host's worker, once it has answered a poll.
     session: Option<Session>,
-    /// When the last worker deregistered, and its incarnation.
+    candidates: Candidates,
+    /// Incarnations whose registrations were dropped, because the current worker answered.
+    refuted: Vec<Incarnation>,
+    /// When the last probe was sent.
+    last_probe: Option<Duration>,
+    /// When the last worker deregistered or was replaced by one with another name, and its incarnation.
     deregistered: Option<(Duration, Incarnation)>,
     pending: BTreeMap<RunKey, Pending>,
     /// Runs whose call was answered and whose state is determined by the next poll.
@@ -95,6 +106,9 @@
             last_answered: None,
             epoch: 0,
             session: None,
+            candidates: Candidates::new(),
+            refuted: Vec::new(),
+            last_probe: None,
             deregistered: None,
             pending: BTreeMap::new(),
             resolving: BTreeMap::new(),
@@ -102,34 +116,11 @@
         }
     }
 
-    /// Processes a registration of the worker. Returns whether it starts a new incarnation.
-    pub fn register(&mut self, registration: Registration) -> bool {
-        if let Some(session) = &mut self.session {
-            if session.info.incarnation == registration.info.incarnation {
-                session.refresh(registration);
-                return false;
-            }
-            if registration.info.incarnation.started_ms < session.info.incarnation.started_ms {
-                return false;
-            }
-        }
-        let has_deregistered = self
-            .deregistered
-            .as_ref()
-            .is_some_and(|(_, incarnation)| *incarnation == registration.info.incarnation);
-        if has_deregistered {
-            return false;
-        }
-        self.session = Some(Session::new(registration));
-        self.clear_calls();
-        true
-    }
-
     /// Processes the deregistration of a worker. Returns whether it was the current incarnation.
     pub fn deregister(&mut self, now: Duration, worker: &str) -> bool {
         match self.session.take() {
-            Some(session) if &*session.info.incarnation.worker == worker => {
-                self.deregistered = Some((now, session.info.incarnation));
+            Some(session) if &*session.incarnation().worker == worker => {
+                self.deregistered = Some((now, session.incarnation().clone()));
                 self.clear_calls();
                 true
             }
@@ -149,9 +140,13 @@
     /// Returns the current incarnation of the worker.
     #[must_use]
     pub fn incarnation(&self) -> Option<&Incarnation> {
-        self.session
-            .as_ref()
-            .map(|session| &session.info.incarnation)
+        self.session.as_ref().map(Session::incarnation)
+    }
+
+    /// Returns the properties of the current worker.
+    #[must_use]
+    pub fn worker_info(&self) -> Option<&WorkerInfo> {
+        self.session.as_ref().map(|session| &session.facts.info)
     }
 
     /// Returns the highest epoch that the agent has received.
@@ -197,11 +192,13 @@
             return None;
         }
         let session = self.session.as_mut()?;
-        let deadline = renew.then(|| session.clock(now)).flatten();
-        let deadline = deadline.map(|clock| clock + millis(lease));
+        // Another incarnation may have replaced a worker that does not answer; its lease is left to expire.
+        let may_be_replaced = session.is_unreachable() && !self.candidates.is_empty();
+        let renew = renew && !may_be_replaced;
+        let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
-            incarnation: session.info.incarnation.clone(),
+            incarnation: session.incarnation().clone(),
             epoch,
             recorded: session.recorded,
             deadline,
@@ -221,7 +218,7 @@
         let Some(session) = self
             .session
             .as_mut()
-            .filter(|session| session.info.incarnation == *incarnation)
+            .filter(|session| session.incarnation() == incarnation)
         else {
             return false;
         };
@@ -246,17 +243,19 @@
         for ((task, run), reason) in resolved {
             self.refused.push((now, Refused { task, run, reason }));
         }
+        self.refute_candidates(requested);
         changed
     }
 
-    /// Records that the worker did not answer a lease request.
-    pub fn poll_failed(&mut self, incarnation: &Incarnation) {
+    /// Records that the worker did not answer a lease request with its lists.
+    pub fn poll_failed(&mut self, now: Duration, incarnation: &Incarnation, contact: &Contact) {
         if let Some(session) = self
             .session
             .as_mut()
-            .filter(|session| session.info.incarnation == *incarnation)
+            .filter(|session| session.incarnation() == incarnation)
         {
             session.failed_polls += 1;
+            self.note_absence(now, contact);
         }
     }
 
@@ -300,7 +299,7 @@
             percent: 0,
         }));
         Worker {
-            info: session.info.clone(),
+            info: session.facts.info.clone(),
             reachability: session.reachability(now),
             running,
             ended: session.ended.clone(),
@@ -330,11 +329,11 @@
         let Some(session) = &mut self.session else {
             return true;
         };
-        if directive.incarnation.as_ref() != Some(&session.info.incarnation) {
+        if directive.incarnation.as_ref() != Some(session.incarnation()) {
             return true;
         }
         session.recorded = session.recorded.max(directive.recorded);
-        let draining = session.info.draining;
+        let draining = session.facts.info.draining;
         for key in directive.stop {
             self.enqueue_stop(now, key);
         }
@@ -347,160 +346,12 @@
         true
     }
 
-    fn enqueue_start(&mut self, expires: Duration, start: Start) {
-        let key = (start.task, start.run);
-        let known = self.resolving.contains_key(&key)
-            || self
-                .session
-                .as_ref()
-                .is_some_and(|session| session.lists_active(&key) || session.lists_ended(&key));
-        if known
-            || self
-                .refused
-                .iter()
-                .any(|(_, refused)| (refused.task, refused.run) == key)
-        {
-            return;
-        }
-        self.pending
-            .entry(key)
-            .or_insert_with(|| Pending::new(Operation::Start(start), expires))
-            .extend(expires);
-    }
-
-    fn enqueue_stop(&mut self, now: Duration, key: RunKey) {
-        let session = self.session.as_ref();
-        if session.is_some_and(|session| session.lists_ended(&key)) {
-            return;
-        }
-        let active = session.is_some_and(|session| session.lists_active(&key));
-        let stopping = self.resolving.get(&key).is_some_and(|resolution| {
-            let overdue = resolution.since + self.bounds.max_stop_time * 2 < now;
-            resolution.refusal.is_some() && !(active && overdue)
-        });
-        if stopping
-            || self
-                .refused
-                .iter()
-                .any(|(_, refused)| (refused.task, refused.run) == key)
-        {
-            return;
-        }
-        let unanswered = match self.pending.get(&key) {
-            Some(pending) if matches!(pending.operation, Operation::Stop(_)) => return,
-            Some(pending) => pending.in_doubt(),
-            None => true,
-        };
-        let mut stop = Pending::new(Operation::Stop(Refusal::Withdrawn), Duration::MAX);
-        stop.unanswered = unanswered;
-        self.pending.insert(key, stop);
-    }
-
-    /// Returns the calls that are due and marks them as in flight.
-    pub fn due_calls(&mut self, now: Duration) -> Vec<Call> {
-        let epoch = self.epoch;
-        let Some(session) = &mut self.session else {
-            return Vec::new();
-        };
-        let Some(clock) = session.clock(now) else {
-            return Vec::new();
-        };
-        let deadline = clock + millis(START_TTL);
-        let draining = session.info.draining;
-        let mut calls = Vec::new();
-        for (key, pending) in &mut self.pending {
-            if !pending.due(now) || (draining && matches!(pending.operation, Operation::Start(_))) {
-                continue;
-            }
-            pending.mark_in_flight();
-            calls.push(Call {
-                incarnation: session.info.incarnation.clone(),
-                key: *key,
-                epoch,
-                operation: pending.operation.clone(),
-                deadline,
-            });
-        }
-        if !calls.is_empty() {
-            session.extend_lease(Some(deadline));
-        }
-        calls
-    }
-
-    /// Returns the time of the earliest scheduled retry.
-    #[must_use]
-    pub fn next_retry(&self) -> Option<Duration> {
-        self.pending.values().filter_map(Pending::retry_at).min()
-    }
-
-    /// Processes the answer to a call. Returns whether to send a report at once.
-    pub fn call_answered(&mut self, now: Duration, call: &Call, answer: Answer) -> bool {
-        if self.incarnation() != Some(&call.incarnation) {
-            return false;
-        }
-        let Some(pending) = self.pending.get_mut(&call.key) else {
-            return false;
-        };
-        if !pending.matches(&call.operation) {
-            // The order was replaced while the call was in flight.
-            return false;
-        }
-        let resolution = match (answer, &pending.operation) {
-            (Answer::Unanswered, _) => {
-                pending.retry(now, true);
-                return false;
-            }
-            (Answer::Late, Operation::Start(_)) | (Answer::Unhealthy, Operation::Stop(_)) => {
-                pending.retry(now, false);
-                return false;
-            }
-            (Answer::Fenced | Answer::OtherLife, _) => None,
-            (Answer::Accepted, Operation::Start(_)) => Some(Resolution::begun(now)),
-            (Answer::Superseded, Operation::Start(_)) => {
-                Some(Resolution::stopped(now, Refusal::Superseded))
-            }
-            (Answer::Unhealthy, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::Unhealthy);
-            }
-            (Answer::Room, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::InsufficientCapacity);
-            }
-            (Answer::Malformed, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::Malformed);
-            }
-            (_, Operation::Stop(reason)) => Some(Resolution::stopped(now, *reason)),
-        };
-        self.pending.remove(&call.key);
-        let Some(resolution) = resolution else {
-            return false;
-        };
-        self.resolving.insert(call.key, resolution);
-        true
-    }
-
-    /// Processes the refusal of a start. If an earlier call of the same start may still be executed, a stop has to
-    /// rule that out first.
-    fn settle_refused(&mut self, now: Duration, key: RunKey, reason: Refusal) -> bool {
-        let in_doubt = self
-            .pending
-            .remove(&key)
-            .is_some_and(|pending| pending.unanswered);
-        if in_doubt {
-            self.pending
-                .insert(key, Pending::new(Operation::Stop(reason), Duration::MAX));
-            return false;
-        }
-        let (task, run) = key;
-        self.refused.push((now, Refused { task, run, reason }));
-        true
-    }
-
     /// Returns whether the worker is shutting down and accepts no new runs.
     #[must_use]
     pub fn draining(&self) -> bool {
         self.session
             .as_ref()
-            .is_some_and(|session| session.info.draining)
+            .is_some_and(|session| session.facts.info.draining)
     }
 }
 
--- /dev/null
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -0,0 +1,153 @@
+//! Execution of the decider's orders: which calls to the worker are due, and what their answers show.
+
+use super::call::{Answer, Call, Operation, Pending, Resolution};
+use super::{Agent, RunKey, START_TTL, millis};
+use crate::message::{Refusal, Refused, Start};
+use std::time::Duration;
+
+impl Agent {
+    pub(super) fn enqueue_start(&mut self, expires: Duration, start: Start) {
+        let key = (start.task, start.run);
+        let known = self.resolving.contains_key(&key)
+            || self
+                .session
+                .as_ref()
+                .is_some_and(|session| session.lists_active(&key) || session.lists_ended(&key));
+        if known
+            || self
+                .refused
+                .iter()
+                .any(|(_, refused)| (refused.task, refused.run) == key)
+        {
+            return;
+        }
+        self.pending
+            .entry(key)
+            .or_insert_with(|| Pending::new(Operation::Start(start), expires))
+            .extend(expires);
+    }
+
+    pub(super) fn enqueue_stop(&mut self, now: Duration, key: RunKey) {
+        let session = self.session.as_ref();
+        if session.is_some_and(|session| session.lists_ended(&key)) {
+            return;
+        }
+        let active = session.is_some_and(|session| session.lists_active(&key));
+        let stopping = self.resolving.get(&key).is_some_and(|resolution| {
+            let overdue = resolution.since + self.bounds.max_stop_time * 2 < now;
+            resolution.refusal.is_some() && !(active && overdue)
+        });
+        if stopping
+            || self
+                .refused
+                .iter()
+                .any(|(_, refused)| (refused.task, refused.run) == key)
+        {
+            return;
+        }
+        let unanswered = match self.pending.get(&key) {
+            Some(pending) if matches!(pending.operation, Operation::Stop(_)) => return,
+            Some(pending) => pending.in_doubt(),
+            None => true,
+        };
+        let mut stop = Pending::new(Operation::Stop(Refusal::Withdrawn), Duration::MAX);
+        stop.unanswered = unanswered;
+        self.pending.insert(key, stop);
+    }
+
+    /// Returns the calls that are due and marks them as in flight.
+    pub fn due_calls(&mut self, now: Duration) -> Vec<Call> {
+        let epoch = self.epoch;
+        let Some(session) = &mut self.session else {
+            return Vec::new();
+        };
+        let deadline = session.clock(now).saturating_add(millis(START_TTL));
+        let draining = session.facts.info.draining;
+        let mut calls = Vec::new();
+        for (key, pending) in &mut self.pending {
+            if !pending.due(now) || (draining && matches!(pending.operation, Operation::Start(_))) {
+                continue;
+            }
+            pending.mark_in_flight();
+            calls.push(Call {
+                incarnation: session.incarnation().clone(),
+                key: *key,
+                epoch,
+                operation: pending.operation.clone(),
+                deadline,
+            });
+        }
+        if !calls.is_empty() {
+            session.extend_lease(Some(deadline));
+        }
+        calls
+    }
+
+    /// Returns the time of the earliest scheduled retry.
+    #[must_use]
+    pub fn next_retry(&self) -> Option<Duration> {
+        self.pending.values().filter_map(Pending::retry_at).min()
+    }
+
+    /// Processes the answer to a call. Returns whether to send a report at once.
+    pub fn call_answered(&mut self, now: Duration, call: &Call, answer: Answer) -> bool {
+        if self.incarnation() != Some(&call.incarnation) {
+            return false;
+        }
+        let Some(pending) = self.pending.get_mut(&call.key) else {
+            return false;
+        };
+        if !pending.matches(&call.operation) {
+            // The order was replaced while the call was in flight.
+            return false;
+        }
+        let resolution = match (answer, &pending.operation) {
+            (Answer::Unanswered, _) => {
+                pending.retry(now, true);
+                return false;
+            }
+            (Answer::Late, Operation::Start(_)) | (Answer::Unhealthy, Operation::Stop(_)) => {
+                pending.retry(now, false);
+                return false;
+            }
+            (Answer::Fenced | Answer::OtherLife, _) => None,
+            (Answer::Accepted, Operation::Start(_)) => Some(Resolution::begun(now)),
+            (Answer::Superseded, Operation::Start(_)) => {
+                Some(Resolution::stopped(now, Refusal::Superseded))
+            }
+            (Answer::Unhealthy, Operation::Start(_)) => {
+                return self.settle_refused(now, call.key, Refusal::Unhealthy);
+            }
+            (Answer::Room, Operation::Start(_)) => {
+                return self.settle_refused(now, call.key, Refusal::InsufficientCapacity);
+            }
+            (Answer::Malformed, Operation::Start(_)) => {
+                return self.settle_refused(now, call.key, Refusal::Malformed);
+            }
+            (_, Operation::Stop(reason)) => Some(Resolution::stopped(now, *reason)),
+        };
+        self.pending.remove(&call.key);
+        let Some(resolution) = resolution else {
+            return false;
+        };
+        self.resolving.insert(call.key, resolution);
+        true
+    }
+
+    /// Processes the refusal of a start. If an earlier call of the same start may still be executed, a stop has to
+    /// rule that out first.
+    fn settle_refused(&mut self, now: Duration, key: RunKey, reason: Refusal) -> bool {
+        let in_doubt = self
+            .pending
+            .remove(&key)
+            .is_some_and(|pending| pending.unanswered);
+        if in_doubt {
+            self.pending
+                .insert(key, Pending::new(Operation::Stop(reason), Duration::MAX));
+            return false;
+        }
+        let (task, run) = key;
+        self.refused.push((now, Refused { task, run, reason }));
+        true
+    }
+}
--- /dev/null
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -0,0 +1,241 @@
+//! Replacement of an agent's worker by another incarnation.
+//!
+//! A registered incarnation takes over once the processes themselves have shown that it is the host's worker:
+//!
+//! * It has answered a poll as the incarnation that it claims to be.
+//! * The current worker is gone: the other one answers at its address, its address refuses connections or answers as
+//!   another incarnation, or its lease has expired.
+//!
+//! Until then the current worker is polled, renewed and stopped as before. If it answers a poll that was sent after the
+//! other one registered, that registration is dropped.
+
+use super::candidate::Candidate;
+use super::session::{Facts, Registration, RunLists, Session};
+use super::{Agent, LeaseRequest};
+use crate::id::Incarnation;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Minimum time between two probes, which limits the calls that registrations of other writers cause.
+const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Effect of a registration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Registered {
+    /// It belongs to the current worker.
+    Current,
+    /// It belongs to another incarnation, which has to be probed; `new` unless it has registered before.
+    Candidate {
+        /// Whether the incarnation was unknown.
+        new: bool,
+    },
+}
+
+/// A poll that tests whether an incarnation of the worker is alive. It does not extend a lease.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Probe {
+    /// Address to poll.
+    pub address: SocketAddr,
+    /// Parameters of the poll.
+    pub request: LeaseRequest,
+}
+
+/// What an attempt to poll an incarnation shows about it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Contact {
+    /// It answered with its lists of runs.
+    Lists(RunLists),
+    /// Another incarnation answered at its address.
+    OtherLife,
+    /// Its address refused the connection.
+    Refused,
+    /// There was no usable answer.
+    Unanswered,
+}
+
+/// Change of the agent's worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Transition {
+    /// The worker is the same as before.
+    Unchanged,
+    /// The probed incarnation is the host's worker now.
+    Started {
+        /// The worker that it replaces.
+        previous: Option<Incarnation>,
+    },
+}
+
+impl Agent {
+    /// Processes a registration of a worker that accepts calls at an address.
+    pub fn register(
+        &mut self,
+        now: Duration,
+        registration: Registration,
+        address: SocketAddr,
+    ) -> Registered {
+        if let Some(session) = &mut self.session
+            && session.incarnation() == &registration.info.incarnation
+        {
+            session.facts.register(registration);
+            return Registered::Current;
+        }
+        let new = self.candidates.register(now, registration, address);
+        Registered::Candidate { new }
+    }
+
+    /// Returns the next probe, if one is due. At most one probe is to be in flight.
+    pub fn due_probe(&mut self, now: Duration) -> Option<Probe> {
+        let allowed = self
+            .last_probe
+            .is_none_or(|last| now >= last + MIN_PROBE_INTERVAL);
+        if !allowed || self.epoch == 0 {
+            return None;
+        }
+        let (address, incarnation, recorded) = if let Some(candidate) = self.candidates.due(now) {
+            let incarnation = candidate.facts.incarnation().clone();
+            (candidate.address, incarnation, 0)
+        } else {
+            let session = self.session.as_ref()?;
+            session.probe_at.filter(|at| *at <= now)?;
+            let incarnation = session.incarnation().clone();
+            (session.address, incarnation, session.recorded)
+        };
+        self.last_probe = Some(now);
+        Some(Probe {
+            address,
+            request: LeaseRequest {
+                incarnation,
+                epoch: self.epoch,
+                recorded,
+                deadline: None,
+                wait: false,
+            },
+        })
+    }
+
+    /// Returns the earliest time at which a probe is due; `None` if there is none or no decider has answered yet.
+    #[must_use]
+    pub fn next_probe(&self) -> Option<Duration> {
+        if self.epoch == 0 {
+            return None;
+        }
+        let current = self.session.as_ref().and_then(|session| session.probe_at);
+        let next = self
+            .candidates
+            .next_due()
+            .into_iter()
+            .chain(current)
+            .min()?;
+        let allowed = self.last_probe.map(|last| last + MIN_PROBE_INTERVAL);
+        Some(next.max(allowed.unwrap_or_default()))
+    }
+
+    /// Processes the result of a probe that was sent at `requested`.
+    pub fn probe_answered(
+        &mut self,
+        now: Duration,
+        requested: Duration,
+        probe: &Probe,
+        contact: Contact,
+    ) -> Transition {
+        let incarnation = &probe.request.incarnation;
+        if self.incarnation() == Some(incarnation) {
+            return self.current_probed(now, requested, &contact);
+        }
+        match contact {
+            Contact::Lists(lists) if self.is_replaced_by(now, probe, &lists) => {
+                self.take_over(now, requested, incarnation, lists)
+            }
+            Contact::Lists(_) => {
+                if let Some(session) = &mut self.session {
+                    session.probe_at = Some(now);
+                }
+                self.candidates.retry(now, incarnation);
+                Transition::Unchanged
+            }
+            Contact::OtherLife | Contact::Refused | Contact::Unanswered => {
+                self.candidates.retry(now, incarnation);
+                Transition::Unchanged
+            }
+        }
+    }
+
+    /// Processes the result of a probe of the current worker. Its lists are not applied, because they may be older
+    /// than those of a regular poll that was answered meanwhile.
+    fn current_probed(
+        &mut self,
+        now: Duration,
+        requested: Duration,
+        contact: &Contact,
+    ) -> Transition {
+        if let Some(session) = &mut self.session {
+            session.probe_at = None;
+        }
+        if matches!(contact, Contact::Lists(_)) {
+            self.refute_candidates(requested);
+            return Transition::Unchanged;
+        }
+        self.note_absence(now, contact)
+    }
+
+    /// Returns whether a probed incarnation that answered is the host's worker.
+    fn is_replaced_by(&self, now: Duration, probe: &Probe, lists: &RunLists) -> bool {
+        let Some(session) = &self.session else {
+            return true;
+        };
+        let incarnation = &probe.request.incarnation;
+        // With equal names only the start in the answer tells the two apart.
+        let identified = incarnation.worker != session.incarnation().worker
+            || lists.started_ms == Some(incarnation.started_ms);
+        let gone = probe.address == session.address
+            || session.absent
+            || (session.is_unreachable() && session.has_lease_expired(now));
+        identified && gone
+    }
+
+    fn take_over(
+        &mut self,
+        now: Duration,
+        requested: Duration,
+        incarnation: &Incarnation,
+        lists: RunLists,
+    ) -> Transition {
+        let Some(Candidate { facts, address, .. }) = self.candidates.take(incarnation) else {
+            return Transition::Unchanged;
+        };
+        self.deregistered
+            .take_if(|(_, deregistered)| deregistered == incarnation);
+        let previous = self.session.take().map(|session| session.facts);
+        let previous = previous.as_ref().map(Facts::incarnation).cloned();
+        if let Some(previous) = &previous
+            && previous.worker != incarnation.worker
+        {
+            self.deregistered = Some((now, previous.clone()));
+        }
+        self.clear_calls();
+        self.session = Some(Session::new(now, facts, address, lists));
+        self.refute_candidates(requested);
+        Transition::Started { previous }
+    }
+
+    /// Drops the candidates that registered before the current worker was asked and answered.
+    pub(super) fn refute_candidates(&mut self, requested: Duration) {
+        let refuted = self.candidates.take_registered_by(requested);
+        self.refuted.extend(refuted);
+    }
+
+    /// Returns the incarnations whose registrations were dropped since the last call, because the current worker
+    /// answered.
+    pub fn take_refuted(&mut self) -> Vec<Incarnation> {
+        std::mem::take(&mut self.refuted)
+    }
+
+    /// Processes a failed poll of the current worker.
+    pub(super) fn note_absence(&mut self, now: Duration, contact: &Contact) -> Transition {
+        if let Some(session) = &mut self.session {
+            session.absent |= matches!(contact, Contact::OtherLife | Contact::Refused);
+        }
+        self.candidates.expedite(now);
+        Transition::Unchanged
+    }
+}
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -1,8 +1,10 @@
-//! An agent's view of the current incarnation of its worker: its clock, its lease and its runs.
+//! An agent's view of its worker: the worker's properties, clock, lease and runs.
 
 use super::RunKey;
 use crate::bounds::WORKER_CLOCK_DRIFT;
+use crate::id::Incarnation;
 use crate::message::{Ended, Reachability, Running, WorkerInfo};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Number of consecutive unanswered polls after which a worker counts as unreachable.
@@ -22,62 +24,94 @@
 pub struct RunLists {
     /// The worker's clock in milliseconds.
     pub clock: u64,
+    /// Start of the worker in Unix milliseconds, if the answer names it.
+    pub started_ms: Option<u64>,
     /// Active runs.
     pub running: Vec<Running>,
     /// Ended runs that the worker has not forgotten, ordered by sequence number.
     pub ended: Vec<Ended>,
 }
 
-/// State of one incarnation of the worker.
+/// Properties of one incarnation of the worker, from its registrations.
 #[derive(Debug)]
-pub(super) struct Session {
+pub(super) struct Facts {
     pub info: WorkerInfo,
     /// Sequence number of the registration from which `info` was taken.
     sequence: u64,
+}
+
+impl Facts {
+    pub fn new(registration: Registration) -> Self {
+        Self {
+            info: registration.info,
+            sequence: registration.sequence,
+        }
+    }
+
+    pub const fn incarnation(&self) -> &Incarnation {
+        &self.info.incarnation
+    }
+
+    /// Applies a registration of the same incarnation unless it is older than the current one. Draining never ends
+    /// within an incarnation.
+    pub fn register(&mut self, registration: Registration) {
+        if registration.sequence >= self.sequence {
+            let draining = self.info.draining || registration.info.draining;
+            self.info = registration.info;
+            self.info.draining = draining;
+            self.sequence = registration.sequence;
+        }
+    }
+}
+
+/// State of the incarnation of the worker that has answered.
+#[derive(Debug)]
+pub(super) struct Session {
+    pub facts: Facts,
+    /// Address at which the worker answered first.
+    pub address: SocketAddr,
     pub running: Vec<Running>,
     pub ended: Vec<Ended>,
     /// Highest sequence number up to which all ends are recorded.
     pub recorded: u64,
-    /// Whether a poll has been answered.
-    pub polled: bool,
     /// Number of consecutive unanswered polls.
     pub failed_polls: u32,
+    /// Whether, since the worker's last answer, its address has refused a connection or answered as another
+    /// incarnation.
+    pub absent: bool,
+    /// When the worker is probed next, in addition to the regular polls.
+    pub probe_at: Option<Duration>,
     /// When the worker's clock was last read, and its value in milliseconds.
-    clock_reading: Option<(Duration, u64)>,
+    clock_reading: (Duration, u64),
     /// Latest end of a lease that a call requested, in milliseconds on the worker's clock.
     lease_end: u64,
 }
 
 impl Session {
-    pub fn new(registration: Registration) -> Self {
+    /// Returns the session of a worker that has answered a poll.
+    pub fn new(now: Duration, facts: Facts, address: SocketAddr, lists: RunLists) -> Self {
         Self {
-            info: registration.info,
-            sequence: registration.sequence,
-            running: Vec::new(),
-            ended: Vec::new(),
+            facts,
+            address,
+            running: lists.running,
+            ended: lists.ended,
             recorded: 0,
-            polled: false,
             failed_polls: 0,
-            clock_reading: None,
+            absent: false,
+            probe_at: None,
+            clock_reading: (now, lists.clock),
             lease_end: 0,
         }
     }
 
-    /// Applies a registration of the same incarnation unless it is older than the current one. Draining never ends
-    /// within an incarnation.
-    pub fn refresh(&mut self, registration: Registration) {
-        if registration.sequence >= self.sequence {
-            let draining = self.info.draining || registration.info.draining;
-            self.info = registration.info;
-            self.info.draining = draining;
-            self.sequence = registration.sequence;
-        }
+    pub const fn incarnation(&self) -> &Incarnation {
+        self.facts.incarnation()
     }
 
     /// Estimates the time on the worker's clock; at most slightly behind its true value.
-    pub fn clock(&mut self, now: Duration) -> Option<u64> {
-        let (read_at, clock) = self.clock_reading?;
-        Some(clock + super::millis(now.saturating_sub(read_at)))
+    pub fn clock(&self, now: Duration) -> u64 {
+        let (read_at, clock) = self.clock_reading;
+        clock.saturating_add(super::millis(now.saturating_sub(read_at)))
     }
 
     /// Records that a call which may extend the lease to this time was sent.
@@ -85,25 +119,30 @@
         self.lease_end = self.lease_end.max(deadline.unwrap_or_default());
     }
 
+    /// Returns whether the last polls were not answered.
+    pub const fn is_unreachable(&self) -> bool {
+        self.failed_polls >= UNREACHABLE_AFTER
+    }
+
     /// Returns whether the worker can be reached.
     pub fn reachability(&self, now: Duration) -> Reachability {
-        match self.clock_reading {
-            _ if !self.polled => Reachability::Unknown,
-            _ if self.failed_polls < UNREACHABLE_AFTER => Reachability::Reachable,
-            Some((read_at, clock)) if self.lease_expired(now, read_at, clock) => {
-                Reachability::LeaseExpired
-            }
-            _ => Reachability::Unreachable,
+        if !self.is_unreachable() {
+            Reachability::Reachable
+        } else if self.has_lease_expired(now) {
+            Reachability::LeaseExpired
+        } else {
+            Reachability::Unreachable
         }
     }
 
     /// Returns whether the lease has certainly expired, given the maximum clock drift since the worker's clock was
     /// read.
-    fn lease_expired(&self, now: Duration, read_at: Duration, clock: u64) -> bool {
+    pub fn has_lease_expired(&self, now: Duration) -> bool {
+        let (read_at, clock) = self.clock_reading;
         let elapsed = now
             .saturating_sub(read_at)
             .mul_f64(1.0 - 2.0 * WORKER_CLOCK_DRIFT);
-        clock + super::millis(elapsed) > self.lease_end
+        clock.saturating_add(super::millis(elapsed)) > self.lease_end
     }
 
     /// Applies the answer to a poll. Returns whether it differs from the previous answer.
@@ -114,13 +153,12 @@
                 .map(|listed_run| (listed_run.task, listed_run.run))
                 .collect::<Vec<_>>()
         };
-        let changed = !self.polled
-            || self.failed_polls > 0
+        let changed = self.failed_polls > 0
             || runs(&self.running) != runs(&lists.running)
             || self.ended != lists.ended;
-        self.polled = true;
         self.failed_polls = 0;
-        self.clock_reading = Some((now, lists.clock));
+        self.absent = false;
+        self.clock_reading = (now, lists.clock);
         self.running = lists.running;
         self.ended = lists.ended;
         changed
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -1,6 +1,7 @@
 //! An agent: renews the lease of the worker on its host, executes the decider's orders and reports to the decider.
 
 mod decider;
+mod replacement;
 
 use super::SharedClock;
 use super::change_notifier::ChangeNotifier;
@@ -10,13 +11,12 @@
 use super::worker::{PollResult, Worker};
 use decider::DeciderConnection;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use godwitstep_batch::agent::{self as state_machine, Answer, Call, Operation, Registration};
+use godwitstep_batch::agent::{self as state_machine, Answer, Call, Contact, Operation};
 use godwitstep_batch::bounds::AGENT_LEASE;
-use godwitstep_batch::demand::Demand;
 use godwitstep_batch::message::{Reply, Report};
 use smol::future::{self, FutureExt};
 use smol::{LocalExecutor, Timer};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -47,8 +47,12 @@
     decider: RefCell<DeciderConnection>,
     /// Signals changes that are to be reported to the decider at once.
     report_changes: ChangeNotifier,
-    /// Signals changes of the pending calls and polls of the worker.
+    /// Signals changes of the pending calls, polls and probes of the worker.
     work_changes: ChangeNotifier,
+    /// Signals that another worker has taken over.
+    worker_changes: ChangeNotifier,
+    /// When an event of a candidate was last logged.
+    candidate_logged_at: Cell<Option<Duration>>,
 }
 
 impl<L: Log, W: Worker> Agent<L, W> {
@@ -74,6 +78,8 @@
             decider: RefCell::new(decider),
             report_changes: ChangeNotifier::default(),
             work_changes: ChangeNotifier::default(),
+            worker_changes: ChangeNotifier::default(),
+            candidate_logged_at: Cell::default(),
         })
     }
 
@@ -89,36 +95,6 @@
         self.settings.pool.as_deref().is_none_or(|own| own == pool)
     }
 
-    /// Registers the worker on this host, or updates its registration.
-    pub fn register(&self, registration: Registration, address: SocketAddr) {
-        let info = registration.info.clone();
-        let (incarnation, draining) = (info.incarnation, info.draining);
-        let was_draining = self.state_machine.borrow().draining();
-        let previous = self.state_machine.borrow().incarnation().cloned();
-        let new = self.state_machine.borrow_mut().register(registration);
-        if new {
-            let labels = info.labels.join(",");
-            let Demand {
-                cpu,
-                memory,
-                accelerators,
-            } = info.capacity;
-            let previous = previous.map(|previous| previous.to_string());
-            tracing::info!(worker = %incarnation, previous, draining, labels, cpu, memory, accelerators, "worker registered");
-            let address = self.settings.worker.unwrap_or(address);
-            *self.worker.borrow_mut() = Some(Rc::new((self.connect)(address)));
-        } else if previous.as_ref() != Some(&incarnation) {
-            let current = previous.map(|previous| previous.to_string());
-            tracing::warn!(worker = %incarnation, current, "registration of another incarnation ignored");
-        } else if draining && !was_draining {
-            tracing::info!(worker = %incarnation, "worker is draining");
-        }
-        if new || draining != was_draining {
-            self.report_changes.notify();
-            self.work_changes.notify();
-        }
-    }
-
     /// Deregisters the worker, which is shutting down.
     pub fn deregister(&self, worker: &str) {
         let now = self.clock.now();
@@ -144,6 +120,10 @@
             .detach();
         let agent = self.clone();
         tasks.spawn(async move { agent.poll_loop().await }).detach();
+        let agent = self.clone();
+        tasks
+            .spawn(async move { agent.probe_loop().await })
+            .detach();
         tasks.spawn(async move { self.call_loop().await }).detach();
         tasks.run(std::future::pending::<()>()).await;
     }
@@ -232,7 +212,15 @@
             (true, false) => IDLE_POLL_WAIT,
         };
         let sent = self.clock.now();
-        let result = worker.poll(&request, wait).await;
+        let version = self.worker_changes.version();
+        let replaced = async {
+            self.worker_changes.changed(version, Duration::MAX).await;
+            None
+        };
+        let poll = async { Some(worker.poll(&request, wait).await) };
+        let Some(result) = poll.or(replaced).await else {
+            return true;
+        };
         let now = self.clock.now();
         match result {
             PollResult::Lists(lists) => {
@@ -245,6 +233,7 @@
                 if changed {
                     self.report_changes.notify();
                 }
+                self.log_refuted(now);
                 if request.deadline.is_none() {
                     self.warn_of_lease_expiry(now);
                 }
@@ -270,21 +259,16 @@
                 Timer::after(POLL_RETRY_DELAY).await;
                 true
             }
-            PollResult::OtherLife => {
-                tracing::warn!(worker = %request.incarnation, "another incarnation of the worker answered");
-                self.state_machine
-                    .borrow_mut()
-                    .poll_failed(&request.incarnation);
-                Timer::after(POLL_RETRY_DELAY).await;
-                true
-            }
-            PollResult::Unanswered(reason) => {
-                tracing::warn!(worker = %request.incarnation, reason, "worker did not answer");
+            failure => {
+                tracing::warn!(worker = %request.incarnation, ?failure, "worker did not answer");
                 metrics::counter!("godwitstep_worker_failures_total").increment(1);
-                self.state_machine
-                    .borrow_mut()
-                    .poll_failed(&request.incarnation);
+                self.state_machine.borrow_mut().poll_failed(
+                    now,
+                    &request.incarnation,
+                    &Contact::from(failure),
+                );
                 self.report_changes.notify();
+                self.work_changes.notify();
                 Timer::after(POLL_RETRY_DELAY).await;
                 true
             }
--- a/crates/godwitstep/src/batch/change_notifier.rs
+++ b/crates/godwitstep/src/batch/change_notifier.rs
@@ -32,7 +32,12 @@
     pub async fn changed(&self, version: u64, max_wait: Duration) -> bool {
         let change = poll_fn(|context| {
             if self.version.get() == version {
-                self.wakers.borrow_mut().push(context.waker().clone());
+                let mut wakers = self.wakers.borrow_mut();
+                // A task that waits again and again must not add a waker each time.
+                let waits = |waker: &Waker| waker.will_wake(context.waker());
+                if !wakers.last().is_some_and(waits) {
+                    wakers.push(context.waker().clone());
+                }
                 Poll::Pending
             } else {
                 Poll::Ready(true)
--- a/crates/godwitstep/src/batch/worker.rs
+++ b/crates/godwitstep/src/batch/worker.rs
@@ -1,6 +1,6 @@
 //! Interface to the worker on an agent's host.
 
-use godwitstep_batch::agent::{Answer, Call, LeaseRequest, RunLists};
+use godwitstep_batch::agent::{Answer, Call, Contact, LeaseRequest, RunLists};
 use std::time::Duration;
 
 /// Result of polling the worker.
@@ -12,10 +12,23 @@
     Fenced,
     /// Another incarnation of the worker answered.
     OtherLife,
+    /// The worker's address refused the connection.
+    Refused,
     /// The worker returned no usable answer, for this reason.
     Unanswered(String),
 }
 
+impl From<PollResult> for Contact {
+    fn from(result: PollResult) -> Self {
+        match result {
+            PollResult::Lists(lists) => Self::Lists(lists),
+            PollResult::OtherLife => Self::OtherLife,
+            PollResult::Refused => Self::Refused,
+            PollResult::Fenced | PollResult::Unanswered(_) => Self::Unanswered,
+        }
+    }
+}
+
 /// Client interface to a worker.
 #[allow(async_fn_in_trait)] // Everything of a process runs on one thread.
 pub trait Worker {
