--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -342,3 +342,41 @@
     );
     assert!(agent.take_refuted().len() <= 4);
 }
+
+/// Guards against new runs on a worker that is shutting down, because another writer's sequence number hides all of
+/// its later registrations.
+#[test]
+fn a_huge_sequence_number_does_not_hide_that_a_worker_is_draining() {
+    let mut agent = agent();
+    agent.register(millis(100), registration("worker-1", 50, u64::MAX), ADDRESS);
+    let mut draining = registration("worker-1", 50, 2);
+    draining.info.draining = true;
+    agent.register(millis(200), draining, ADDRESS);
+    assert!(agent.draining());
+}
+
+/// Guards against more runs than a worker has room for, because another writer registered another capacity for it,
+/// and against a wrong capacity that stays.
+#[test]
+fn another_capacity_of_the_same_worker_has_to_be_confirmed() {
+    let mut agent = agent();
+    let capacity = |agent: &mut Agent| {
+        let worker = agent.report(millis(10), false).worker.unwrap();
+        worker.info.capacity.cpu
+    };
+    let mut odd = registration("worker-1", 50, u64::MAX);
+    odd.info.capacity.cpu = u64::MAX;
+    for sequence in 2..10 {
+        agent.register(millis(100 * sequence), odd.clone(), ADDRESS);
+        assert_eq!(capacity(&mut agent), 0);
+        let usual = registration("worker-1", 50, sequence);
+        agent.register(millis(100 * sequence + 50), usual, ADDRESS);
+        assert_eq!(capacity(&mut agent), 0);
+    }
+    let mut other = registration("worker-1", 50, 11);
+    other.info.capacity.cpu = 7;
+    for _ in 0..2 {
+        agent.register(millis(2_000), other.clone(), ADDRESS);
+    }
+    assert_eq!(capacity(&mut agent), 7);
+}
