test: list deregistrations that are believed at once as known red

A worker that deregistered counts as gone at once, though it answers polls and has an active run; a late deregistration of an earlier life under the same name bars the live worker.

--- /dev/null
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -0,0 +1,153 @@
+//! Tests of an agent whose worker has deregistered, or seems to have.
+
+use godwitstep_batch::agent::{Agent, Contact, Registration, RunLists, Transition};
+use godwitstep_batch::bounds::Bounds;
+use godwitstep_batch::demand::Demand;
+use godwitstep_batch::id::{Epoch, Incarnation, Task};
+use godwitstep_batch::message::{Directive, Report, Running, Start, Worker, WorkerInfo};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const EPOCH: Epoch = 1 << 20;
+const TASK: Task = Task {
+    job: 7,
+    step: 0,
+    index: 0,
+};
+
+const fn millis(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn incarnation(started_ms: u64) -> Incarnation {
+    Incarnation {
+        host: "host-1".into(),
+        worker: "worker-1".into(),
+        started_ms,
+    }
+}
+
+fn register(agent: &mut Agent, now: Duration, started_ms: u64, draining: bool) {
+    let info = WorkerInfo {
+        incarnation: incarnation(started_ms),
+        pool: "floor".into(),
+        domain: "domain-1".into(),
+        capacity: Demand::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining,
+    };
+    let sequence = 1;
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    agent.register(now, Registration { info, sequence }, address);
+}
+
+/// Returns the answer of an incarnation to a poll, with one active run.
+fn lists(started_ms: u64) -> RunLists {
+    let running = vec![Running {
+        task: TASK,
+        run: 1,
+        saved: "".into(),
+        percent: 0,
+    }];
+    RunLists {
+        clock: 1_000,
+        started_ms: Some(started_ms),
+        running,
+        ..RunLists::default()
+    }
+}
+
+/// Delivers a decider's reply, with the order to start a run, to a report at the same time.
+fn deliver(agent: &mut Agent, now: Duration) {
+    let report = agent.report(now, false);
+    let directive = Directive {
+        epoch: EPOCH,
+        sequence: report.sequence,
+        incarnation: report.worker.map(|worker| worker.info.incarnation),
+        start: vec![Start {
+            task: TASK,
+            run: 2,
+            spec: "spec".into(),
+            saved: "".into(),
+        }],
+        ..Directive::default()
+    };
+    agent.apply_directive(now, directive);
+}
+
+/// Expects a probe and delivers its result.
+fn answer_probe(agent: &mut Agent, now: Duration, contact: Contact) -> Transition {
+    let probe = agent.due_probe(now).expect("a probe is due");
+    agent.probe_answered(now, now, &probe, contact)
+}
+
+/// Delivers an answer of the worker to a regular poll that was sent at the same time.
+fn answer_poll(agent: &mut Agent, now: Duration, contact: Contact) -> Transition {
+    let request = agent.lease_request(now).expect("a worker is known");
+    match contact {
+        Contact::Lists(lists) => {
+            agent.poll_answered(now, now, &request.incarnation, lists);
+            Transition::Unchanged
+        }
+        failure => {
+            agent.poll_failed(now, &request.incarnation, &failure);
+            Transition::Unchanged
+        }
+    }
+}
+
+/// Returns an agent whose worker, started at 50, has one active run and deregistered after 100 ms.
+fn leaving_agent() -> Agent {
+    let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+    deliver(&mut agent, Duration::ZERO);
+    register(&mut agent, Duration::ZERO, 50, false);
+    answer_probe(&mut agent, Duration::ZERO, Contact::Lists(lists(50)));
+    answer_poll(&mut agent, Duration::ZERO, Contact::Lists(lists(50)));
+    assert!(!agent.deregister(millis(90), "worker-2"));
+    assert!(agent.deregister(millis(100), "worker-1"));
+    agent
+}
+
+fn reported_worker(report: Report) -> Worker {
+    assert_eq!(report.deregistered, None);
+    report.worker.expect("the worker is reported")
+}
+
+/// Guards against a second run of a task while the first one goes on at a worker that has deregistered but not ended.
+#[test]
+fn a_deregistered_worker_that_answers_is_not_gone() {
+    let mut agent = leaving_agent();
+    for step in 1..=20 {
+        let now = millis(100 + 100 * step);
+        if agent.due_probe(now).is_some_and(|probe| {
+            agent.probe_answered(now, now, &probe, Contact::Lists(lists(50)))
+                != Transition::Unchanged
+        }) {
+            panic!("the worker answers");
+        }
+        answer_poll(&mut agent, now, Contact::Lists(lists(50)));
+        deliver(&mut agent, now);
+        assert_eq!(agent.due_calls(now), [], "nothing starts");
+        let worker = reported_worker(agent.report(now, false));
+        assert_eq!((worker.running.len(), worker.info.draining), (1, true));
+    }
+}
+
+/// Guards against a live worker that gets no more work, because a deregistration of its earlier life under the same
+/// name arrived late.
+#[test]
+fn a_late_deregistration_of_an_earlier_life_bars_no_worker() {
+    let mut agent = leaving_agent();
+    register(&mut agent, millis(150), 50, false);
+    answer_poll(&mut agent, millis(200), Contact::Lists(lists(50)));
+    assert!(
+        agent.draining(),
+        "a heartbeat that was under way shows nothing"
+    );
+    register(&mut agent, millis(1_650), 50, false);
+    assert!(!agent.draining());
+    answer_poll(&mut agent, millis(1_700), Contact::Lists(lists(50)));
+    deliver(&mut agent, millis(1_700));
+    assert_eq!(agent.due_calls(millis(1_700)).len(), 1);
+}
