--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -364,3 +364,18 @@
     deliver(&mut agent, millis(50), recorded(0));
     assert_eq!(agent.lease_request(millis(60)).unwrap().recorded, 1);
 }
+
+/// Guards against a second run of a task, because a restarted agent does not know the lease that its predecessor
+/// requested.
+#[test]
+fn the_lease_that_an_earlier_process_of_the_agent_requested_counts() {
+    let mut agent = agent();
+    agent.poll_failed(millis(20), &incarnation(1), &Contact::Unanswered);
+    agent.poll_failed(millis(30), &incarnation(1), &Contact::Unanswered);
+    let reachability =
+        |agent: &mut Agent, now| agent.report(now, false).worker.unwrap().reachability;
+    let lease = Bounds::default().max_lease;
+    assert_eq!(reachability(&mut agent, lease), Reachability::Unreachable);
+    let later = lease + Duration::from_secs(2);
+    assert_eq!(reachability(&mut agent, later), Reachability::LeaseExpired);
+}
