--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -1,6 +1,8 @@
 //! Tests of an agent whose messages to and from the decider and the worker are lost, delayed or refused.
 
-use godwitstep_batch::agent::{Agent, Answer, Call, Contact, Operation, Registration, RunLists};
+use godwitstep_batch::agent::{
+    Agent, Answer, Call, Contact, Operation, Registration, RunLists, START_TTL,
+};
 use godwitstep_batch::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Epoch, Incarnation, Run, Task};
@@ -379,3 +381,32 @@
     let later = lease + Duration::from_secs(2);
     assert_eq!(reachability(&mut agent, later), Reachability::LeaseExpired);
 }
+
+/// Guards against a second run of a task, because a start that the agent's earlier process sent is executed after the
+/// worker has refused the same start of this one.
+#[test]
+fn a_refusal_soon_after_the_agent_has_started_is_confirmed_by_a_stop() {
+    for answer in [Answer::Unhealthy, Answer::Room, Answer::Malformed] {
+        let mut agent = agent();
+        deliver(&mut agent, millis(10), start_directive(1));
+        let call = single_call(agent.due_calls(millis(10)));
+        agent.call_answered(millis(20), &call, answer);
+        assert_eq!(reported_refusals(&mut agent, millis(20)), []);
+        let stop = single_call(agent.due_calls(millis(20)));
+        assert!(matches!(stop.operation, Operation::Stop(_)));
+        agent.call_answered(millis(30), &stop, Answer::Accepted);
+        poll(&mut agent, millis(40), lists(&[], &[]));
+        assert_eq!(reported_refusals(&mut agent, millis(40)).len(), 1);
+    }
+}
+
+/// Guards against a refused task that waits longer than needed for another worker.
+#[test]
+fn a_refusal_is_reported_at_once_after_every_earlier_start_has_expired() {
+    let mut agent = agent();
+    let now = START_TTL + Duration::from_secs(2);
+    deliver(&mut agent, now, start_directive(1));
+    let call = single_call(agent.due_calls(now));
+    agent.call_answered(now, &call, Answer::Unhealthy);
+    assert_eq!(reported_refusals(&mut agent, now), [Refusal::Unhealthy]);
+}
