--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -410,3 +410,23 @@
     agent.call_answered(now, &call, Answer::Unhealthy);
     assert_eq!(reported_refusals(&mut agent, now), [Refusal::Unhealthy]);
 }
+
+/// Guards against a run that counts as never begun, because the worker lists only its oldest ends at a time.
+#[test]
+fn an_end_that_is_not_listed_yet_settles_nothing() {
+    let mut agent = agent();
+    deliver(&mut agent, millis(10), stop_directive(1));
+    let stop = single_call(agent.due_calls(millis(10)));
+    agent.call_answered(millis(20), &stop, Answer::Accepted);
+    let ended: Vec<_> = (1..=500)
+        .map(|number| (number, 1_000, EndReason::Done))
+        .collect();
+    poll(&mut agent, millis(30), lists(&[], &ended));
+    assert_eq!(reported_refusals(&mut agent, millis(30)), []);
+    poll(
+        &mut agent,
+        millis(40),
+        lists(&[], &[(501, 1, EndReason::Done)]),
+    );
+    assert_eq!(reported_refusals(&mut agent, millis(40)), []);
+}
