fix: bound what one odd registration of the current incarnation can change

A registration of the current incarnation that another writer sends with a huge sequence number hid all real ones that followed: a worker that drains kept getting runs. One with another capacity changed it until the next heartbeat, so more runs could start than the worker has room for.

Change: draining counts whatever the sequence number, since it never ends within an incarnation. All other properties belong to the incarnation and don't change; differing ones apply only once two registrations in a row have the same. The order by sequence number is gone: a late registration has the same properties.

Ruled out: fixing the properties at the first registration, since a wrong first one would stay for good.

--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -15,7 +15,7 @@
 pub struct Registration {
     /// Properties of the worker.
     pub info: WorkerInfo,
-    /// Sequence number, increasing within an incarnation; older registrations are ignored.
+    /// Sequence number, increasing within an incarnation; for the log only.
     pub sequence: u64,
 }
 
@@ -33,18 +33,21 @@
 }
 
 /// Properties of one incarnation of the worker, from its registrations.
+///
+/// They don't change within an incarnation, except that it may begin to drain. A registration of another writer is
+/// therefore told from the worker's own by its properties, not by its sequence number, which may be of any size.
 #[derive(Debug)]
 pub(super) struct Facts {
     pub info: WorkerInfo,
-    /// Sequence number of the registration from which `info` was taken.
-    sequence: u64,
+    /// Properties in the last registration that differ from `info`; they apply once the next registration has the same.
+    unconfirmed: Option<WorkerInfo>,
 }
 
 impl Facts {
     pub fn new(registration: Registration) -> Self {
         Self {
             info: registration.info,
-            sequence: registration.sequence,
+            unconfirmed: None,
         }
     }
 
@@ -52,14 +55,19 @@
         &self.info.incarnation
     }
 
-    /// Applies a registration of the same incarnation unless it is older than the current one. Draining never ends
-    /// within an incarnation.
+    /// Applies a registration of the same incarnation. Draining never ends within an incarnation, so each
+    /// registration that says so counts, even a late one.
     pub fn register(&mut self, registration: Registration) {
-        if registration.sequence >= self.sequence {
-            let draining = self.info.draining || registration.info.draining;
-            self.info = registration.info;
-            self.info.draining = draining;
-            self.sequence = registration.sequence;
+        let mut info = registration.info;
+        info.draining |= self.info.draining;
+        self.info.draining = info.draining;
+        if self.info == info {
+            self.unconfirmed = None;
+        } else if self.unconfirmed.as_ref() == Some(&info) {
+            self.info = info;
+            self.unconfirmed = None;
+        } else {
+            self.unconfirmed = Some(info);
         }
     }
 }
