fix: take a deregistered worker for gone only once its end shows

Callers could see a task run twice: a deregistration counted as the end of the worker and its runs at once, though a worker whose acknowledgement is lost goes on for some seconds. A late deregistration of an earlier life under the same name took a live worker down and barred it for good, and its runs went on unobserved.

Change: a worker that deregisters gets no new runs, is reported as draining, and is probed on new connections each 150 ms besides its regular polls. It is gone once its address refuses a connection or answers as another incarnation, or its lease, which is not renewed while it is silent, has expired. If it answers and a heartbeat of its incarnation arrives over 1 s later, it goes on, unless it said that it drains. A worker that counted as gone comes back by an answer only.

Why it works: a worker that ends closes its connections, so the regular poll fails, the next probe is sent at once and the connection is refused.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -116,21 +116,6 @@
         }
     }
 
-    /// Processes the deregistration of a worker. Returns whether it was the current incarnation.
-    pub fn deregister(&mut self, now: Duration, worker: &str) -> bool {
-        match self.session.take() {
-            Some(session) if &*session.incarnation().worker == worker => {
-                self.deregistered = Some((now, session.incarnation().clone()));
-                self.clear_calls();
-                true
-            }
-            other => {
-                self.session = other;
-                false
-            }
-        }
-    }
-
     fn clear_calls(&mut self) {
         self.pending.clear();
         self.resolving.clear();
@@ -192,9 +177,9 @@
             return None;
         }
         let session = self.session.as_mut()?;
-        // Another incarnation may have replaced a worker that does not answer; its lease is left to expire.
-        let may_be_replaced = session.is_unreachable() && !self.candidates.is_empty();
-        let renew = renew && !may_be_replaced;
+        // The lease of a worker that may be gone is left to expire, as the last evidence that it is.
+        let doubted = session.leaving_since.is_some() || !self.candidates.is_empty();
+        let renew = renew && !(doubted && session.is_unreachable());
         let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
@@ -222,6 +207,7 @@
         else {
             return false;
         };
+        session.answered(requested);
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
@@ -248,15 +234,21 @@
     }
 
     /// Records that the worker did not answer a lease request with its lists.
-    pub fn poll_failed(&mut self, now: Duration, incarnation: &Incarnation, contact: &Contact) {
-        if let Some(session) = self
+    pub fn poll_failed(
+        &mut self,
+        now: Duration,
+        incarnation: &Incarnation,
+        contact: &Contact,
+    ) -> Transition {
+        let Some(session) = self
             .session
             .as_mut()
             .filter(|session| session.incarnation() == incarnation)
-        {
-            session.failed_polls += 1;
-            self.note_absence(now, contact);
-        }
+        else {
+            return Transition::Unchanged;
+        };
+        session.failed_polls += 1;
+        self.note_absence(now, contact)
     }
 
     /// Creates the next report.
@@ -299,7 +291,10 @@
             percent: 0,
         }));
         Worker {
-            info: session.facts.info.clone(),
+            info: WorkerInfo {
+                draining: session.draining(),
+                ..session.facts.info.clone()
+            },
             reachability: session.reachability(now),
             running,
             ended: session.ended.clone(),
@@ -333,7 +328,7 @@
             return true;
         }
         session.recorded = session.recorded.max(directive.recorded);
-        let draining = session.facts.info.draining;
+        let draining = session.draining();
         for key in directive.stop {
             self.enqueue_stop(now, key);
         }
@@ -349,9 +344,7 @@
     /// Returns whether the worker is shutting down and accepts no new runs.
     #[must_use]
     pub fn draining(&self) -> bool {
-        self.session
-            .as_ref()
-            .is_some_and(|session| session.facts.info.draining)
+        self.session.as_ref().is_some_and(Session::draining)
     }
 }
 
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -62,7 +62,7 @@
             return Vec::new();
         };
         let deadline = session.clock(now).saturating_add(millis(START_TTL));
-        let draining = session.facts.info.draining;
+        let draining = session.draining();
         let mut calls = Vec::new();
         for (key, pending) in &mut self.pending {
             if !pending.due(now) || (draining && matches!(pending.operation, Operation::Start(_))) {
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -8,6 +8,10 @@
 //!
 //! Until then the current worker is polled, renewed and stopped as before. If it answers a poll that was sent after the
 //! other one registered, that registration is dropped.
+//!
+//! A worker that deregisters gets no new runs, but is the host's worker until its address refuses connections or answers
+//! as another incarnation, or its lease has expired. The message may be late, and its sender goes on for some seconds if
+//! the acknowledgement is lost.
 
 use super::candidate::Candidate;
 use super::session::{Facts, Registration, RunLists, Session};
@@ -19,6 +23,9 @@
 /// Minimum time between two probes, which limits the calls that registrations of other writers cause.
 const MIN_PROBE_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Pause between two probes of a worker that has deregistered. It usually ends at once, and its runs with it.
+const LEAVING_PROBE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Effect of a registration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Registered {
@@ -63,6 +70,8 @@
         /// The worker that it replaces.
         previous: Option<Incarnation>,
     },
+    /// The worker, which had deregistered, is gone.
+    Left(Incarnation),
 }
 
 impl Agent {
@@ -76,13 +85,28 @@
         if let Some(session) = &mut self.session
             && session.incarnation() == &registration.info.incarnation
         {
-            session.facts.register(registration);
+            session.register(now, registration);
             return Registered::Current;
         }
         let new = self.candidates.register(now, registration, address);
         Registered::Candidate { new }
     }
 
+    /// Processes the deregistration of a worker. Returns whether it has the name of the current one, which then gets no
+    /// new runs and is probed until its end shows.
+    pub fn deregister(&mut self, now: Duration, worker: &str) -> bool {
+        let Some(session) = self
+            .session
+            .as_mut()
+            .filter(|session| &*session.incarnation().worker == worker)
+        else {
+            return false;
+        };
+        session.leaving_since = Some(now);
+        session.probe_at = Some(now);
+        true
+    }
+
     /// Returns the next probe, if one is due. At most one probe is to be in flight.
     pub fn due_probe(&mut self, now: Duration) -> Option<Probe> {
         let allowed = self
@@ -168,14 +192,21 @@
         requested: Duration,
         contact: &Contact,
     ) -> Transition {
-        if let Some(session) = &mut self.session {
-            session.probe_at = None;
-        }
-        if matches!(contact, Contact::Lists(_)) {
-            self.refute_candidates(requested);
+        let Some(session) = &mut self.session else {
             return Transition::Unchanged;
+        };
+        let transition = if matches!(contact, Contact::Lists(_)) {
+            session.answered(requested);
+            self.refute_candidates(requested);
+            Transition::Unchanged
+        } else {
+            self.note_absence(now, contact)
+        };
+        if let Some(session) = &mut self.session {
+            let leaving = session.leaving_since.is_some();
+            session.probe_at = leaving.then_some(now + LEAVING_PROBE_INTERVAL);
         }
-        self.note_absence(now, contact)
+        transition
     }
 
     /// Returns whether a probed incarnation that answered is the host's worker.
@@ -187,9 +218,7 @@
         // With equal names only the start in the answer tells the two apart.
         let identified = incarnation.worker != session.incarnation().worker
             || lists.started_ms == Some(incarnation.started_ms);
-        let gone = probe.address == session.address
-            || session.absent
-            || (session.is_unreachable() && session.has_lease_expired(now));
+        let gone = probe.address == session.address || session.absent || session.is_gone(now);
         identified && gone
     }
 
@@ -230,12 +259,32 @@
         std::mem::take(&mut self.refuted)
     }
 
-    /// Processes a failed poll of the current worker.
+    /// Processes a failed poll or probe of the current worker.
     pub(super) fn note_absence(&mut self, now: Duration, contact: &Contact) -> Transition {
-        if let Some(session) = &mut self.session {
-            session.absent |= matches!(contact, Contact::OtherLife | Contact::Refused);
-        }
         self.candidates.expedite(now);
-        Transition::Unchanged
+        let Some(session) = &mut self.session else {
+            return Transition::Unchanged;
+        };
+        session.absent |= matches!(contact, Contact::OtherLife | Contact::Refused);
+        if session.leaving_since.is_none() {
+            return Transition::Unchanged;
+        }
+        session.probe_at = Some(now);
+        if session.absent || session.is_gone(now) {
+            self.leave(now)
+        } else {
+            Transition::Unchanged
+        }
+    }
+
+    /// Ends the session of a worker that has deregistered and is gone.
+    fn leave(&mut self, now: Duration) -> Transition {
+        let Some(session) = self.session.take() else {
+            return Transition::Unchanged;
+        };
+        let incarnation = session.incarnation().clone();
+        self.deregistered = Some((now, incarnation.clone()));
+        self.clear_calls();
+        Transition::Left(incarnation)
     }
 }
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -10,6 +10,10 @@
 /// Number of consecutive unanswered polls after which a worker counts as unreachable.
 const UNREACHABLE_AFTER: u32 = 2;
 
+/// Time after its sending for which a worker waits for the acknowledgement of a heartbeat. Later ones were sent after a
+/// deregistration.
+const HEARTBEAT_DELAY: Duration = Duration::from_secs(1);
+
 /// A registration or heartbeat of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
@@ -87,6 +91,11 @@
     /// Whether, since the worker's last answer, its address has refused a connection or answered as another
     /// incarnation.
     pub absent: bool,
+    /// When a deregistration under the worker's name last arrived. It shows that the worker ends soon, or came late
+    /// from an earlier incarnation.
+    pub leaving_since: Option<Duration>,
+    /// Sending time of the newest poll or probe that the worker answered.
+    last_answered: Duration,
     /// When the worker is probed next, in addition to the regular polls.
     pub probe_at: Option<Duration>,
     /// When the worker's clock was last read, and its value in milliseconds.
@@ -106,6 +115,8 @@
             recorded: 0,
             failed_polls: 0,
             absent: false,
+            leaving_since: None,
+            last_answered: Duration::ZERO,
             probe_at: None,
             clock_reading: (now, lists.clock),
             lease_end: 0,
@@ -116,6 +127,25 @@
         self.facts.incarnation()
     }
 
+    /// Applies a registration of the worker, which may show that a deregistration was not meant for it.
+    pub fn register(&mut self, now: Duration, registration: Registration) {
+        self.facts.register(registration);
+        let (draining, answered) = (self.facts.info.draining, self.last_answered);
+        self.leaving_since
+            .take_if(|since| !draining && answered > *since && now >= *since + HEARTBEAT_DELAY);
+    }
+
+    /// Returns whether the worker gets no new runs, because it drains or has deregistered.
+    pub const fn draining(&self) -> bool {
+        self.facts.info.draining || self.leaving_since.is_some()
+    }
+
+    /// Records that the worker answered a poll or probe that was sent at this time.
+    pub fn answered(&mut self, requested: Duration) {
+        self.last_answered = self.last_answered.max(requested);
+        self.absent = false;
+    }
+
     /// Estimates the time on the worker's clock; at most slightly behind its true value.
     pub fn clock(&self, now: Duration) -> u64 {
         let (read_at, clock) = self.clock_reading;
@@ -132,20 +162,25 @@
         self.failed_polls >= UNREACHABLE_AFTER
     }
 
+    /// Returns whether the worker does not answer and nothing runs there any more.
+    pub fn is_gone(&self, now: Duration) -> bool {
+        self.is_unreachable() && self.has_lease_expired(now)
+    }
+
     /// Returns whether the worker can be reached.
     pub fn reachability(&self, now: Duration) -> Reachability {
-        if !self.is_unreachable() {
-            Reachability::Reachable
-        } else if self.has_lease_expired(now) {
+        if self.is_gone(now) {
             Reachability::LeaseExpired
-        } else {
+        } else if self.is_unreachable() {
             Reachability::Unreachable
+        } else {
+            Reachability::Reachable
         }
     }
 
     /// Returns whether the lease has certainly expired, given the maximum clock drift since the worker's clock was
     /// read.
-    pub fn has_lease_expired(&self, now: Duration) -> bool {
+    fn has_lease_expired(&self, now: Duration) -> bool {
         let (read_at, clock) = self.clock_reading;
         let elapsed = now
             .saturating_sub(read_at)
@@ -165,7 +200,6 @@
             || runs(&self.running) != runs(&lists.running)
             || self.ended != lists.ended;
         self.failed_polls = 0;
-        self.absent = false;
         self.clock_reading = (now, lists.clock);
         self.running = lists.running;
         self.ended = lists.ended;
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -95,14 +95,6 @@
         self.settings.pool.as_deref().is_none_or(|own| own == pool)
     }
 
-    /// Deregisters the worker, which is shutting down.
-    pub fn deregister(&self, worker: &str) {
-        let now = self.clock.now();
-        let current = self.state_machine.borrow_mut().deregister(now, worker);
-        tracing::info!(worker, current, "worker deregistered");
-        self.report_changes.notify();
-    }
-
     /// Runs the agent's tasks until it is dropped.
     pub async fn run(self: Rc<Self>)
     where
@@ -262,11 +254,12 @@
             failure => {
                 tracing::warn!(worker = %request.incarnation, ?failure, "worker did not answer");
                 metrics::counter!("godwitstep_worker_failures_total").increment(1);
-                self.state_machine.borrow_mut().poll_failed(
+                let transition = self.state_machine.borrow_mut().poll_failed(
                     now,
                     &request.incarnation,
                     &Contact::from(failure),
                 );
+                self.on_transition(&transition, &worker);
                 self.report_changes.notify();
                 self.work_changes.notify();
                 Timer::after(POLL_RETRY_DELAY).await;
--- a/crates/godwitstep/src/batch/agent/replacement.rs
+++ b/crates/godwitstep/src/batch/agent/replacement.rs
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Processes the deregistration of a worker, which is shutting down.
+    pub fn deregister(&self, worker: &str) {
+        let now = self.clock.now();
+        let current = self.state_machine.borrow_mut().deregister(now, worker);
+        tracing::info!(worker, current, "worker deregistered");
+        self.report_changes.notify();
+        self.work_changes.notify();
+    }
+
     /// Returns whether to log an event that other writers' registrations can cause at any rate.
     fn may_log_candidate(&self, now: Duration) -> bool {
         let last = self.candidate_logged_at.get();
@@ -89,16 +98,28 @@
                 .borrow_mut()
                 .probe_answered(now, sent, probe, Contact::from(result));
         self.log_refuted(now);
-        if let Transition::Started { previous } = transition {
-            self.log_started(probe, previous.as_ref());
-            *self.worker.borrow_mut() = Some(worker);
-            self.worker_changes.notify();
-            self.report_changes.notify();
-            self.work_changes.notify();
+        self.on_transition(&transition, &worker);
+    }
+
+    /// Adopts the worker that has taken over, or forgets one that is gone.
+    pub(super) fn on_transition(&self, transition: &Transition, answered: &Rc<W>) {
+        match transition {
+            Transition::Unchanged => return,
+            Transition::Started { previous } => {
+                self.log_started(previous.as_ref());
+                *self.worker.borrow_mut() = Some(answered.clone());
+            }
+            Transition::Left(incarnation) => {
+                tracing::info!(worker = %incarnation, "worker left");
+                *self.worker.borrow_mut() = None;
+            }
         }
+        self.worker_changes.notify();
+        self.report_changes.notify();
+        self.work_changes.notify();
     }
 
-    fn log_started(&self, probe: &Probe, previous: Option<&Incarnation>) {
+    fn log_started(&self, previous: Option<&Incarnation>) {
         let state_machine = self.state_machine.borrow();
         let Some(info) = state_machine.worker_info() else {
             return;
@@ -111,7 +132,7 @@
         } = info.capacity;
         let draining = info.draining;
         let previous = previous.map(ToString::to_string);
-        tracing::info!(worker = %info.incarnation, previous, address = %probe.address, draining, labels, cpu, memory, accelerators, "worker registered");
+        tracing::info!(worker = %info.incarnation, previous, draining, labels, cpu, memory, accelerators, "worker registered");
     }
 
     /// Logs the incarnations whose registrations were dropped, because the current worker answered.
