fix: count the lease that an earlier process of the agent may have requested

Evidence: the_lease_that_an_earlier_process_of_the_agent_requested_counts failed with left: LeaseExpired, right: Unreachable.

Change: the first reading of a worker's clock counts as a request of the longest lease that agents request, from then. An earlier process requested none that ends later, since it sent its requests before.

--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -242,7 +242,8 @@
             self.deregistered = Some((now, previous.clone()));
         }
         self.clear_calls();
-        self.session = Some(Session::new(now, facts, address, lists));
+        let lease = self.bounds.worker_lease();
+        self.session = Some(Session::new(now, facts, address, lists, lease));
         self.refute_candidates(requested);
         Transition::Started { previous }
     }
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -105,8 +105,15 @@
 }
 
 impl Session {
-    /// Returns the session of a worker that has answered a poll.
-    pub fn new(now: Duration, facts: Facts, address: SocketAddr, lists: RunLists) -> Self {
+    /// Returns the session of a worker that has answered a poll. An earlier process of the agent may have requested a
+    /// lease that ends after `lease` from then.
+    pub fn new(
+        now: Duration,
+        facts: Facts,
+        address: SocketAddr,
+        lists: RunLists,
+        lease: Duration,
+    ) -> Self {
         Self {
             facts,
             address,
@@ -119,7 +126,7 @@
             last_answered: Duration::ZERO,
             probe_at: None,
             clock_reading: (now, lists.clock),
-            lease_end: 0,
+            lease_end: lists.clock.saturating_add(super::millis(lease)),
         }
     }
 
