fix: confirm a refused start by a stop soon after the agent has started

A task could run twice after a restart of the agent: a worker that refused a start (unhealthy, no room, malformed) settled it as never begun, though a start of the same run that the agent's earlier process had sent could still be executed.

Change: for the time to live of a start after the agent's process started, and the delivery allowance for the worker's slow clock, a refusal is treated like one after a lost answer: a stop and a later poll settle it.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -12,7 +12,7 @@
 //! use godwitstep_batch::{agent::Agent, bounds::Bounds};
 //! use std::time::Duration;
 //!
-//! let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+//! let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
 //! assert!(agent.lease_request(Duration::ZERO).is_none(), "no worker is known");
 //! let report = agent.report(Duration::ZERO, false);
 //! assert_eq!(report.sequence, 1);
@@ -69,6 +69,8 @@
 /// State machine of an agent.
 #[derive(Debug)]
 pub struct Agent {
+    /// When the agent's process started. Calls of an earlier process may be executed after it.
+    started_at: Duration,
     host: Host,
     incarnation: u64,
     bounds: Bounds,
@@ -94,10 +96,11 @@
 }
 
 impl Agent {
-    /// Creates an agent without a worker.
+    /// Creates an agent without a worker. Its process starts at `now`.
     #[must_use]
-    pub const fn new(host: Host, incarnation: u64, bounds: Bounds) -> Self {
+    pub const fn new(now: Duration, host: Host, incarnation: u64, bounds: Bounds) -> Self {
         Self {
+            started_at: now,
             host,
             incarnation,
             bounds,
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -2,9 +2,14 @@
 
 use super::call::{Answer, Call, Operation, Pending, Resolution};
 use super::{Agent, RunKey, START_TTL, millis};
+use crate::bounds::DELIVERY_ALLOWANCE;
 use crate::message::{Refusal, Refused, Start};
 use std::time::Duration;
 
+/// Time after the start of the agent's process within which the worker may execute a start that an earlier process sent:
+/// its time to live on the worker's clock, which may be slow and was estimated.
+const PREDECESSOR_START_TIME: Duration = START_TTL.saturating_add(DELIVERY_ALLOWANCE);
+
 impl Agent {
     pub(super) fn enqueue_start(&mut self, expires: Duration, start: Start) {
         let key = (start.task, start.run);
@@ -134,14 +139,14 @@
         true
     }
 
-    /// Processes the refusal of a start. If an earlier call of the same start may still be executed, a stop has to
-    /// rule that out first.
+    /// Processes the refusal of a start. If an earlier call of the same start may still be executed, by this process of
+    /// the agent or the one before, a stop has to rule that out first.
     fn settle_refused(&mut self, now: Duration, key: RunKey, reason: Refusal) -> bool {
-        let in_doubt = self
+        let unanswered = self
             .pending
             .remove(&key)
             .is_some_and(|pending| pending.unanswered);
-        if in_doubt {
+        if unanswered || now < self.started_at + PREDECESSOR_START_TIME {
             self.pending
                 .insert(key, Pending::new(Operation::Stop(reason), Duration::MAX));
             return false;
--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -46,7 +46,7 @@
 
 /// Returns an agent whose worker has registered and was polled at time zero.
 fn agent() -> Agent {
-    let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
     deliver(&mut agent, Duration::ZERO, Directive::default());
     start_worker(&mut agent, Duration::ZERO, 1);
     poll(&mut agent, Duration::ZERO, lists(&[], &[]));
@@ -175,21 +175,22 @@
 /// Guards against a start that is reported as refused while an earlier call of it may still be executed.
 #[test]
 fn a_refusal_after_a_lost_answer_is_confirmed_by_a_stop() {
+    // Late enough that no call of an earlier process of the agent matters.
     let mut agent = agent();
-    deliver(&mut agent, millis(10), start_directive(1));
-    let call = single_call(agent.due_calls(millis(10)));
-    agent.call_answered(millis(500), &call, Answer::Unanswered);
-    deliver(&mut agent, millis(600), start_directive(1));
-    let retry = single_call(agent.due_calls(millis(600)));
-    agent.call_answered(millis(610), &retry, Answer::Unhealthy);
-    assert_eq!(reported_refusals(&mut agent, millis(610)), []);
-    let stop = single_call(agent.due_calls(millis(620)));
+    deliver(&mut agent, millis(10_010), start_directive(1));
+    let call = single_call(agent.due_calls(millis(10_010)));
+    agent.call_answered(millis(10_500), &call, Answer::Unanswered);
+    deliver(&mut agent, millis(10_600), start_directive(1));
+    let retry = single_call(agent.due_calls(millis(10_600)));
+    agent.call_answered(millis(10_610), &retry, Answer::Unhealthy);
+    assert_eq!(reported_refusals(&mut agent, millis(10_610)), []);
+    let stop = single_call(agent.due_calls(millis(10_620)));
     assert!(matches!(stop.operation, Operation::Stop(_)));
-    agent.call_answered(millis(630), &stop, Answer::Accepted);
-    assert_eq!(reported_refusals(&mut agent, millis(630)), []);
-    poll(&mut agent, millis(640), lists(&[], &[]));
+    agent.call_answered(millis(10_630), &stop, Answer::Accepted);
+    assert_eq!(reported_refusals(&mut agent, millis(10_630)), []);
+    poll(&mut agent, millis(10_640), lists(&[], &[]));
     assert_eq!(
-        reported_refusals(&mut agent, millis(640)),
+        reported_refusals(&mut agent, millis(10_640)),
         [Refusal::Unhealthy]
     );
 }
@@ -292,7 +293,7 @@
 /// counts as expired.
 #[test]
 fn a_new_agent_renews_no_lease_before_a_decider_has_answered() {
-    let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
     register(&mut agent, Duration::ZERO, registration(1, 1));
     assert!(agent.lease_request(Duration::ZERO).is_none());
     assert!(agent.due_probe(Duration::ZERO).is_none());
--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -96,7 +96,7 @@
 
 /// Returns an agent whose worker, started at 50, has one active run and deregistered after 100 ms.
 fn leaving_agent() -> Agent {
-    let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
     deliver(&mut agent, Duration::ZERO);
     register(&mut agent, Duration::ZERO, 50, false);
     answer_probe(&mut agent, Duration::ZERO, Contact::Lists(lists(50)));
--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -131,7 +131,7 @@
 
 /// Returns an agent that knows a decider but no worker.
 fn new_agent() -> Agent {
-    let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
     deliver(&mut agent, Duration::ZERO);
     agent
 }
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -66,7 +66,8 @@
     ) -> Rc<Self> {
         let incarnation = wall_millis(&*clock);
         let bounds = settings.bounds.bounds();
-        let state_machine = state_machine::Agent::new(settings.host.clone(), incarnation, bounds);
+        let state_machine =
+            state_machine::Agent::new(clock.now(), settings.host.clone(), incarnation, bounds);
         let decider = DeciderConnection::new(&settings);
         Rc::new(Self {
             log,
