fix: settle a run by its absence only from a complete list of ends

A task whose run had ended could be started again: a stopped run that a later poll listed neither as active nor as ended counted as never begun, but a worker lists at most 500 ends at a time, the oldest first.

Evidence: an_end_that_is_not_listed_yet_settles_nothing failed with left: [Withdrawn], right: [].

Change: the answer to a poll says whether the list of ends may be truncated, and such a list settles no run by absence.

Tests: an_end_that_is_not_listed_yet_settles_nothing marks its list of 500 ends as truncated, as the platform's client does.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -6,7 +6,7 @@
 //!
 //! * A start carries a deadline of [`START_TTL`] on the worker's clock, after which the worker rejects it.
 //! * A run counts as never begun only after the worker has answered a stop of it (or refused the only call
-//!   to start it) and a poll that was sent later lists neither the run nor its end.
+//!   to start it) and a poll that was sent later lists neither the run nor its end, but all other ends.
 //!
 //! ```
 //! use godwitstep_batch::{agent::Agent, bounds::Bounds};
@@ -211,6 +211,7 @@
             return false;
         };
         session.answered(requested);
+        let truncated = lists.truncated;
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
@@ -222,7 +223,7 @@
                 // is listed.
                 return resolution.refusal.is_some();
             }
-            if requested < resolution.since {
+            if truncated || requested < resolution.since {
                 return true;
             }
             resolved.extend(resolution.refusal.map(|reason| (*key, reason)));
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -34,6 +34,8 @@
     pub running: Vec<Running>,
     /// Ended runs that the worker has not forgotten, ordered by sequence number.
     pub ended: Vec<Ended>,
+    /// Whether the worker may have more ended runs than it lists at a time.
+    pub truncated: bool,
 }
 
 /// Properties of one incarnation of the worker, from its registrations.
