--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -6,30 +6,35 @@
 //!
 //! * A start carries a deadline of [`START_TTL`] on the worker's clock, after which the worker rejects it.
 //! * A run counts as never begun only after the worker has answered a stop of it (or refused the only call
-//!   to start it) and a poll that was sent later lists neither the run nor its end.
+//!   to start it) and a poll that was sent later lists neither the run nor its end, but all other ends.
 //!
 //! ```
 //! use godwitstep_batch::{agent::Agent, bounds::Bounds};
 //! use std::time::Duration;
 //!
-//! let mut agent = Agent::new("host-1".into(), 1, Bounds::default());
+//! let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
 //! assert!(agent.lease_request(Duration::ZERO).is_none(), "no worker is known");
 //! let report = agent.report(Duration::ZERO, false);
 //! assert_eq!(report.sequence, 1);
 //! ```
 
 mod call;
+mod candidate;
+mod order;
+mod replacement;
 mod search;
 mod session;
 
 pub use call::{Answer, Call, Operation};
+pub use replacement::{Contact, Probe, Registered, Transition};
 pub use search::DeciderSearch;
 pub use session::{Registration, RunLists};
 
 use crate::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
 use crate::id::{Epoch, Host, Incarnation, Run, Task};
-use crate::message::{Directive, Refusal, Refused, Report, Running, Start, Worker};
+use crate::message::{Directive, Refused, Report, Running, Worker, WorkerInfo};
 use call::{Pending, Resolution};
+use candidate::Candidates;
 use session::Session;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -64,6 +69,8 @@
 /// State machine of an agent.
 #[derive(Debug)]
 pub struct Agent {
+    /// When the agent's process started. Calls of an earlier process may be executed after it.
+    started_at: Duration,
     host: Host,
     incarnation: u64,
     bounds: Bounds,
@@ -73,8 +80,14 @@
     /// Sending time of the newest report that a decider answered.
     last_answered: Option<Duration>,
     epoch: Epoch,
+    /// The host's worker, once it has answered a poll.
     session: Option<Session>,
-    /// When the last worker deregistered, and its incarnation.
+    candidates: Candidates,
+    /// Incarnations whose registrations were dropped, because the current worker answered.
+    refuted: Vec<Incarnation>,
+    /// When the last probe was sent.
+    last_probe: Option<Duration>,
+    /// When the last worker deregistered or was replaced by one with another name, and its incarnation.
     deregistered: Option<(Duration, Incarnation)>,
     pending: BTreeMap<RunKey, Pending>,
     /// Runs whose call was answered and whose state is determined by the next poll.
@@ -83,10 +96,11 @@
 }
 
 impl Agent {
-    /// Creates an agent without a worker.
+    /// Creates an agent without a worker. Its process starts at `now`.
     #[must_use]
-    pub const fn new(host: Host, incarnation: u64, bounds: Bounds) -> Self {
+    pub const fn new(now: Duration, host: Host, incarnation: u64, bounds: Bounds) -> Self {
         Self {
+            started_at: now,
             host,
             incarnation,
             bounds,
@@ -95,6 +109,9 @@
             last_answered: None,
             epoch: 0,
             session: None,
+            candidates: Candidates::new(),
+            refuted: Vec::new(),
+            last_probe: None,
             deregistered: None,
             pending: BTreeMap::new(),
             resolving: BTreeMap::new(),
@@ -102,44 +119,6 @@
         }
     }
 
-    /// Processes a registration of the worker. Returns whether it starts a new incarnation.
-    pub fn register(&mut self, registration: Registration) -> bool {
-        if let Some(session) = &mut self.session {
-            if session.info.incarnation == registration.info.incarnation {
-                session.refresh(registration);
-                return false;
-            }
-            if registration.info.incarnation.started_ms < session.info.incarnation.started_ms {
-                return false;
-            }
-        }
-        let has_deregistered = self
-            .deregistered
-            .as_ref()
-            .is_some_and(|(_, incarnation)| *incarnation == registration.info.incarnation);
-        if has_deregistered {
-            return false;
-        }
-        self.session = Some(Session::new(registration));
-        self.clear_calls();
-        true
-    }
-
-    /// Processes the deregistration of a worker. Returns whether it was the current incarnation.
-    pub fn deregister(&mut self, now: Duration, worker: &str) -> bool {
-        match self.session.take() {
-            Some(session) if &*session.info.incarnation.worker == worker => {
-                self.deregistered = Some((now, session.info.incarnation));
-                self.clear_calls();
-                true
-            }
-            other => {
-                self.session = other;
-                false
-            }
-        }
-    }
-
     fn clear_calls(&mut self) {
         self.pending.clear();
         self.resolving.clear();
@@ -149,9 +128,13 @@
     /// Returns the current incarnation of the worker.
     #[must_use]
     pub fn incarnation(&self) -> Option<&Incarnation> {
-        self.session
-            .as_ref()
-            .map(|session| &session.info.incarnation)
+        self.session.as_ref().map(Session::incarnation)
+    }
+
+    /// Returns the properties of the current worker.
+    #[must_use]
+    pub fn worker_info(&self) -> Option<&WorkerInfo> {
+        self.session.as_ref().map(|session| &session.facts.info)
     }
 
     /// Returns the highest epoch that the agent has received.
@@ -197,11 +180,13 @@
             return None;
         }
         let session = self.session.as_mut()?;
-        let deadline = renew.then(|| session.clock(now)).flatten();
-        let deadline = deadline.map(|clock| clock + millis(lease));
+        // The lease of a worker that may be gone is left to expire, as the last evidence that it is.
+        let doubted = session.leaving_since.is_some() || !self.candidates.is_empty();
+        let renew = renew && !(doubted && session.is_unreachable());
+        let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
-            incarnation: session.info.incarnation.clone(),
+            incarnation: session.incarnation().clone(),
             epoch,
             recorded: session.recorded,
             deadline,
@@ -221,10 +206,12 @@
         let Some(session) = self
             .session
             .as_mut()
-            .filter(|session| session.info.incarnation == *incarnation)
+            .filter(|session| session.incarnation() == incarnation)
         else {
             return false;
         };
+        session.answered(requested);
+        let truncated = lists.truncated;
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
@@ -236,7 +223,7 @@
                 // is listed.
                 return resolution.refusal.is_some();
             }
-            if requested < resolution.since {
+            if truncated || requested < resolution.since {
                 return true;
             }
             resolved.extend(resolution.refusal.map(|reason| (*key, reason)));
@@ -246,18 +233,26 @@
         for ((task, run), reason) in resolved {
             self.refused.push((now, Refused { task, run, reason }));
         }
+        self.refute_candidates(requested);
         changed
     }
 
-    /// Records that the worker did not answer a lease request.
-    pub fn poll_failed(&mut self, incarnation: &Incarnation) {
-        if let Some(session) = self
+    /// Records that the worker did not answer a lease request with its lists.
+    pub fn poll_failed(
+        &mut self,
+        now: Duration,
+        incarnation: &Incarnation,
+        contact: &Contact,
+    ) -> Transition {
+        let Some(session) = self
             .session
             .as_mut()
-            .filter(|session| session.info.incarnation == *incarnation)
-        {
-            session.failed_polls += 1;
-        }
+            .filter(|session| session.incarnation() == incarnation)
+        else {
+            return Transition::Unchanged;
+        };
+        session.failed_polls += 1;
+        self.note_absence(now, contact)
     }
 
     /// Creates the next report.
@@ -301,7 +296,10 @@
             percent: 0,
         }));
         Worker {
-            info: session.info.clone(),
+            info: WorkerInfo {
+                draining: session.draining(),
+                ..session.facts.info.clone()
+            },
             reachability: session.reachability(now),
             running,
             ended: session.ended.clone(),
@@ -331,11 +329,11 @@
         let Some(session) = &mut self.session else {
             return true;
         };
-        if directive.incarnation.as_ref() != Some(&session.info.incarnation) {
+        if directive.incarnation.as_ref() != Some(session.incarnation()) {
             return true;
         }
         session.recorded = session.recorded.max(directive.recorded);
-        let draining = session.info.draining;
+        let draining = session.draining();
         for key in directive.stop {
             self.enqueue_stop(now, key);
         }
@@ -348,160 +346,10 @@
         true
     }
 
-    fn enqueue_start(&mut self, expires: Duration, start: Start) {
-        let key = (start.task, start.run);
-        let known = self.resolving.contains_key(&key)
-            || self
-                .session
-                .as_ref()
-                .is_some_and(|session| session.lists_active(&key) || session.lists_ended(&key));
-        if known
-            || self
-                .refused
-                .iter()
-                .any(|(_, refused)| (refused.task, refused.run) == key)
-        {
-            return;
-        }
-        self.pending
-            .entry(key)
-            .or_insert_with(|| Pending::new(Operation::Start(start), expires))
-            .extend(expires);
-    }
-
-    fn enqueue_stop(&mut self, now: Duration, key: RunKey) {
-        let session = self.session.as_ref();
-        if session.is_some_and(|session| session.lists_ended(&key)) {
-            return;
-        }
-        let active = session.is_some_and(|session| session.lists_active(&key));
-        let stopping = self.resolving.get(&key).is_some_and(|resolution| {
-            let overdue = resolution.since + self.bounds.max_stop_time * 2 < now;
-            resolution.refusal.is_some() && !(active && overdue)
-        });
-        if stopping
-            || self
-                .refused
-                .iter()
-                .any(|(_, refused)| (refused.task, refused.run) == key)
-        {
-            return;
-        }
-        let unanswered = match self.pending.get(&key) {
-            Some(pending) if matches!(pending.operation, Operation::Stop(_)) => return,
-            Some(pending) => pending.in_doubt(),
-            None => true,
-        };
-        let mut stop = Pending::new(Operation::Stop(Refusal::Withdrawn), Duration::MAX);
-        stop.unanswered = unanswered;
-        self.pending.insert(key, stop);
-    }
-
-    /// Returns the calls that are due and marks them as in flight.
-    pub fn due_calls(&mut self, now: Duration) -> Vec<Call> {
-        let epoch = self.epoch;
-        let Some(session) = &mut self.session else {
-            return Vec::new();
-        };
-        let Some(clock) = session.clock(now) else {
-            return Vec::new();
-        };
-        let deadline = clock + millis(START_TTL);
-        let draining = session.info.draining;
-        let mut calls = Vec::new();
-        for (key, pending) in &mut self.pending {
-            if !pending.due(now) || (draining && matches!(pending.operation, Operation::Start(_))) {
-                continue;
-            }
-            pending.mark_in_flight();
-            calls.push(Call {
-                incarnation: session.info.incarnation.clone(),
-                key: *key,
-                epoch,
-                operation: pending.operation.clone(),
-                deadline,
-            });
-        }
-        if !calls.is_empty() {
-            session.extend_lease(Some(deadline));
-        }
-        calls
-    }
-
-    /// Returns the time of the earliest scheduled retry.
-    #[must_use]
-    pub fn next_retry(&self) -> Option<Duration> {
-        self.pending.values().filter_map(Pending::retry_at).min()
-    }
-
-    /// Processes the answer to a call. Returns whether to send a report at once.
-    pub fn call_answered(&mut self, now: Duration, call: &Call, answer: Answer) -> bool {
-        if self.incarnation() != Some(&call.incarnation) {
-            return false;
-        }
-        let Some(pending) = self.pending.get_mut(&call.key) else {
-            return false;
-        };
-        if !pending.matches(&call.operation) {
-            // The order was replaced while the call was in flight.
-            return false;
-        }
-        let resolution = match (answer, &pending.operation) {
-            (Answer::Unanswered, _) => {
-                pending.retry(now, true);
-                return false;
-            }
-            (Answer::Late, Operation::Start(_)) | (Answer::Unhealthy, Operation::Stop(_)) => {
-                pending.retry(now, false);
-                return false;
-            }
-            (Answer::Fenced | Answer::OtherLife, _) => None,
-            (Answer::Accepted, Operation::Start(_)) => Some(Resolution::begun(now)),
-            (Answer::Superseded, Operation::Start(_)) => {
-                Some(Resolution::stopped(now, Refusal::Superseded))
-            }
-            (Answer::Unhealthy, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::Unhealthy);
-            }
-            (Answer::Room, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::InsufficientCapacity);
-            }
-            (Answer::Malformed, Operation::Start(_)) => {
-                return self.settle_refused(now, call.key, Refusal::Malformed);
-            }
-            (_, Operation::Stop(reason)) => Some(Resolution::stopped(now, *reason)),
-        };
-        self.pending.remove(&call.key);
-        let Some(resolution) = resolution else {
-            return false;
-        };
-        self.resolving.insert(call.key, resolution);
-        true
-    }
-
-    /// Processes the refusal of a start. If an earlier call of the same start may still be executed, a stop has to
-    /// rule that out first.
-    fn settle_refused(&mut self, now: Duration, key: RunKey, reason: Refusal) -> bool {
-        let in_doubt = self
-            .pending
-            .remove(&key)
-            .is_some_and(|pending| pending.unanswered);
-        if in_doubt {
-            self.pending
-                .insert(key, Pending::new(Operation::Stop(reason), Duration::MAX));
-            return false;
-        }
-        let (task, run) = key;
-        self.refused.push((now, Refused { task, run, reason }));
-        true
-    }
-
     /// Returns whether the worker is shutting down and accepts no new runs.
     #[must_use]
     pub fn draining(&self) -> bool {
-        self.session
-            .as_ref()
-            .is_some_and(|session| session.info.draining)
+        self.session.as_ref().is_some_and(Session::draining)
     }
 }
 
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -1,19 +1,25 @@
-//! An agent's view of the current incarnation of its worker: its clock, its lease and its runs.
+//! An agent's view of its worker: the worker's properties, clock, lease and runs.
 
 use super::RunKey;
 use crate::bounds::WORKER_CLOCK_DRIFT;
+use crate::id::Incarnation;
 use crate::message::{Ended, Reachability, Running, WorkerInfo};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Number of consecutive unanswered polls after which a worker counts as unreachable.
 const UNREACHABLE_AFTER: u32 = 2;
 
+/// Time after its sending for which a worker waits for the acknowledgement of a heartbeat. Later ones were sent after a
+/// deregistration.
+const HEARTBEAT_DELAY: Duration = Duration::from_secs(1);
+
 /// A registration or heartbeat of a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Registration {
     /// Properties of the worker.
     pub info: WorkerInfo,
-    /// Sequence number, increasing within an incarnation; older registrations are ignored.
+    /// Sequence number, increasing within an incarnation; for the log only.
     pub sequence: u64,
 }
 
@@ -22,62 +28,137 @@
 pub struct RunLists {
     /// The worker's clock in milliseconds.
     pub clock: u64,
+    /// Start of the worker in Unix milliseconds, if the answer names it.
+    pub started_ms: Option<u64>,
     /// Active runs.
     pub running: Vec<Running>,
     /// Ended runs that the worker has not forgotten, ordered by sequence number.
     pub ended: Vec<Ended>,
+    /// Whether the worker may have more ended runs than it lists at a time.
+    pub truncated: bool,
 }
 
-/// State of one incarnation of the worker.
+/// Properties of one incarnation of the worker, from its registrations.
+///
+/// They don't change within an incarnation, except that it may begin to drain. A registration of another writer is
+/// therefore told from the worker's own by its properties, not by its sequence number, which may be of any size.
 #[derive(Debug)]
-pub(super) struct Session {
+pub(super) struct Facts {
     pub info: WorkerInfo,
-    /// Sequence number of the registration from which `info` was taken.
-    sequence: u64,
+    /// Properties in the last registration that differ from `info`; they apply once the next registration has the same.
+    unconfirmed: Option<WorkerInfo>,
+}
+
+impl Facts {
+    pub fn new(registration: Registration) -> Self {
+        Self {
+            info: registration.info,
+            unconfirmed: None,
+        }
+    }
+
+    pub const fn incarnation(&self) -> &Incarnation {
+        &self.info.incarnation
+    }
+
+    /// Applies a registration of the same incarnation. Draining never ends within an incarnation, so each
+    /// registration that says so counts, even a late one.
+    pub fn register(&mut self, registration: Registration) {
+        let mut info = registration.info;
+        info.draining |= self.info.draining;
+        self.info.draining = info.draining;
+        if self.info == info {
+            self.unconfirmed = None;
+        } else if self.unconfirmed.as_ref() == Some(&info) {
+            self.info = info;
+            self.unconfirmed = None;
+        } else {
+            self.unconfirmed = Some(info);
+        }
+    }
+}
+
+/// State of the incarnation of the worker that has answered.
+#[derive(Debug)]
+pub(super) struct Session {
+    pub facts: Facts,
+    /// Address at which the worker answered first.
+    pub address: SocketAddr,
     pub running: Vec<Running>,
     pub ended: Vec<Ended>,
     /// Highest sequence number up to which all ends are recorded.
     pub recorded: u64,
-    /// Whether a poll has been answered.
-    pub polled: bool,
     /// Number of consecutive unanswered polls.
     pub failed_polls: u32,
+    /// Whether, since the worker's last answer, its address has refused a connection or answered as another
+    /// incarnation.
+    pub absent: bool,
+    /// When a deregistration under the worker's name last arrived. It shows that the worker ends soon, or came late
+    /// from an earlier incarnation.
+    pub leaving_since: Option<Duration>,
+    /// Sending time of the newest poll or probe that the worker answered.
+    last_answered: Duration,
+    /// When the worker is probed next, in addition to the regular polls.
+    pub probe_at: Option<Duration>,
     /// When the worker's clock was last read, and its value in milliseconds.
-    clock_reading: Option<(Duration, u64)>,
+    clock_reading: (Duration, u64),
     /// Latest end of a lease that a call requested, in milliseconds on the worker's clock.
     lease_end: u64,
 }
 
 impl Session {
-    pub fn new(registration: Registration) -> Self {
+    /// Returns the session of a worker that has answered a poll. An earlier process of the agent may have requested a
+    /// lease that ends after `lease` from then.
+    pub fn new(
+        now: Duration,
+        facts: Facts,
+        address: SocketAddr,
+        lists: RunLists,
+        lease: Duration,
+    ) -> Self {
         Self {
-            info: registration.info,
-            sequence: registration.sequence,
-            running: Vec::new(),
-            ended: Vec::new(),
+            facts,
+            address,
+            running: lists.running,
+            ended: lists.ended,
             recorded: 0,
-            polled: false,
             failed_polls: 0,
-            clock_reading: None,
-            lease_end: 0,
+            absent: false,
+            leaving_since: None,
+            last_answered: Duration::ZERO,
+            probe_at: None,
+            clock_reading: (now, lists.clock),
+            lease_end: lists.clock.saturating_add(super::millis(lease)),
         }
     }
 
-    /// Applies a registration of the same incarnation unless it is older than the current one. Draining never ends
-    /// within an incarnation.
-    pub fn refresh(&mut self, registration: Registration) {
-        if registration.sequence >= self.sequence {
-            let draining = self.info.draining || registration.info.draining;
-            self.info = registration.info;
-            self.info.draining = draining;
-            self.sequence = registration.sequence;
-        }
+    pub const fn incarnation(&self) -> &Incarnation {
+        self.facts.incarnation()
+    }
+
+    /// Applies a registration of the worker, which may show that a deregistration was not meant for it.
+    pub fn register(&mut self, now: Duration, registration: Registration) {
+        self.facts.register(registration);
+        let (draining, answered) = (self.facts.info.draining, self.last_answered);
+        self.leaving_since
+            .take_if(|since| !draining && answered > *since && now >= *since + HEARTBEAT_DELAY);
+    }
+
+    /// Returns whether the worker gets no new runs, because it drains or has deregistered.
+    pub const fn draining(&self) -> bool {
+        self.facts.info.draining || self.leaving_since.is_some()
+    }
+
+    /// Records that the worker answered a poll or probe that was sent at this time.
+    pub fn answered(&mut self, requested: Duration) {
+        self.last_answered = self.last_answered.max(requested);
+        self.absent = false;
     }
 
     /// Estimates the time on the worker's clock; at most slightly behind its true value.
-    pub fn clock(&mut self, now: Duration) -> Option<u64> {
-        let (read_at, clock) = self.clock_reading?;
-        Some(clock + super::millis(now.saturating_sub(read_at)))
+    pub fn clock(&self, now: Duration) -> u64 {
+        let (read_at, clock) = self.clock_reading;
+        clock.saturating_add(super::millis(now.saturating_sub(read_at)))
     }
 
     /// Records that a call which may extend the lease to this time was sent.
@@ -85,25 +166,35 @@
         self.lease_end = self.lease_end.max(deadline.unwrap_or_default());
     }
 
+    /// Returns whether the last polls were not answered.
+    pub const fn is_unreachable(&self) -> bool {
+        self.failed_polls >= UNREACHABLE_AFTER
+    }
+
+    /// Returns whether the worker does not answer and nothing runs there any more.
+    pub fn is_gone(&self, now: Duration) -> bool {
+        self.is_unreachable() && self.has_lease_expired(now)
+    }
+
     /// Returns whether the worker can be reached.
     pub fn reachability(&self, now: Duration) -> Reachability {
-        match self.clock_reading {
-            _ if !self.polled => Reachability::Unknown,
-            _ if self.failed_polls < UNREACHABLE_AFTER => Reachability::Reachable,
-            Some((read_at, clock)) if self.lease_expired(now, read_at, clock) => {
-                Reachability::LeaseExpired
-            }
-            _ => Reachability::Unreachable,
+        if self.is_gone(now) {
+            Reachability::LeaseExpired
+        } else if self.is_unreachable() {
+            Reachability::Unreachable
+        } else {
+            Reachability::Reachable
         }
     }
 
     /// Returns whether the lease has certainly expired, given the maximum clock drift since the worker's clock was
     /// read.
-    fn lease_expired(&self, now: Duration, read_at: Duration, clock: u64) -> bool {
+    fn has_lease_expired(&self, now: Duration) -> bool {
+        let (read_at, clock) = self.clock_reading;
         let elapsed = now
             .saturating_sub(read_at)
             .mul_f64(1.0 - 2.0 * WORKER_CLOCK_DRIFT);
-        clock + super::millis(elapsed) > self.lease_end
+        clock.saturating_add(super::millis(elapsed)) > self.lease_end
     }
 
     /// Applies the answer to a poll. Returns whether it differs from the previous answer.
@@ -114,13 +205,11 @@
                 .map(|listed_run| (listed_run.task, listed_run.run))
                 .collect::<Vec<_>>()
         };
-        let changed = !self.polled
-            || self.failed_polls > 0
+        let changed = self.failed_polls > 0
             || runs(&self.running) != runs(&lists.running)
             || self.ended != lists.ended;
-        self.polled = true;
         self.failed_polls = 0;
-        self.clock_reading = Some((now, lists.clock));
+        self.clock_reading = (now, lists.clock);
         self.running = lists.running;
         self.ended = lists.ended;
         changed
