test: a decider that cannot read the log must start no tasks

A memory log whose reads of the records get no response while its appends succeed; a cancellation that another entry stored meanwhile.

--- /dev/null
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -0,0 +1,158 @@
+//! Tests of a batch entry with a log service in memory.
+
+mod log;
+
+use bytes::Bytes;
+use godwitstep::batch::entry::{Entry, Verdict};
+use godwitstep::batch::log::{Item, Stream};
+use godwitstep::batch::operator::OperatorRecord;
+use godwitstep::batch::settings::Settings;
+use godwitstep::clock::BootClock;
+use godwitstep_batch::bounds::START_ORDER_TTL;
+use godwitstep_batch::demand::Demand;
+use godwitstep_batch::id::{Incarnation, JobId};
+use godwitstep_batch::job::{Job, Step};
+use godwitstep_batch::ledger::Status;
+use godwitstep_batch::message::{Reachability, Reply, Report, Start, Worker, WorkerInfo};
+use godwitstep_batch::policy::{Policy, Queue};
+use godwitstep_batch::progress::Outcome;
+use godwitstep_batch::record::Record;
+use log::MemoryLog;
+use smol::Timer;
+use smol::future::FutureExt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Maximum time between the acknowledgement of a cancellation and the last start of a task of its job.
+const CANCELLATION_BOUND: Duration = Duration::from_secs(3);
+/// Time limit of a step for which a test has no other.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn queue() -> Queue {
+    Queue {
+        name: "normal".into(),
+        pool: "floor".into(),
+        ..Queue::default()
+    }
+}
+
+fn job(id: JobId) -> Job {
+    Job {
+        id,
+        workspace: None,
+        queue: queue(),
+        spec: "spec".into(),
+        steps: vec![Step::default()],
+        accepted: 0,
+    }
+}
+
+fn start_entry(log: &MemoryLog) -> Rc<Entry<MemoryLog>> {
+    let settings = r#"{
+        "host": "host-1", "domain": "domain-1", "log": "127.0.0.1:1", "agents": "127.0.0.1:1"
+    }"#;
+    let policy = Item {
+        key: "policy".to_owned(),
+        value: Bytes::from_static(b"1"),
+    };
+    log.push(Stream::Operator, policy);
+    let read_operator_record = |_: &Item| {
+        let policy = Policy {
+            version: 1,
+            queues: vec![queue()],
+            ..Policy::default()
+        };
+        Ok(Some(OperatorRecord::SetPolicy(policy)))
+    };
+    Entry::new(
+        log.clone(),
+        Rc::new(BootClock),
+        Settings::parse(settings).unwrap(),
+        read_operator_record,
+    )
+}
+
+/// Runs a test beside the tasks of an entry.
+fn run<T>(entry: &Rc<Entry<MemoryLog>>, test: impl Future<Output = T>) -> T {
+    let tasks = async {
+        entry.clone().run().await;
+        unreachable!("the tasks of an entry never end")
+    };
+    smol::block_on(test.or(tasks))
+}
+
+/// Waits until a condition holds.
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + TIMEOUT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "not within {TIMEOUT:?}: {what}");
+        Timer::after(Duration::from_millis(10)).await;
+    }
+}
+
+/// Reports an idle worker to the entry. Returns the runs that the reply orders to start.
+async fn report_idle_worker(entry: &Entry<MemoryLog>, sequence: u64) -> Vec<Start> {
+    let info = WorkerInfo {
+        incarnation: Incarnation {
+            host: "host-2".into(),
+            worker: "worker-2".into(),
+            started_ms: 1,
+        },
+        pool: "floor".into(),
+        domain: "domain-1".into(),
+        capacity: Demand::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+    };
+    let report = Report {
+        host: "host-2".into(),
+        incarnation: 1,
+        sequence,
+        worker: Some(Worker {
+            info,
+            reachability: Reachability::Reachable,
+            running: Vec::new(),
+            ended: Vec::new(),
+            refused: Vec::new(),
+        }),
+        ..Report::default()
+    };
+    match entry.handle_report(report).await {
+        Reply::Directive(directive) => directive.start,
+        Reply::NotDecider { .. } => Vec::new(),
+    }
+}
+
+/// Guards against tasks that a decider starts although it can't see that their job was cancelled: its reads of the
+/// log get no response while its appends succeed.
+#[test]
+fn a_decider_that_cannot_read_the_log_starts_no_tasks() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    run(&entry, async {
+        wait_until("the entry decides", || entry.is_decider()).await;
+        assert_eq!(entry.submit(job(1), TIMEOUT).await, Verdict::Stored);
+        log.set_unreadable(Stream::Records, true);
+        // Another entry acknowledges the cancellation once it is in the log.
+        log.push_record(&Record::Cancelled { job: 1 });
+        let cancelled = Instant::now();
+        Timer::after(CANCELLATION_BOUND - START_ORDER_TTL).await;
+        for sequence in 1.. {
+            let started = report_idle_worker(&entry, sequence).await;
+            assert_eq!(
+                started,
+                [],
+                "{:?} after the cancellation",
+                cancelled.elapsed()
+            );
+            if cancelled.elapsed() > CANCELLATION_BOUND + Duration::from_millis(500) {
+                break;
+            }
+            Timer::after(Duration::from_millis(50)).await;
+        }
+        log.set_unreadable(Stream::Records, false);
+        let ended = || entry.status(1) == Some(Status::Ended(Outcome::Cancelled));
+        wait_until("the job is cancelled", ended).await;
+    });
+}
