fix: bound the age of the decider's view of the jobs for placements and start orders

Cause: only the view of the operators' stream had a bound (2.4 s) for starts. The view of the jobs might be 5 s old before the decider steps down, and a start order lives for 0.9 s more. Cancellations that another entry appended itself (while relaying is suspended or the decider refuses them) are seen by reading only; the decider's appends can succeed while its reads hang. Evidence: a_decider_that_cannot_read_the_log_starts_no_tasks failed on: 2.25044684s after the cancellation, left: [Start ..]. Ruled out: records relayed to the decider and its own are applied when their append is answered; no delay there. Change: OperatorView::jobs_age; nothing is placed and no start is ordered on a view of 2 s or more (3 s less the 0.9 s of an order and 0.1 s for the call). Stops, ends and the claim go on. 'placed' lines have jobs_view_ms. Why it works: a read that was sent a seconds ago has returned all cancellations acknowledged before that, and the order that rests on it is not carried out later than 0.9 s after it was sent.

--- a/crates/godwitstep-batch/src/bounds.rs
+++ b/crates/godwitstep-batch/src/bounds.rs
@@ -44,6 +44,14 @@
 pub const START_ORDER_TTL: Duration = Duration::from_millis(900);
 /// Maximum age of the decider's view of the operators' orders at which it sends start orders.
 pub const MAX_START_VIEW_AGE: Duration = Duration::from_millis(2_400);
+/// Maximum time between the acknowledgement of a cancellation and the last start of a task of its job.
+pub const MAX_CANCELLATION_DELAY: Duration = Duration::from_secs(3);
+/// Maximum age of the decider's view of the jobs at which it places tasks and sends start orders. A cancellation that
+/// another entry stored may be missing from a view of this age, and an order lives for [`START_ORDER_TTL`]; leaves
+/// 100 ms for calling the worker.
+pub const MAX_START_JOBS_AGE: Duration = MAX_CANCELLATION_DELAY
+    .saturating_sub(START_ORDER_TTL)
+    .saturating_sub(Duration::from_millis(100));
 
 /// Time limits that the deployment configures.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -10,7 +10,12 @@
 //!
 //! let mut planner = Planner::new(1 << 20, Duration::ZERO, Bounds::default());
 //! let policy = Policy::default();
-//! let view = OperatorView { policy: &policy, domains_out: &Default::default(), age: Duration::ZERO };
+//! let view = OperatorView {
+//!     policy: &policy,
+//!     domains_out: &Default::default(),
+//!     age: Duration::ZERO,
+//!     jobs_age: Duration::ZERO,
+//! };
 //! let plan = planner.decide(Duration::ZERO, 0, &Ledger::default(), &view);
 //! assert!(plan.records.is_empty());
 //! ```
@@ -31,7 +36,7 @@
 mod speed;
 mod stall;
 
-use crate::bounds::{Bounds, MAX_START_VIEW_AGE};
+use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::Report;
@@ -49,7 +54,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
-/// Operator-provided state as the decider knows it.
+/// Operator-provided state as the decider knows it, and the ages of its views of the log.
 #[derive(Debug, Clone, Copy)]
 pub struct OperatorView<'a> {
     /// Newest policy that was read.
@@ -58,6 +63,15 @@
     pub domains_out: &'a BTreeSet<Domain>,
     /// Time since this state was last confirmed to be current.
     pub age: Duration,
+    /// Time since the ledger was last confirmed to include all jobs and cancellations.
+    pub jobs_age: Duration,
+}
+
+impl OperatorView<'_> {
+    /// Returns whether the views are recent enough to place tasks and to send start orders.
+    fn permits_starts(&self) -> bool {
+        self.age < MAX_START_VIEW_AGE && self.jobs_age < MAX_START_JOBS_AGE
+    }
 }
 
 /// Parts of an agent's report that explain a decision in the log.
@@ -245,7 +259,7 @@
         self.track_broken_gangs(now, &draft);
         self.record_ends(now, &mut draft, &mut plan);
         self.finish_jobs(now, &mut draft, &mut plan);
-        if view.age < MAX_START_VIEW_AGE {
+        if view.permits_starts() {
             let mut cluster = Cluster::new(now, &self.reports, &self.health, &draft, view);
             let mut round = Round {
                 now,
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -1,7 +1,6 @@
 //! Start and stop orders for each agent, derived from the ledger alone.
 
 use super::{OperatorView, Planner};
-use crate::bounds::MAX_START_VIEW_AGE;
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::{Directive, EndReason, Ended, Start, Worker};
@@ -131,7 +130,7 @@
                 .is_none_or(|job_state| !job_state.active());
             if !assignment.should_run || cancelled || (accepts_no_runs && !listed) {
                 directive.stop.push((assignment.task, assignment.run));
-            } else if !listed && view.age < MAX_START_VIEW_AGE {
+            } else if !listed && view.permits_starts() {
                 directive.start.push(Start {
                     task: assignment.task,
                     run: assignment.run,
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+use godwitstep_batch::bounds::MAX_START_JOBS_AGE;
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
@@ -123,6 +124,37 @@
     assert_eq!(sim.status(1), COMPLETED);
 }
 
+/// Guards against starts by a decider that may not have read a cancellation yet, also of tasks that it placed before,
+/// and against one that stops recording ends and ordering stops meanwhile.
+#[test]
+fn nothing_starts_on_an_outdated_view_of_the_jobs() {
+    let mut sim = Simulation::new(1, 1);
+    sim.submit(1, "normal", "north", vec![step(1, 1, seconds(1))]);
+    sim.submit(2, "normal", "north", vec![step(1, 1, seconds(30))]);
+    sim.round();
+    assert_eq!(sim.hosts_running(2).len(), 1);
+    sim.submit(3, "normal", "north", vec![step(1, 1, seconds(1))]);
+    sim.deliver_reports();
+    sim.decide();
+    assert!(
+        sim.started(3),
+        "placed, but its start order is not executed yet"
+    );
+
+    sim.jobs_age = MAX_START_JOBS_AGE;
+    sim.submit(4, "normal", "north", vec![step(1, 1, seconds(1))]);
+    sim.append(Record::Cancelled { job: 2 });
+    sim.run_for(seconds(2));
+    assert_eq!(sim.hosts_running(3).len(), 0);
+    assert!(!sim.started(4));
+    assert_eq!(sim.status(1), COMPLETED);
+    assert_eq!(sim.hosts_running(2).len(), 0);
+
+    sim.jobs_age = Duration::ZERO;
+    sim.run_for(seconds(2));
+    assert_eq!((sim.status(3), sim.status(4)), (COMPLETED, COMPLETED));
+}
+
 /// Guards against tasks of cancelled jobs that continue or start.
 #[test]
 fn cancellation_stops_all_tasks_of_many_jobs() {
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -51,6 +51,7 @@
     pub policy: Policy,
     pub domains_out: BTreeSet<Domain>,
     pub view_age: Duration,
+    pub jobs_age: Duration,
     pub hosts: BTreeMap<String, SimulatedHost>,
     pub decisions: Vec<Decision>,
     pub directives: BTreeMap<String, Directive>,
@@ -124,6 +125,7 @@
             policy,
             domains_out: BTreeSet::new(),
             view_age: Duration::ZERO,
+            jobs_age: Duration::ZERO,
             hosts: BTreeMap::new(),
             decisions: Vec::new(),
             directives: BTreeMap::new(),
@@ -233,6 +235,7 @@
             policy: &self.policy,
             domains_out: &self.domains_out,
             age: self.view_age,
+            jobs_age: self.jobs_age,
         };
         let plan = self.planner.decide(self.now, 0, &self.ledger, &view);
         self.decisions.extend(plan.decisions);
@@ -244,6 +247,7 @@
             policy: &self.policy,
             domains_out: &self.domains_out,
             age: self.view_age,
+            jobs_age: self.jobs_age,
         };
         self.directives = self
             .hosts
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -25,7 +25,8 @@
 /// Delay before a round starts, so that events that arrive together are handled in one round.
 const BATCHING_DELAY: Duration = Duration::from_millis(5);
 /// Age of its view of the log above which a decider steps down even if it can still append: it would not
-/// receive new jobs.
+/// receive new jobs. Above the age at which it starts no more tasks, so that a short failure of its reads does not move
+/// the role.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(5);
 /// Delay before a failed append is retried.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -276,6 +277,7 @@
             policy: &policy,
             domains_out: &out,
             age: state.operator_reads.age(now),
+            jobs_age: state.record_reads.age(now),
         };
         let Some(decider) = &mut state.decider else {
             return Vec::new();
@@ -449,6 +451,7 @@
 fn log_decision(decision: &Decision, epoch: Epoch, view: &OperatorView) {
     let version = view.policy.version;
     let view_ms = view.age.as_millis();
+    let jobs_view_ms = view.jobs_age.as_millis();
     match decision {
         Decision::Placed {
             task,
@@ -457,7 +460,7 @@
             age,
         } => {
             metrics::histogram!("godwitstep_placement_age_seconds").record(*age);
-            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), epoch, version, view_ms, "placed");
+            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), epoch, version, view_ms, jobs_view_ms, "placed");
         }
         Decision::Ended {
             task,
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -127,6 +127,7 @@
         let policy = state.operator.policy().unwrap_or(&default_policy).clone();
         let out = state.operator.domains_out().clone();
         let age = state.operator_reads.age(now);
+        let jobs_age = state.record_reads.age(now);
         let addresses = entry_addresses(&state.ledger);
         let decider = state
             .decider
@@ -136,6 +137,7 @@
             policy: &policy,
             domains_out: &out,
             age,
+            jobs_age,
         };
         let directive = decider
             .planner
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -8,7 +8,7 @@
 use godwitstep::batch::operator::OperatorRecord;
 use godwitstep::batch::settings::Settings;
 use godwitstep::clock::BootClock;
-use godwitstep_batch::bounds::START_ORDER_TTL;
+use godwitstep_batch::bounds::{MAX_CANCELLATION_DELAY, START_ORDER_TTL};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Incarnation, JobId};
 use godwitstep_batch::job::{Job, Step};
@@ -23,8 +23,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// Maximum time between the acknowledgement of a cancellation and the last start of a task of its job.
-const CANCELLATION_BOUND: Duration = Duration::from_secs(3);
 /// Time limit of a step for which a test has no other.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -137,7 +135,7 @@
         // Another entry acknowledges the cancellation once it is in the log.
         log.push_record(&Record::Cancelled { job: 1 });
         let cancelled = Instant::now();
-        Timer::after(CANCELLATION_BOUND - START_ORDER_TTL).await;
+        Timer::after(MAX_CANCELLATION_DELAY - START_ORDER_TTL).await;
         for sequence in 1.. {
             let started = report_idle_worker(&entry, sequence).await;
             assert_eq!(
@@ -146,7 +144,7 @@
                 "{:?} after the cancellation",
                 cancelled.elapsed()
             );
-            if cancelled.elapsed() > CANCELLATION_BOUND + Duration::from_millis(500) {
+            if cancelled.elapsed() > MAX_CANCELLATION_DELAY + Duration::from_millis(500) {
                 break;
             }
             Timer::after(Duration::from_millis(50)).await;
