test: a job that was dropped before a reload must be removed

An entry whose reads fail while a job is dropped and the log's history expires, and which then reads the newest record of each key.

--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -154,3 +154,32 @@
         wait_until("the job is cancelled", ended).await;
     });
 }
+
+/// Guards against a job that starts again after it has ended: its removal from the log is not among the records that
+/// an entry reads after it was cut off for longer than the log keeps its history.
+#[test]
+fn a_job_that_was_dropped_before_a_reload_is_removed() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    log.push_record(&Record::Submitted(job(1)));
+    log.push_record(&Record::Submitted(job(2)));
+    run(&entry, async {
+        wait_until("the jobs are known", || entry.status(2).is_some()).await;
+        log.set_unreadable(Stream::Records, true);
+        // The deletions that a decider appends when it drops a job.
+        for record in [Record::Submitted(job(1)), Record::Cancelled { job: 1 }] {
+            let deletion = Item {
+                key: record.key(),
+                value: Bytes::new(),
+            };
+            log.push(Stream::Records, deletion);
+        }
+        log.push_record(&Record::Dropped { job: 1 });
+        log.push_record(&Record::Submitted(job(3)));
+        log.expire_history(Stream::Records);
+        log.set_unreadable(Stream::Records, false);
+        wait_until("the log is read again", || entry.status(3).is_some()).await;
+        assert_eq!(entry.status(1), None, "the job was dropped");
+        assert!(entry.status(2).is_some(), "the job is still in the log");
+    });
+}
