fix(batch): a reload of the newest records removes what the log has deleted

Callers would see tasks of a job that had ended run again, or a job that nobody asked for, after an entry that was cut off for longer than the log keeps its history became the decider; and an ended job reported as queued. Cause: after 'tail expired' the newest record of each key was applied on top of the old ledger. The deletion of a dropped job is not among them, so the job stayed as it was when the entry was cut off. Ruled out: the claim, whose key is never deleted; the highest epoch is kept. Failure domains out were handled already. Change: the ledger knows the offset of the newest record of each key; Ledger::finish_reload removes jobs, cancellations, states and announcements whose keys the reload did not list and whose record is before the end at which the reload began. Why it works: what is before that end and not listed is deleted; what is at or after it follows in the tail, deletions included.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -19,7 +19,9 @@
 use crate::id::{Epoch, Host, JobId, Offset};
 use crate::job::Job;
 use crate::progress::{Outcome, Progress};
-use crate::record::{Announcement, Claim, Record};
+use crate::record::{
+    Announcement, Claim, Record, announcement_key, cancelled_key, progress_key, submitted_key,
+};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -70,6 +72,15 @@
     }
 }
 
+/// Offsets of the newest applied records of a job, by kind; `None` if there is none.
+#[derive(Debug, Default)]
+struct Offsets {
+    submitted: Option<Offset>,
+    cancelled: Option<Offset>,
+    /// Older records of the job's state are ignored.
+    progress: Option<Offset>,
+}
+
 /// Jobs, claims and entries, materialized from the log.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -79,12 +90,12 @@
     /// State and cancellations of jobs whose submission has not been read yet, because pages of newest records
     /// are ordered by key instead of by offset.
     unsubmitted: HashMap<JobId, (Option<Progress>, bool)>,
-    /// Offset of the newest applied record of each job's state. Older records are ignored.
-    newest: HashMap<JobId, Offset>,
+    /// Offsets of the newest applied records of each job.
+    offsets: HashMap<JobId, Offsets>,
     /// Newest claim of the decider role and its offset.
     claim: Option<(Offset, Claim)>,
-    /// Newest announcement of each entry process.
-    entries: BTreeMap<Host, Announcement>,
+    /// Newest announcement of each entry process and its offset.
+    entries: BTreeMap<Host, (Offset, Announcement)>,
 }
 
 impl Ledger {
@@ -92,15 +103,24 @@
     /// the tail overlap.
     pub fn apply(&mut self, offset: Offset, record: Record) {
         match record {
-            Record::Submitted(job) => self.apply_submission(job),
-            Record::Cancelled { job } => self.apply_cancellation(job),
+            Record::Submitted(job) => {
+                advance(
+                    &mut self.offsets.entry(job.id).or_default().submitted,
+                    offset,
+                );
+                self.apply_submission(job);
+            }
+            Record::Cancelled { job } => {
+                advance(&mut self.offsets.entry(job).or_default().cancelled, offset);
+                self.apply_cancellation(job);
+            }
             Record::Progressed { job, progress } => {
-                if self.advance_newest(job, offset) {
+                if advance(&mut self.offsets.entry(job).or_default().progress, offset) {
                     self.apply_progress(job, progress);
                 }
             }
             Record::Dropped { job } => {
-                if self.advance_newest(job, offset) {
+                if advance(&mut self.offsets.entry(job).or_default().progress, offset) {
                     self.remove(job);
                 }
             }
@@ -114,18 +134,53 @@
                 }
             }
             Record::Announced(announcement) => {
-                self.entries.insert(announcement.host.clone(), announcement);
+                let known = self.entries.get(&announcement.host);
+                if known.is_none_or(|(newest, _)| offset >= *newest) {
+                    let host = announcement.host.clone();
+                    self.entries.insert(host, (offset, announcement));
+                }
             }
         }
     }
 
-    /// Updates the offset of a job's newest state record. Returns whether the record at `offset` is at least as new
-    /// as all that were applied before.
-    fn advance_newest(&mut self, job: JobId, offset: Offset) -> bool {
-        let newest = self.newest.entry(job).or_insert(offset);
-        let newer = offset >= *newest;
-        *newest = offset.max(*newest);
-        newer
+    /// Completes a reload, in which the newest record of each key was applied: removes what the log has deleted
+    /// since it was read.
+    ///
+    /// `listed` holds the keys of all reloaded records, and `end` is the offset after the last record when the reload
+    /// began. A record from `end` on may be missing from the reload; the tail that follows contains it or its deletion.
+    /// The claim is kept, because it is never deleted.
+    pub fn finish_reload(&mut self, listed: &BTreeSet<String>, end: Offset) {
+        let deleted = |key: String, offset: Option<Offset>| {
+            offset.is_some_and(|offset| offset < end) && !listed.contains(&key)
+        };
+        let mut dropped = Vec::new();
+        for (id, offsets) in &mut self.offsets {
+            if deleted(submitted_key(*id), offsets.submitted) {
+                dropped.push(*id);
+                continue;
+            }
+            if deleted(cancelled_key(*id), offsets.cancelled) {
+                offsets.cancelled = None;
+                if let Some(job_state) = self.jobs.get_mut(id) {
+                    job_state.cancelled = false;
+                }
+            }
+            if deleted(progress_key(*id), offsets.progress) {
+                offsets.progress = None;
+                if let Some(job_state) = self.jobs.get_mut(id) {
+                    job_state.progress = Progress::new(&job_state.job.steps);
+                }
+            }
+        }
+        for job in dropped {
+            self.remove(job);
+        }
+        let jobs: Vec<JobId> = self.jobs.keys().copied().collect();
+        for job in jobs {
+            self.update_open(job);
+        }
+        self.entries
+            .retain(|host, (offset, _)| !deleted(announcement_key(host), Some(*offset)));
     }
 
     fn apply_submission(&mut self, job: Job) {
@@ -162,7 +217,7 @@
         self.jobs.remove(&job);
         self.unsubmitted.remove(&job);
         self.open.remove(&job);
-        self.newest.remove(&job);
+        self.offsets.remove(&job);
     }
 
     /// Updates a job in the index of open jobs.
@@ -227,6 +282,14 @@
 
     /// Returns the announcements of all entries.
     pub fn entries(&self) -> impl Iterator<Item = &Announcement> {
-        self.entries.values()
+        self.entries.values().map(|(_, announcement)| announcement)
     }
 }
+
+/// Updates the offset of the newest record of a key. Returns whether the record at `offset` is at least as new as all
+/// that were applied before.
+fn advance(newest: &mut Option<Offset>, offset: Offset) -> bool {
+    let newer = newest.is_none_or(|newest| offset >= newest);
+    *newest = (*newest).max(Some(offset));
+    newer
+}
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -89,11 +89,9 @@
         match self {
             Self::Submitted(job) => submitted_key(job.id),
             Self::Cancelled { job } => cancelled_key(*job),
-            Self::Progressed { job, .. } | Self::Dropped { job } => {
-                format!("{PROGRESS_PREFIX}{job:016x}")
-            }
+            Self::Progressed { job, .. } | Self::Dropped { job } => progress_key(*job),
             Self::Claimed(_) => CLAIM_KEY.to_owned(),
-            Self::Announced(announcement) => format!("{ANNOUNCEMENT_PREFIX}{}", announcement.host),
+            Self::Announced(announcement) => announcement_key(&announcement.host),
         }
     }
 
@@ -139,6 +137,18 @@
     format!("{SUBMITTED_PREFIX}{job:016x}")
 }
 
+/// Returns the key of the records of a job's state.
+#[must_use]
+pub fn progress_key(job: JobId) -> String {
+    format!("{PROGRESS_PREFIX}{job:016x}")
+}
+
+/// Returns the key of the record that announces an entry.
+#[must_use]
+pub fn announcement_key(host: &str) -> String {
+    format!("{ANNOUNCEMENT_PREFIX}{host}")
+}
+
 /// Returns the key of the record of a job's cancellation.
 #[must_use]
 pub fn cancelled_key(job: JobId) -> String {
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -50,6 +50,10 @@
 struct State {
     ledger: Ledger,
     operator: OperatorState,
+    /// Keys of the newest records, while these are being reloaded.
+    reloaded_keys: Option<BTreeSet<String>>,
+    /// Number of reloads of the records.
+    reloads: u64,
     /// Domains out of service according to the newest records, while these are being reloaded.
     reloaded_domains_out: Option<BTreeSet<Domain>>,
     /// Reads of the stream of records.
@@ -153,6 +157,8 @@
             state: RefCell::new(State {
                 ledger: Ledger::default(),
                 operator: OperatorState::default(),
+                reloaded_keys: None,
+                reloads: 0,
                 reloaded_domains_out: None,
                 record_reads: ReadTimes::default(),
                 operator_reads: ReadTimes::default(),
@@ -242,6 +248,9 @@
                     tracing::warn!(offset, "skipped a record with an unreadable key");
                     return;
                 };
+                if let Some(keys) = &mut state.reloaded_keys {
+                    keys.insert(item.key.clone());
+                }
                 match Record::decode(&item.key, &item.value) {
                     Ok(Some(record)) => {
                         let from_decider = matches!(
@@ -270,7 +279,12 @@
                 drop(state);
                 self.changes.notify();
             }
-            Event::ReloadStarted | Event::ReloadFinished => {}
+            Event::ReloadStarted => state.reloaded_keys = Some(BTreeSet::new()),
+            Event::ReloadFinished { end } => {
+                let listed = state.reloaded_keys.take().unwrap_or_default();
+                state.ledger.finish_reload(&listed, end);
+                state.reloads += 1;
+            }
         }
     }
 
@@ -278,7 +292,7 @@
         let mut state = self.state.borrow_mut();
         match event {
             Event::ReloadStarted => state.reloaded_domains_out = Some(BTreeSet::new()),
-            Event::ReloadFinished => {
+            Event::ReloadFinished { .. } => {
                 if let Some(out) = state.reloaded_domains_out.take() {
                     state.operator.replace_domains_out(out);
                 }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -216,6 +216,7 @@
     /// Runs scheduling rounds until this entry has to step down. Returns why.
     async fn run_rounds(&self, epoch: Epoch) -> StepDownReason {
         let started_at = self.clock.now();
+        let reloads = self.state.borrow().reloads;
         let mut version = self.changes.version();
         loop {
             if self.stopping.get() {
@@ -233,6 +234,10 @@
             {
                 return StepDownReason::LogUnavailable;
             }
+            // The pages of a reload are no snapshot: they may hold a job that this decider dropped meanwhile.
+            if self.state.borrow().reloads > reloads {
+                return StepDownReason::LogUnavailable;
+            }
             let records = self.plan_round();
             let handing_over = async {
                 let tenure = self.clock.now().saturating_sub(started_at);
--- a/crates/godwitstep/src/batch/follow.rs
+++ b/crates/godwitstep/src/batch/follow.rs
@@ -29,8 +29,12 @@
     ReloadStarted,
     /// A record at an offset; `None` for one that cannot be decoded.
     Record(Offset, Option<Item>),
-    /// The newest records of all keys have been delivered.
-    ReloadFinished,
+    /// The newest records of all keys have been delivered. Keys without a record were deleted, unless their record is
+    /// at this offset or after it.
+    ReloadFinished {
+        /// Offset after the last record when the reload began.
+        end: Offset,
+    },
     /// A read has reached the end of the stream, and all records before the end have been delivered.
     CaughtUp {
         /// Offset after the last record.
@@ -129,8 +133,8 @@
         for (offset, item) in items {
             deliver(Event::Record(offset, Some(item)));
         }
-        deliver(Event::ReloadFinished);
         let end = first_end.unwrap_or_default();
+        deliver(Event::ReloadFinished { end });
         let source = Source::Log;
         deliver(Event::CaughtUp { end, sent, source });
         Ok((end, source))
