test: one timeout must replace all connections that fell silent

A server whose four established connections stop answering without a reset while new ones work. Fails on: the second exchange ends with 'sent: true, cause: TimedOut { time: 300ms }' as well.

--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -284,3 +284,57 @@
         zip(serve_echo(listener, Limits::default(), signal), call).await;
     });
 }
+
+/// Answers each request on a connection with 200, until the connection has fallen silent for good.
+async fn serve_until_silent(mut stream: TcpStream, silent: impl Fn() -> bool) {
+    let mut buffer = [0; 512];
+    while stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+        // All exchanges of the first batch are open at the same time, each on a connection of its own.
+        smol::Timer::after(Duration::from_millis(50)).await;
+        if silent() {
+            std::future::pending::<()>().await;
+        }
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(response).await.unwrap();
+    }
+}
+
+/// Guards against exchanges that time out one after another, each on the next idle connection that has fallen silent
+/// without a reset, although new connections work.
+#[test]
+fn one_timeout_replaces_all_silent_connections() {
+    smol::block_on(async {
+        let (listener, address) = listen().await;
+        let accepted = Rc::new(Cell::new(0));
+        let silent = Rc::new(Cell::new(0));
+        let server = async {
+            let tasks = smol::LocalExecutor::new();
+            let accept = async {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    let (number, silent) = (accepted.get(), silent.clone());
+                    accepted.set(number + 1);
+                    let serve = serve_until_silent(stream, move || number < silent.get());
+                    tasks.spawn(serve).detach();
+                }
+            };
+            tasks.run(accept).await
+        };
+        let client = Client::new(address);
+        let calls = async {
+            let exchanges = (0..4).map(|_| client.exchange(get("/"), TIMEOUT));
+            for response in futures_util::future::join_all(exchanges).await {
+                response.unwrap();
+            }
+            assert_eq!(accepted.get(), 4);
+            silent.set(accepted.get());
+            let time = Duration::from_millis(300);
+            client.exchange(get("/"), time).await.unwrap_err();
+            client.exchange(get("/"), time).await.unwrap();
+            assert_eq!(accepted.get(), 5);
+            client.exchange(get("/"), time).await.unwrap();
+            assert_eq!(accepted.get(), 5, "the new connection is reused");
+        };
+        smol::future::or(server, calls).await;
+    });
+}
