fix(http): a timeout on a reused connection also closes the connections idle since before

Callers would see nothing decided for seconds, and entries and agents took a log or a worker that answers for unreachable: a view of the log up to four timeouts of 1.2 s old, a worker unpolled for several timeouts of a lease of 6 s. Cause: after a timeout the next exchange took the next idle connection of the pool. If established connections fall silent without a reset, all of them do. Evidence: one_timeout_replaces_all_silent_connections failed on: second exchange, 'sent: true, cause: TimedOut { time: 300ms }'. Ruled out: a timeout on a new connection says nothing about the idle ones, so they are kept. Change: Client::exchange closes the idle connections whose last exchange ended before the one that timed out began. Why it works: the next exchange opens a new connection, and connections that have responded meanwhile stay in the pool.

--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -1,4 +1,7 @@
 //! HTTP client with a pool of keep-alive connections to one address.
+//!
+//! Connections may fall silent without a reset while new ones work, for example after a network device has lost their
+//! state. A timeout on a reused connection therefore also removes the connections that have been idle since before.
 
 use super::body::Body;
 use bytes::Bytes;
@@ -80,6 +83,8 @@
 #[derive(Default)]
 struct Progress {
     step: Cell<Option<Step>>,
+    /// Whether the exchange uses a connection of the pool.
+    reused: Cell<bool>,
     written: RefCell<Option<Rc<Cell<bool>>>>,
 }
 
@@ -123,7 +128,8 @@
         self.peer
     }
 
-    /// Sends a request and reads the whole response within `time`.
+    /// Sends a request and reads the whole response within `time`. If a connection of the pool does not respond in
+    /// time, the connections that have been idle since the beginning of the exchange are closed as well.
     ///
     /// Dropping the returned future closes the connection that it uses.
     ///
@@ -136,8 +142,16 @@
         time: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let progress = Progress::default();
+        let started_at = Instant::now();
         let work = self.attempt(request, &progress);
-        self.with_timeout(time, work, &progress).await
+        let result = self.with_timeout(time, work, &progress).await;
+        let timed_out =
+            matches!(&result, Err(error) if matches!(error.cause, Cause::TimedOut { .. }));
+        if timed_out && progress.reused.get() {
+            let mut idle = self.idle.borrow_mut();
+            idle.retain(|connection| connection.idle_since > started_at);
+        }
+        result
     }
 
     /// Sends a request on a new connection and returns when the head of the response has arrived,
@@ -194,6 +208,7 @@
         self.set_host_header(&mut request);
         let _permit = self.open.acquire().await;
         while let Some(mut connection) = self.reuse().await {
+            progress.reused.set(true);
             match self
                 .send_and_read(&mut connection, request.clone(), progress)
                 .await
@@ -204,6 +219,7 @@
                 result => return self.recycle(connection, result).await,
             }
         }
+        progress.reused.set(false);
         progress.step.set(Some(Step::Connect));
         let mut connection = self.connect().await?;
         let result = self.send_and_read(&mut connection, request, progress).await;
