--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -1,4 +1,7 @@
 //! HTTP client with a pool of keep-alive connections to one address.
+//!
+//! Connections may fall silent without a reset while new ones work, for example after a network device has lost their
+//! state. A timeout on a reused connection therefore also removes the connections that have been idle since before.
 
 use super::body::Body;
 use bytes::Bytes;
@@ -83,6 +86,8 @@
 #[derive(Default)]
 struct Progress {
     step: Cell<Option<Step>>,
+    /// Whether the exchange uses a connection of the pool.
+    reused: Cell<bool>,
     written: RefCell<Option<Rc<Cell<bool>>>>,
 }
 
@@ -126,7 +131,8 @@
         self.peer
     }
 
-    /// Sends a request and reads the whole response within `time`.
+    /// Sends a request and reads the whole response within `time`. If a connection of the pool does not respond in
+    /// time, the connections that have been idle since the beginning of the exchange are closed as well.
     ///
     /// Dropping the returned future closes the connection that it uses.
     ///
@@ -138,13 +144,9 @@
         request: Request<Bytes>,
         time: Duration,
     ) -> Result<Response<Bytes>, Error> {
-        let progress = Progress::default();
-        let work = async {
-            match self.attempt(request, None, &progress).await? {
-                Checked::Response(response) | Checked::Rejected(response) => Ok(response),
-            }
-        };
-        self.with_timeout(time, work, &progress).await
+        match self.exchange_within(request, None, time).await? {
+            Checked::Response(response) | Checked::Rejected(response) => Ok(response),
+        }
     }
 
     /// Sends a request and reads the whole response within `time`, like [`Client::exchange`]. If a new connection has
@@ -160,10 +162,27 @@
         request: Request<Bytes>,
         check: &Check<'_>,
         time: Duration,
+    ) -> Result<Checked, Error> {
+        self.exchange_within(request, Some(check), time).await
+    }
+
+    async fn exchange_within(
+        &self,
+        request: Request<Bytes>,
+        check: Option<&Check<'_>>,
+        time: Duration,
     ) -> Result<Checked, Error> {
         let progress = Progress::default();
-        let work = self.attempt(request, Some(check), &progress);
-        self.with_timeout(time, work, &progress).await
+        let started_at = Instant::now();
+        let work = self.attempt(request, check, &progress);
+        let result = self.with_timeout(time, work, &progress).await;
+        let timed_out =
+            matches!(&result, Err(error) if matches!(error.cause, Cause::TimedOut { .. }));
+        if timed_out && progress.reused.get() {
+            let mut idle = self.idle.borrow_mut();
+            idle.retain(|connection| connection.idle_since > started_at);
+        }
+        result
     }
 
     /// Sends a request on a new connection and returns when the head of the response has arrived,
@@ -221,6 +240,7 @@
         self.set_host_header(&mut request);
         let _permit = self.open.acquire().await;
         while let Some(mut connection) = self.reuse().await {
+            progress.reused.set(true);
             match self
                 .send_and_read(&mut connection, request.clone(), progress)
                 .await
@@ -236,6 +256,7 @@
                 }
             }
         }
+        progress.reused.set(false);
         progress.step.set(Some(Step::Connect));
         let mut connection = self.connect().await?;
         if let Some(check) = check
