fix(batch): the objective of a job is bounded, whatever factors its queue has

Callers saw: no job starts any more. The decider ends when it orders the jobs, and so does each entry that takes the role over, because the job and its queue are in the log.

Cause: Job::objective multiplies the critical path by the queue's factor with Duration::mul_f64 and adds the queue's target with the operator that panics; both numbers come from the operators' configuration or from a record of another writer. Evidence: objective_of_a_queue_with_very_large_numbers_is_a_duration, "cannot convert float seconds to Duration: value is either too big or NaN"; the same line ends the real process in processes_survive_odd_entries_and_keep_working.

Change: the product is converted with the fallible function, the sum saturates, and the result is at most MAX_OBJECTIVE, a thousand years. Works because the planner only compares objectives and multiplies them by five. Ruled out: estimates of callers, which job::validate bounds by a year.

--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -25,6 +25,10 @@
 /// Maximum accepted estimate of a task's run time. Durations derived from it are several times as long.
 pub const MAX_ESTIMATE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
+/// Maximum objective for a job's completion time, a thousand years. Multiples of it are valid durations, whatever
+/// factors operators choose.
+pub const MAX_OBJECTIVE: Duration = Duration::from_secs(1_000 * 365 * 24 * 60 * 60);
+
 /// A group of identical tasks with the same dependencies.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -151,10 +155,14 @@
         self.remaining_critical_path(|_| false)
     }
 
-    /// Returns the objective for the job's completion time, derived from the estimates.
+    /// Returns the objective for the job's completion time, derived from the estimates; at most [`MAX_OBJECTIVE`].
     #[must_use]
     pub fn objective(&self) -> Duration {
-        self.critical_path().mul_f64(self.queue.stretch) + self.queue.objective
+        let stretched = self.critical_path().as_secs_f64() * self.queue.stretch;
+        let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(MAX_OBJECTIVE);
+        stretched
+            .saturating_add(self.queue.objective)
+            .min(MAX_OBJECTIVE)
     }
 
     /// Returns the estimated length of the critical path of the steps that are not done.
