fix(batch): the ledger ignores states of other steps than the job's, and claims below the newest epoch

Callers would see: the decider ends while it plans the job, because the planner takes the steps of a job's state by the indexes of the job's steps, and each entry that takes over ends too. After a claim of a lower epoch, an entry claims an epoch that the log fences, again and again, and no entry decides.

Cause: the ledger took both as the decider's, though other writers can append to the topic. Evidence: progress_that_does_not_match_its_job_is_ignored; claim_below_the_newest_epoch_is_ignored, "left: 2097152 right: 7340032".

Change: a state is applied only if it has the steps and task counts of its job, or none for an ended job; one that is read before the submission is checked when that is read. A claim replaces the known one only with at least its epoch. The log stores the decider's claims in the order of their epochs, so no true claim is ignored.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -39,7 +39,7 @@
 pub struct JobState {
     /// The job as first submitted; later submissions with the same identifier are ignored.
     pub job: Arc<Job>,
-    /// State of the job according to the decider's newest record.
+    /// State of the job according to the decider's newest record; [matches](Progress::matches) the job's steps.
     pub progress: Progress,
     /// Whether the caller has cancelled the job.
     pub cancelled: bool,
@@ -95,7 +95,7 @@
             Record::Submitted(job) => self.apply_submission(job),
             Record::Cancelled { job } => self.apply_cancellation(job),
             Record::Progressed { job, progress } => {
-                if self.advance_newest(job, offset) {
+                if self.accepts_progress(job, &progress) && self.advance_newest(job, offset) {
                     self.apply_progress(job, progress);
                 }
             }
@@ -105,10 +105,11 @@
                 }
             }
             Record::Claimed(claim) => {
+                // The log stores no claim below the highest epoch for the decider.
                 if self
                     .claim
                     .as_ref()
-                    .is_none_or(|(newest, _)| offset >= *newest)
+                    .is_none_or(|(newest, known)| offset >= *newest && claim.epoch >= known.epoch)
                 {
                     self.claim = Some((offset, claim));
                 }
@@ -134,6 +135,7 @@
             return;
         }
         let (progress, cancelled) = self.unsubmitted.remove(&id).unwrap_or_default();
+        let progress = progress.filter(|progress| progress.matches(&job.steps));
         let job_state = JobState {
             progress: progress.unwrap_or_else(|| Progress::new(&job.steps)),
             job: Arc::new(job),
@@ -150,6 +152,13 @@
         }
     }
 
+    /// Returns whether a state can be that of a job. Unknown jobs are checked when their submission is read.
+    fn accepts_progress(&self, job: JobId, progress: &Progress) -> bool {
+        self.jobs
+            .get(&job)
+            .is_none_or(|job_state| progress.matches(&job_state.job.steps))
+    }
+
     fn apply_progress(&mut self, job: JobId, progress: Progress) {
         match self.jobs.get_mut(&job) {
             Some(job_state) => job_state.progress = progress,
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -132,6 +132,19 @@
         }
     }
 
+    /// Returns whether this can be the progress of a job with these steps.
+    #[must_use]
+    pub fn matches(&self, steps: &[job::Step]) -> bool {
+        let task_counts = steps.iter().map(|step| usize::from(step.tasks));
+        let ended = self.outcome.is_some() && self.steps.is_empty();
+        ended
+            || self
+                .steps
+                .iter()
+                .map(|step| step.tasks.len())
+                .eq(task_counts)
+    }
+
     /// Returns whether any task has ever been placed.
     #[must_use]
     pub fn started(&self) -> bool {
