fix(batch): records are validated when they are decoded

Callers would see: processes that end on a record, again and again, since the log keeps it: a job with a dependency on a step that it does not have or an estimate beyond any duration, a run with the highest number. After a claim with the highest epoch no epoch is left that the log accepts, and no entry decides any more. An entry at an address without port or host is called in vain.

Cause: any value that CBOR could decode was taken, under any key.

Change: Record::decode also requires the record's own key, valid steps as at submission, a finite factor of the queue, at most as many tasks as a job can have, numbers of runs and epochs below half of their range or less, and addresses that can be called. Works because all readers of the log and the relay decode there. A claim within 2^20 below the maximum epoch, which takes 2^32 changes of the decider to reach, would still block the role.

--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -8,9 +8,11 @@
 //! * [`claim`] elects the decider; [`access`] authorizes callers.
 //! * [`planner`] decides where tasks run.
 //! * [`agent`] renews one worker's lease and executes orders.
+//! * [`address`] checks the addresses that other processes name.
 //! * [`bounds`] defines the time limits and lease durations that these modules rely on.
 
 pub mod access;
+pub mod address;
 pub mod agent;
 pub mod bounds;
 pub mod claim;
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -11,8 +11,9 @@
 //! assert_eq!(Record::decode(&key, &value).unwrap(), Some(record));
 //! ```
 
-use crate::id::{Epoch, Host, JobId};
-use crate::job::Job;
+use crate::address;
+use crate::id::{Epoch, Host, JobId, Run};
+use crate::job::{self, Job, MAX_STEPS, MAX_TASKS};
 use crate::progress::Progress;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -76,6 +77,12 @@
     reason: String,
 }
 
+/// Maximum epoch of a claim. Epochs that follow it stay far below the largest number, so that entries can replace any
+/// decider; claims reach it after 2^32 changes of the decider.
+const MAX_EPOCH: Epoch = 1 << 52;
+/// Maximum number of a run and of a task's failures, so that the next one is valid.
+const MAX_RUN: Run = Run::MAX / 2;
+
 const SUBMITTED_PREFIX: &str = "job/";
 const CANCELLED_PREFIX: &str = "stop/";
 const PROGRESS_PREFIX: &str = "progress/";
@@ -116,7 +123,8 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the value is not a valid record.
+    /// Returns an error if the value is not a valid record, or not the one of this key. Other writers may have left
+    /// records, so everything that the planner relies on is checked here.
     pub fn decode(key: &str, value: &[u8]) -> Result<Option<Self>, Error> {
         if value.is_empty() {
             let job = key
@@ -124,12 +132,69 @@
                 .and_then(crate::id::parse_job_id);
             return Ok(job.map(|job| Self::Dropped { job }));
         }
-        ciborium::from_reader(value)
-            .map(Some)
-            .map_err(|error| Error {
-                key: key.to_owned(),
-                reason: error.to_string(),
-            })
+        let error = |reason: String| Error {
+            key: key.to_owned(),
+            reason,
+        };
+        let record: Self =
+            ciborium::from_reader(value).map_err(|cause| error(cause.to_string()))?;
+        if record.key() != key {
+            return Err(error(format!("it belongs to key {:?}", record.key())));
+        }
+        record.validate().map_err(error)?;
+        Ok(Some(record))
+    }
+
+    /// Validates the contents of the record by itself.
+    fn validate(&self) -> Result<(), String> {
+        match self {
+            Self::Submitted(job) => validate_job(job),
+            Self::Progressed { progress, .. } => validate_progress(progress),
+            Self::Claimed(claim) if claim.epoch > MAX_EPOCH => {
+                Err(format!("epoch {} is out of range", claim.epoch))
+            }
+            Self::Claimed(Claim { address, .. })
+            | Self::Announced(Announcement { address, .. })
+                if !address::is_usable(*address) =>
+            {
+                Err(format!("address {address} is not usable"))
+            }
+            Self::Claimed(_)
+            | Self::Announced(_)
+            | Self::Cancelled { .. }
+            | Self::Dropped { .. } => Ok(()),
+        }
+    }
+}
+
+fn validate_job(job: &Job) -> Result<(), String> {
+    job::validate(&job.steps).map_err(|error| error.to_string())?;
+    let stretch = job.queue.stretch;
+    if stretch.is_finite() && stretch >= 0.0 {
+        Ok(())
+    } else {
+        Err(format!("factor {stretch} of its queue is out of range"))
+    }
+}
+
+fn validate_progress(progress: &Progress) -> Result<(), String> {
+    let steps = &progress.steps;
+    let tasks: u64 = steps.iter().map(|step| step.tasks.len() as u64).sum();
+    if steps.len() > MAX_STEPS || tasks > MAX_TASKS {
+        return Err(format!(
+            "{} steps with {tasks} tasks are too many",
+            steps.len()
+        ));
+    }
+    let numbers = steps.iter().flat_map(|step| {
+        let tasks = step.tasks.iter().flat_map(|task| [task.run, task.failures]);
+        tasks.chain([step.failed_run])
+    });
+    match numbers.max() {
+        Some(highest) if highest > MAX_RUN => {
+            Err(format!("number {highest} of a run is out of range"))
+        }
+        _ => Ok(()),
     }
 }
 
