fix(batch): the decider appends only callers' records for other entries

Callers would see: a job's state or the decider's claim replaced by a message on the internal address, now under the decider's epoch, and no appends at all after a key that the log can't store: its length does not fit the one byte of the format, so the log refuses the whole append with the decider's own records.

Cause: the handler appended whatever key and value arrived. Evidence: relayed_records_that_no_caller_writes_are_rejected, "assertion failed: claim, right: Some(400)". Ruled out: callers' own names, which don't become keys.

Change: a request is rejected unless each record decodes as a submission, a cancellation or an announcement under its own key of at most 255 bytes.

--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -43,6 +43,8 @@
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum size of a relay request's body. Unit: bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
+/// Maximum length of a record's key in the log. Unit: bytes.
+const MAX_KEY_BYTES: usize = 255;
 
 /// Outcome of relaying records to the decider.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -309,6 +311,13 @@
                 return http::respond(StatusCode::BAD_REQUEST, format!("{error}\n"));
             }
         };
+        if !items
+            .iter()
+            .all(|(key, Value(value))| is_relayed(key, value))
+        {
+            tracing::warn!("records of another entry are not those of callers");
+            return http::respond(StatusCode::BAD_REQUEST, Bytes::new());
+        }
         let item = |(key, Value(value))| Item { key, value };
         let status = match self
             .accept_records(items.into_iter().map(item).collect())
@@ -344,6 +353,17 @@
     }
 }
 
+/// Returns whether entries relay this record. The decider writes the others itself, under its epoch.
+fn is_relayed(key: &str, value: &[u8]) -> bool {
+    key.len() <= MAX_KEY_BYTES
+        && matches!(
+            Record::decode(key, value),
+            Ok(Some(
+                Record::Submitted(_) | Record::Cancelled { .. } | Record::Announced(_)
+            ))
+        )
+}
+
 /// Sends records to the decider.
 async fn send_records(client: &Client, items: &[Item]) -> Outcome {
     let records: Records = items
