fix(batch): an entry's page of the log that ends before its own records is not used

Such a page comes from a process that is no entry of this log, and its end would count as a recent read of the log. By reading; no test of its own, because only real entries answer in the fixture.

--- a/crates/godwitstep/src/batch/entry/tail.rs
+++ b/crates/godwitstep/src/batch/entry/tail.rs
@@ -99,6 +99,10 @@
     let tail = message::decode::<Tail>(response.body())
         .inspect_err(|error| tracing::warn!(%address, %error, "another entry's page of the log is malformed"))
         .ok()?;
+    if tail.end < from.saturating_add(tail.items.len() as u64) {
+        tracing::warn!(%address, from, end = tail.end, "another entry's page of the log ends before its records");
+        return None;
+    }
     Some(to_page(tail))
 }
 
