fix(platform): one row of a worker that can't be read does not hide its other runs

Callers would see: jobs that don't end and a worker that gets no new tasks, as long as the worker lists the row: each poll counted as unanswered, though the call renewed the lease.

Cause: the answer failed as a whole for one row with a missing or unknown value, or with a number or nesting that the decoder refuses.

Lists with unreadable rows are marked as incomplete: a run that is not listed does not count as never begun, until any stop of it would be over.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -203,7 +203,7 @@
         Some(LeaseRequest {
             incarnation: session.info.incarnation.clone(),
             epoch,
-            recorded: session.recorded,
+            recorded: session.acknowledged(),
             deadline,
             wait: !session.has_unrecorded_ends(),
         })
@@ -225,6 +225,8 @@
         else {
             return false;
         };
+        let incomplete = lists.incomplete;
+        let max_stop_time = self.bounds.max_stop_time;
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
@@ -236,7 +238,9 @@
                 // is listed.
                 return resolution.refusal.is_some();
             }
-            if requested < resolution.since {
+            // A row that can't be read may be that of the run, but not for longer than any stop takes.
+            let hidden = incomplete && now <= resolution.since + max_stop_time * 2;
+            if requested < resolution.since || hidden {
                 return true;
             }
             resolved.extend(resolution.refusal.map(|reason| (*key, reason)));
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -26,6 +26,10 @@
     pub running: Vec<Running>,
     /// Ended runs that the worker has not forgotten, ordered by sequence number.
     pub ended: Vec<Ended>,
+    /// Whether rows are left out because they can't be read. Runs that are not listed may then be active or ended.
+    pub incomplete: bool,
+    /// Highest sequence number that may be acknowledged, because the end after it can't be read; `None` if all may be.
+    pub acknowledgeable: Option<u64>,
 }
 
 /// State of one incarnation of the worker.
@@ -38,6 +42,8 @@
     pub ended: Vec<Ended>,
     /// Highest sequence number up to which all ends are recorded.
     pub recorded: u64,
+    /// Highest sequence number that may be acknowledged, from the newest answer; `None` if all may be.
+    acknowledgeable: Option<u64>,
     /// Whether a poll has been answered.
     pub polled: bool,
     /// Number of consecutive unanswered polls.
@@ -56,6 +62,7 @@
             running: Vec::new(),
             ended: Vec::new(),
             recorded: 0,
+            acknowledgeable: None,
             polled: false,
             failed_polls: 0,
             clock_reading: None,
@@ -123,6 +130,7 @@
         self.clock_reading = Some((now, lists.clock));
         self.running = lists.running;
         self.ended = lists.ended;
+        self.acknowledgeable = lists.acknowledgeable;
         changed
     }
 
@@ -138,8 +146,14 @@
         self.ended.iter().any(|end| (end.task, end.run) == *key)
     }
 
-    /// Returns whether an end is listed that is not recorded yet.
+    /// Returns whether an end is listed that is not recorded yet, or that can't be.
     pub fn has_unrecorded_ends(&self) -> bool {
-        self.ended.iter().any(|end| end.number > self.recorded)
+        self.acknowledgeable.is_some() || self.ended.iter().any(|end| end.number > self.recorded)
+    }
+
+    /// Returns the sequence number up to which the worker may forget all ends.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledgeable
+            .map_or(self.recorded, |limit| limit.min(self.recorded))
     }
 }
--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -109,6 +109,7 @@
                 saved: "".into(),
             })
             .collect(),
+        ..RunLists::default()
     }
 }
 
