fix(batch): a share of work above 100 percent in a report counts as 100

Callers would see: no decider, because it ends when it predicts the rest of such a run: the remaining time is negative, and Duration::mul_f64 panics on it (planner/health.rs). Agents clamp the share that a worker lists, but a message of another writer at the internal address need not.

Change: the share is clamped when the message is decoded, so that the planner can rely on it.

--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -105,10 +105,16 @@
     pub run: Run,
     /// Newest checkpoint; empty if there is none.
     pub saved: Arc<str>,
-    /// Completed share of the work in percent; stays 0 for tasks that don't write checkpoints.
+    /// Completed share of the work in percent, at most 100; stays 0 for tasks that don't write checkpoints.
+    #[serde(deserialize_with = "deserialize_percent")]
     pub percent: u8,
 }
 
+/// Deserializes a percentage; higher values, which no agent sends, count as 100.
+fn deserialize_percent<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u8, D::Error> {
+    u8::deserialize(deserializer).map(|percent| percent.min(100))
+}
+
 /// How a run ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EndReason {
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -83,6 +83,12 @@
         &self.settings.host
     }
 
+    /// Returns the failure domain of the host.
+    #[must_use]
+    pub const fn domain(&self) -> &Arc<str> {
+        &self.settings.domain
+    }
+
     /// Returns whether the agent accepts workers of a pool.
     #[must_use]
     pub fn accepts_pool(&self, pool: &str) -> bool {
