--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -18,6 +18,9 @@
     "entry/edge-0",
 ];
 
+/// Change of a valid job.
+type Edit = fn(&mut Job);
+
 fn job(id: JobId, steps: Vec<Step>) -> Job {
     Job {
         id,
@@ -123,20 +126,20 @@
 /// Guards against an entry that ends whenever it plans a job whose steps or numbers no caller could have submitted.
 #[test]
 fn submission_that_is_not_valid_is_rejected() {
-    let odd = |edit: fn(&mut Job)| {
+    let odd = |edit: Edit| {
         let mut job = job(7, vec![Step::default(), Step::default()]);
         edit(&mut job);
         Record::Submitted(job)
     };
-    let edits: [(&str, fn(&mut Job)); 8] = [
+    let edits: [(&str, Edit); 8] = [
         ("no steps", |job| job.steps.clear()),
         ("too many steps", |job| {
-            job.steps = vec![Step::default(); 1_000]
+            job.steps = vec![Step::default(); 1_000];
         }),
         ("too many tasks", |job| job.steps[1].tasks = u16::MAX),
         ("no tasks", |job| job.steps[1].tasks = 0),
         ("unknown dependency", |job| {
-            job.steps[0].depends_on = vec![9]
+            job.steps[0].depends_on = vec![9];
         }),
         ("estimate", |job| job.steps[0].estimate = Duration::MAX),
         ("NaN", |job| job.queue.stretch = f64::NAN),
