fix(batch): an entry whose claim the log fences claims a higher epoch

Callers would see: accepted jobs that never start, on all entries, once they have restarted after another writer has replaced the newest claim in the log.

Cause: the next epoch follows the newest claim that can be read; if that is below the one that the log has stored for the decider, each claim is fenced, and nothing that is read changes. Evidence: entries_elect_a_decider_although_the_newest_claim_is_not_the_highest, "job 4 is not completed after 15s: [queued]".

Change: if a claim is fenced and still no newer claim can be read, the next one doubles the epoch, up to half of the maximum. In a race between entries the winner's claim is read before the next attempt, so epochs don't grow then. An append of another writer under the decider's own producer name with an epoch above half of the maximum would still block the role; nothing in the log's interface undoes it.

--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -19,7 +19,7 @@
 
 use crate::bounds::{RENEWAL_INTERVAL, TAKEOVER_TIMEOUT, UNREACHABLE_TAKEOVER_TIMEOUT};
 use crate::id::{Epoch, Host};
-use crate::record::Claim;
+use crate::record::{Claim, MAX_EPOCH};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -55,6 +55,17 @@
     (((after >> CLAIMANT_BITS) + 1) << CLAIMANT_BITS) | own
 }
 
+/// Returns the epoch to claim after, given that of the newest known claim, and that which the log fenced while the same
+/// claim was the newest one. The log has then stored a higher epoch whose claim is not to be read any more, because
+/// another writer has replaced it; doubling exceeds any epoch within a few claims.
+#[must_use]
+pub fn epoch_to_follow(known: Epoch, fenced: Option<(Epoch, Epoch)>) -> Epoch {
+    match fenced {
+        Some((after, fenced)) if after == known => fenced.saturating_mul(2).min(MAX_EPOCH / 2),
+        _ => known,
+    }
+}
+
 /// Returns the rank of a host among those that may replace the decider of a claim, starting at 0; `None` if it
 /// is not one of them. A hash of the epoch and the host varies the order from claim to claim.
 pub fn takeover_rank<'a>(
--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -304,3 +304,16 @@
     assert_eq!(accepted, Vec::<&str>::new());
     assert!(usable(&announcement("127.0.0.1:7000")) && usable(&announcement("[::1]:7000")));
 }
+
+/// Guards against an entry that claims below an epoch that the log fences for ever, or after a claim that it can follow.
+#[test]
+fn epoch_after_a_fenced_claim_exceeds_any_other_within_a_few_claims() {
+    let claim = godwitstep_batch::claim::epoch_to_follow;
+    assert_eq!(claim(5 << 20, None), 5 << 20);
+    assert_eq!(claim(6 << 20, Some((5 << 20, 9 << 20))), 6 << 20);
+    let mut epoch = 1 << 20;
+    for _ in 0..40 {
+        epoch = godwitstep_batch::claim::next_epoch(claim(1, Some((1, epoch))), 3);
+    }
+    assert!(epoch > 1 << 50 && usable(&self::claim(epoch, "10.0.0.1:7000")));
+}
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -123,6 +123,8 @@
     relay_queue: relay::RelayQueue,
     /// Client that relays the records of this entry's callers to the decider.
     relay_client: relay::RelayClient,
+    /// Newest known epoch and this entry's own one when the log last fenced a claim.
+    fenced_claim: Cell<Option<(Epoch, Epoch)>>,
     /// Counter that selects the other entry through which the log is read.
     peer_index: Cell<usize>,
     /// Signals changes of anything that decisions depend on.
@@ -165,6 +167,7 @@
             writer: Writer::default(),
             relay_queue: relay::RelayQueue::default(),
             relay_client: relay::RelayClient::default(),
+            fenced_claim: Cell::new(None),
             peer_index: Cell::new(0),
             changes: ChangeNotifier::default(),
             directives: ChangeNotifier::default(),
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -159,7 +159,8 @@
     /// Appends a claim under a new epoch. Returns the epoch once the claim is applied to the ledger.
     async fn acquire_claim(&self) -> Option<Epoch> {
         let current = self.state.borrow().ledger.epoch();
-        let epoch = claim::next_epoch(current, self.claimant);
+        let after = claim::epoch_to_follow(current, self.fenced_claim.get());
+        let epoch = claim::next_epoch(after, self.claimant);
         tracing::info!(epoch, after = current, "claiming the decider role");
         let record = self.claim(epoch, false);
         let fence = Fence { epoch, sequence: 0 };
@@ -168,6 +169,9 @@
             Ok(end) => end,
             Err(error) => {
                 tracing::warn!(epoch, %error, "appending the claim failed");
+                if matches!(error, AppendError::Fenced) {
+                    self.fenced_claim.set(Some((current, epoch)));
+                }
                 return None;
             }
         };
