--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -188,7 +188,7 @@
         Some(LeaseRequest {
             incarnation: session.incarnation().clone(),
             epoch,
-            recorded: session.recorded,
+            recorded: session.acknowledged(),
             deadline,
             wait: !session.has_unrecorded_ends(),
         })
@@ -212,6 +212,8 @@
         };
         session.answered(requested);
         let truncated = lists.truncated;
+        let incomplete = lists.incomplete;
+        let max_stop_time = self.bounds.max_stop_time;
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
@@ -223,7 +225,9 @@
                 // is listed.
                 return resolution.refusal.is_some();
             }
-            if truncated || requested < resolution.since {
+            // A row that can't be read may be that of the run, but not for longer than any stop takes.
+            let hidden = incomplete && now <= resolution.since + max_stop_time * 2;
+            if truncated || hidden || requested < resolution.since {
                 return true;
             }
             resolved.extend(resolution.refusal.map(|reason| (*key, reason)));
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -122,7 +122,7 @@
             let session = self.session.as_ref()?;
             session.probe_at.filter(|at| *at <= now)?;
             let incarnation = session.incarnation().clone();
-            (session.address, incarnation, session.recorded)
+            (session.address, incarnation, session.acknowledged())
         };
         self.last_probe = Some(now);
         Some(Probe {
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -36,6 +36,10 @@
     pub ended: Vec<Ended>,
     /// Whether the worker may have more ended runs than it lists at a time.
     pub truncated: bool,
+    /// Whether rows are left out because they can't be read. Runs that are not listed may then be active or ended.
+    pub incomplete: bool,
+    /// Highest sequence number that may be acknowledged, because the end after it can't be read; `None` if all may be.
+    pub acknowledgeable: Option<u64>,
 }
 
 /// Properties of one incarnation of the worker, from its registrations.
@@ -88,6 +92,8 @@
     pub ended: Vec<Ended>,
     /// Highest sequence number up to which all ends are recorded.
     pub recorded: u64,
+    /// Highest sequence number that may be acknowledged, from the newest answer; `None` if all may be.
+    acknowledgeable: Option<u64>,
     /// Number of consecutive unanswered polls.
     pub failed_polls: u32,
     /// Whether, since the worker's last answer, its address has refused a connection or answered as another
@@ -122,6 +128,7 @@
             running: lists.running,
             ended: lists.ended,
             recorded: 0,
+            acknowledgeable: lists.acknowledgeable,
             failed_polls: 0,
             absent: false,
             leaving_since: None,
@@ -212,6 +219,7 @@
         self.clock_reading = (now, lists.clock);
         self.running = lists.running;
         self.ended = lists.ended;
+        self.acknowledgeable = lists.acknowledgeable;
         changed
     }
 
@@ -227,8 +235,14 @@
         self.ended.iter().any(|end| (end.task, end.run) == *key)
     }
 
-    /// Returns whether an end is listed that is not recorded yet.
+    /// Returns whether an end is listed that is not recorded yet, or that can't be.
     pub fn has_unrecorded_ends(&self) -> bool {
-        self.ended.iter().any(|end| end.number > self.recorded)
+        self.acknowledgeable.is_some() || self.ended.iter().any(|end| end.number > self.recorded)
+    }
+
+    /// Returns the sequence number up to which the worker may forget all ends.
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledgeable
+            .map_or(self.recorded, |limit| limit.min(self.recorded))
     }
 }
--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -157,6 +157,7 @@
             policy: &self.policy,
             domains_out: &domains_out,
             age: Duration::ZERO,
+            jobs_age: Duration::ZERO,
         };
         self.planner
             .directive(report, &self.ledger, &view, Vec::new())
@@ -168,6 +169,7 @@
             policy: &self.policy,
             domains_out: &domains_out,
             age: Duration::ZERO,
+            jobs_age: Duration::ZERO,
         };
         let plan = self.planner.decide(self.now, 0, &self.ledger, &view);
         for record in plan.records {
@@ -243,6 +245,7 @@
         policy: &sim.policy,
         domains_out: &sim.domains_out,
         age: Duration::ZERO,
+        jobs_age: Duration::ZERO,
     };
     sim.planner
         .directive(report, &sim.ledger, &view, Vec::new())
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -127,6 +127,8 @@
     relay_queue: relay::RelayQueue,
     /// Client that relays the records of this entry's callers to the decider.
     relay_client: relay::RelayClient,
+    /// Newest known epoch and this entry's own one when the log last fenced a claim.
+    fenced_claim: Cell<Option<(Epoch, Epoch)>>,
     /// Counter that selects the other entry through which the log is read.
     peer_index: Cell<usize>,
     /// Signals changes of anything that decisions depend on.
@@ -171,6 +173,7 @@
             writer: Writer::default(),
             relay_queue: relay::RelayQueue::default(),
             relay_client: relay::RelayClient::default(),
+            fenced_claim: Cell::new(None),
             peer_index: Cell::new(0),
             changes: ChangeNotifier::default(),
             directives: ChangeNotifier::default(),
@@ -280,9 +283,11 @@
                 self.changes.notify();
             }
             Event::ReloadStarted => state.reloaded_keys = Some(BTreeSet::new()),
-            Event::ReloadFinished { end } => {
+            Event::ReloadFinished { end, incomplete } => {
                 let listed = state.reloaded_keys.take().unwrap_or_default();
-                state.ledger.finish_reload(&listed, end);
+                if !incomplete {
+                    state.ledger.finish_reload(&listed, end);
+                }
                 state.reloads += 1;
             }
         }
@@ -292,8 +297,11 @@
         let mut state = self.state.borrow_mut();
         match event {
             Event::ReloadStarted => state.reloaded_domains_out = Some(BTreeSet::new()),
-            Event::ReloadFinished { .. } => {
-                if let Some(out) = state.reloaded_domains_out.take() {
+            Event::ReloadFinished { incomplete, .. } => {
+                if let Some(mut out) = state.reloaded_domains_out.take() {
+                    if incomplete {
+                        out.extend(state.operator.domains_out().iter().cloned());
+                    }
                     state.operator.replace_domains_out(out);
                 }
             }
--- a/crates/godwitstep/src/batch/follow.rs
+++ b/crates/godwitstep/src/batch/follow.rs
@@ -34,6 +34,8 @@
     ReloadFinished {
         /// Offset after the last record when the reload began.
         end: Offset,
+        /// Whether some records could not be read. Then keys without a record may exist.
+        incomplete: bool,
     },
     /// A read has reached the end of the stream, and all records before the end have been delivered.
     CaughtUp {
@@ -120,9 +122,11 @@
         let mut first_end: Option<Offset> = None;
         let mut after: Option<String> = None;
         let mut items = Vec::new();
+        let mut incomplete = false;
         loop {
             let page: Newest = self.log.newest(self.stream, after.as_deref()).await?;
             first_end.get_or_insert(page.end);
+            incomplete |= page.incomplete;
             items.extend(page.items);
             after = page.next;
             if after.is_none() {
@@ -134,7 +138,7 @@
             deliver(Event::Record(offset, Some(item)));
         }
         let end = first_end.unwrap_or_default();
-        deliver(Event::ReloadFinished { end });
+        deliver(Event::ReloadFinished { end, incomplete });
         let source = Source::Log;
         deliver(Event::CaughtUp { end, sent, source });
         Ok((end, source))
--- a/crates/godwitstep/src/batch/log.rs
+++ b/crates/godwitstep/src/batch/log.rs
@@ -62,6 +62,8 @@
     pub end: Offset,
     /// Key after which the next page starts; `None` on the last page.
     pub next: Option<String>,
+    /// Whether records are left out because they can't be read, so that a key without a record may exist.
+    pub incomplete: bool,
 }
 
 /// Fencing token of an append. The log refuses an epoch below the highest that it has stored, and a sequence number
--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -132,6 +132,7 @@
                 .map(|(offset, item)| (offset, item.clone()))
                 .collect(),
             end: items.len() as Offset,
+            incomplete: false,
             next: None,
         })
     }
