fix: keep probing after a dropped registration

An agent that had dropped a registration missed every later restart of its worker: the loop that logs the dropped registrations held the state machine borrowed while it read the current worker, so the probe task panicked. The runs of the worker never ended.

Change: the dropped registrations are taken before the loop.

--- a/crates/godwitstep/src/batch/agent/replacement.rs
+++ b/crates/godwitstep/src/batch/agent/replacement.rs
@@ -31,7 +31,7 @@
             Registered::Candidate { new } => {
                 if new && self.may_log_candidate(now) {
                     let current = self.current_worker();
-                    tracing::info!(worker = %incarnation, sequence, draining, %address, current, "another incarnation of the worker registered");
+                    tracing::info!(worker = %incarnation, sequence, draining, %address, current, "registration waits for an answer of the worker");
                 }
                 self.work_changes.notify();
             }
@@ -137,7 +137,8 @@
 
     /// Logs the incarnations whose registrations were dropped, because the current worker answered.
     pub(super) fn log_refuted(&self, now: Duration) {
-        for incarnation in self.state_machine.borrow_mut().take_refuted() {
+        let refuted = self.state_machine.borrow_mut().take_refuted();
+        for incarnation in refuted {
             if self.may_log_candidate(now) {
                 let current = self.current_worker();
                 tracing::warn!(worker = %incarnation, current, "registration dropped: the current worker answers");
