test: silence after a take-over is counted from too early

The agent may restart after its first report to the new decider and be answered by the former one until that one's lease ends.

--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -2,8 +2,8 @@
 
 mod simulation;
 
-use godwitstep_batch::Bounds;
 use godwitstep_batch::agent::{Agent, Answer, Operation, Registration, RunLists};
+use godwitstep_batch::bounds::{Bounds, DECIDER_LEASE};
 use godwitstep_batch::id::{Epoch, Run, Task};
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Ledger;
@@ -397,3 +397,21 @@
     let task = &sim.ledger.job(1).unwrap().progress.steps[0].tasks[0];
     assert_eq!(&*task.saved, "second");
 }
+
+/// Guards against a second run of a task whose agent restarted and was answered by the former decider, whose lease had
+/// not ended yet.
+#[test]
+fn silence_after_a_takeover_counts_from_the_end_of_the_former_deciders_lease() {
+    let mut sim = taken_over();
+    let taken_over_at = sim.now;
+    sim.round();
+    sim.host(0).reachable = false;
+    sim.host(1).reachable = true;
+    let restart = DECIDER_LEASE + Bounds::default().agent_timeout();
+    while sim.now < taken_over_at + restart {
+        sim.round();
+        assert_eq!(sim.hosts_running(1), ["host-00"], "at {:?}", sim.now);
+    }
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1).len(), 2, "not restarted");
+}
