fix(batch): count the silence of an agent from the end of the former decider's lease at the earliest

Callers would see a task run twice in the first 16 s after a change of the decider: an agent reports to the new decider and restarts; its next process is answered by the former decider, which may answer for up to 2.5 s after the take-over.

Cause: silence was counted from the newest report alone as soon as there was one.

Change: silence counts from the newest report, but not from before the end of the former decider's lease, as for hosts without a report. The simulation of the tests takes over 10 s before its start, so that their times for silence remain as strict as they are.

--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -53,8 +53,7 @@
     hosts: BTreeMap<Host, LatestReport>,
     /// Processes of the agent of each host, in the order of their first reports.
     processes: BTreeMap<Host, VecDeque<AgentProcess>>,
-    /// Time from which the silence of an agent that never reported counts. Until then an earlier
-    /// decider may have answered it.
+    /// Time from which the silence of an agent counts. Until then an earlier decider may have answered it.
     silence_counted_from: Duration,
     max_silence: Duration,
     /// Time after which the lease of a worker that its agent does not list has ended, including the delay of a report.
@@ -213,7 +212,9 @@
             }
             other => self.end_cause_of_absent(latest, other.as_ref(), incarnation),
         };
-        let silent = now > latest.received_at + self.max_silence;
+        // The agent's next process may not have known this decider yet and may have been answered by an earlier one.
+        let silent_since = latest.received_at.max(self.silence_counted_from);
+        let silent = now > silent_since + self.max_silence;
         cause.or(silent.then_some(EndCause::AgentSilent))
     }
 
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -119,7 +119,8 @@
         };
         let mut sim = Self {
             now: seconds(100),
-            planner: Planner::new(1 << 20, seconds(100), bounds),
+            // The lease of the former decider is over.
+            planner: Planner::new(1 << 20, seconds(90), bounds),
             ledger: Ledger::default(),
             policy,
             domains_out: BTreeSet::new(),
