test: a restarted agent reports the lease of its worker as expired while it lasts

The agent polls its worker once before a decider has answered it, then loses it: the lease that its former process requested counts as expired at once.

--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -415,3 +415,34 @@
     sim.run_for(seconds(1));
     assert_eq!(sim.hosts_running(1).len(), 2, "not restarted");
 }
+
+/// Guards against a lease that a restarted agent takes for over because it did not request it itself.
+#[test]
+fn restarted_agent_assumes_a_lease_that_its_former_process_requested() {
+    let mut sim = Simulation::new(1, 1);
+    let registration = Registration {
+        info: sim.host(0).worker.info.clone(),
+        sequence: 1,
+    };
+    let mut agent = Agent::new("host-00".into(), 2, Bounds::default());
+    agent.register(registration.clone());
+    agent.report(Duration::ZERO, false);
+    let taught = Directive {
+        epoch: 1 << 20,
+        ..Directive::default()
+    };
+    assert!(!agent.apply_directive(Duration::ZERO, taught));
+    let request = agent.lease_request(Duration::ZERO).unwrap();
+    let lists = RunLists::default();
+    let incarnation = registration.info.incarnation;
+    agent.poll_answered(Duration::ZERO, Duration::ZERO, &request.incarnation, lists);
+    for _ in 0..2 {
+        agent.poll_failed(&incarnation);
+    }
+    let reachability =
+        |agent: &mut Agent, now| agent.report(now, false).worker.unwrap().reachability;
+    let lease = Bounds::default().max_lease;
+    assert_eq!(reachability(&mut agent, lease), Reachability::Unreachable);
+    let later = lease + Duration::from_millis(500);
+    assert_eq!(reachability(&mut agent, later), Reachability::LeaseExpired);
+}
