fix(batch): a restarted agent takes a lease for expired only after the longest one that its former process requested

Callers would see a task run twice: an agent restarts, polls its worker once before a decider has answered it, and loses the worker. It reports LeaseExpired after two failed polls, and the decider starts the tasks elsewhere while the worker holds a lease of up to 6 s.

Cause: the agent computed the end of the lease from its own requests alone and took the absence of a request for the absence of a lease.

Evidence: restarted_agent_assumes_a_lease_that_its_former_process_requested failed with "left: LeaseExpired, right: Unreachable".

Change: with the first answer of a worker, the agent assumes a lease of the full length from then on.

Why it works: an earlier process can't have requested a later end, as it stopped before, and requests carry the end on the worker's clock.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -225,6 +225,11 @@
         else {
             return false;
         };
+        if !session.polled {
+            // A former process of the agent may have renewed the lease until now.
+            let lease = millis(self.bounds.worker_lease());
+            session.extend_lease(Some(lists.clock.saturating_add(lease)));
+        }
         let changed = session.update(now, lists);
         let mut resolved = Vec::new();
         self.resolving.retain(|key, resolution| {
