--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -2,8 +2,8 @@
 
 mod simulation;
 
-use godwitstep_batch::Bounds;
 use godwitstep_batch::agent::{Agent, Answer, Contact, Operation, Registration, RunLists};
+use godwitstep_batch::bounds::{Bounds, DECIDER_LEASE};
 use godwitstep_batch::id::{Epoch, Run, Task};
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Ledger;
@@ -411,3 +411,53 @@
     let task = &sim.ledger.job(1).unwrap().progress.steps[0].tasks[0];
     assert_eq!(&*task.saved, "second");
 }
+
+/// Guards against a second run of a task whose agent restarted and was answered by the former decider, whose lease had
+/// not ended yet.
+#[test]
+fn silence_after_a_takeover_counts_from_the_end_of_the_former_deciders_lease() {
+    let mut sim = taken_over();
+    let taken_over_at = sim.now;
+    sim.round();
+    sim.host(0).reachable = false;
+    sim.host(1).reachable = true;
+    let restart = DECIDER_LEASE + Bounds::default().agent_timeout();
+    while sim.now < taken_over_at + restart {
+        sim.round();
+        assert_eq!(sim.hosts_running(1), ["host-00"], "at {:?}", sim.now);
+    }
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1).len(), 2, "not restarted");
+}
+
+/// Guards against a lease that a restarted agent takes for over because it did not request it itself.
+#[test]
+fn restarted_agent_assumes_a_lease_that_its_former_process_requested() {
+    let mut sim = Simulation::new(1, 1);
+    let registration = Registration {
+        info: sim.host(0).worker.info.clone(),
+        sequence: 1,
+    };
+    let mut agent = Agent::new(Duration::ZERO, "host-00".into(), 2, Bounds::default());
+    let address = "10.0.0.1:8080".parse().unwrap();
+    agent.register(Duration::ZERO, registration.clone(), address);
+    agent.report(Duration::ZERO, false);
+    let taught = Directive {
+        epoch: 1 << 20,
+        ..Directive::default()
+    };
+    assert!(!agent.apply_directive(Duration::ZERO, taught));
+    let probe = agent.due_probe(Duration::ZERO).unwrap();
+    let contact = Contact::Lists(RunLists::default());
+    agent.probe_answered(Duration::ZERO, Duration::ZERO, &probe, contact);
+    let incarnation = registration.info.incarnation;
+    for _ in 0..2 {
+        agent.poll_failed(Duration::ZERO, &incarnation, &Contact::Unanswered);
+    }
+    let reachability =
+        |agent: &mut Agent, now| agent.report(now, false).worker.unwrap().reachability;
+    let lease = Bounds::default().max_lease;
+    assert_eq!(reachability(&mut agent, lease), Reachability::Unreachable);
+    let later = lease + Duration::from_millis(500);
+    assert_eq!(reachability(&mut agent, later), Reachability::LeaseExpired);
+}
