--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -103,16 +103,17 @@
             if from < start {
                 return Err(ReadError::Expired { start });
             }
-            let items = partition.items.borrow();
-            let unread = items.get(usize::try_from(from).unwrap_or(usize::MAX)..);
-            let unread = unread.unwrap_or_default();
-            if !unread.is_empty() || Instant::now() >= deadline {
-                return Ok(Page {
-                    items: unread.iter().cloned().map(Some).collect(),
-                    end: items.len() as Offset,
-                });
+            {
+                let items = partition.items.borrow();
+                let unread = items.get(usize::try_from(from).unwrap_or(usize::MAX)..);
+                let unread = unread.unwrap_or_default();
+                if !unread.is_empty() || Instant::now() >= deadline {
+                    return Ok(Page {
+                        items: unread.iter().cloned().map(Some).collect(),
+                        end: items.len() as Offset,
+                    });
+                }
             }
-            drop(items);
             Timer::after(Duration::from_millis(5)).await;
         }
     }
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -135,7 +135,7 @@
         // Another entry acknowledges the cancellation once it is in the log.
         log.push_record(&Record::Cancelled { job: 1 });
         let cancelled = Instant::now();
-        Timer::after(MAX_CANCELLATION_DELAY - START_ORDER_TTL).await;
+        Timer::after(MAX_CANCELLATION_DELAY.saturating_sub(START_ORDER_TTL)).await;
         for sequence in 1.. {
             let started = report_idle_worker(&entry, sequence).await;
             assert_eq!(
