--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -354,6 +354,24 @@
     assert_eq!(agent.lease_request(millis(60)).unwrap().recorded, 1);
 }
 
+/// Guards against a task that is not started elsewhere, because the repeated stop of another one, which carries no
+/// lease, counts as a renewal of the silent worker's lease.
+#[test]
+fn a_stop_does_not_extend_the_lease() {
+    let mut agent = agent();
+    deliver(&mut agent, millis(10), stop_directive(1));
+    let mut now = millis(10);
+    while now < Bounds::default().max_lease + Duration::from_secs(1) {
+        now += millis(100);
+        for stop in agent.due_calls(now) {
+            agent.call_answered(now, &stop, Answer::Unanswered);
+        }
+        agent.poll_failed(now, &incarnation(1), &Contact::Unanswered);
+    }
+    let worker = agent.report(now, false).worker.unwrap();
+    assert_eq!(worker.reachability, Reachability::LeaseExpired);
+}
+
 /// Guards against a second run of a task, because a restarted agent does not know the lease that its predecessor
 /// requested.
 #[test]
