fix: count only starts as renewals of a worker's lease

Work on a silent worker was never started elsewhere while the agent repeated a stop there: each repetition counted as a request to extend the lease, though a stop carries none.

Evidence: a_stop_does_not_extend_the_lease failed with left: Unreachable, right: LeaseExpired.

Change: only calls that include a start extend the lease that the agent assumes.

--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -82,7 +82,8 @@
                 deadline,
             });
         }
-        if !calls.is_empty() {
+        let starts = |call: &Call| matches!(call.operation, Operation::Start(_));
+        if calls.iter().any(starts) {
             session.extend_lease(Some(deadline));
         }
         calls
