--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -220,3 +220,28 @@
     let worker = reported_worker(agent.report(millis(1_001), false));
     assert_eq!(worker.info.incarnation, incarnation(50));
 }
+
+/// Guards against lost work that is never restarted, because the worker deregistered and ended before it had answered
+/// a restarted agent.
+#[test]
+fn a_worker_that_ends_before_it_has_answered_a_new_agent_is_reported_as_gone() {
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
+    register(&mut agent, Duration::ZERO, 50, true);
+    assert!(!agent.deregister(millis(100), "worker-1"));
+    assert_eq!(agent.report(millis(100), false).deregistered, None);
+    deliver(&mut agent, millis(200));
+    let transition = answer_probe(&mut agent, millis(200), Contact::Refused);
+    assert_gone(&mut agent, millis(200), &transition);
+}
+
+/// Guards against a worker that counts as gone, because it did not accept calls yet when it registered.
+#[test]
+fn a_refused_connection_without_a_deregistration_shows_no_end() {
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
+    register(&mut agent, Duration::ZERO, 50, false);
+    deliver(&mut agent, millis(200));
+    let transition = answer_probe(&mut agent, millis(200), Contact::Refused);
+    assert_eq!(transition, Transition::Unchanged);
+    let report = agent.report(millis(200), false);
+    assert_eq!((report.worker, report.deregistered), (None, None));
+}
