fix: report the end of a deregistered worker that a new agent has not polled

Lost work could wait for ever: a worker that deregistered before it had answered a restarted agent ended unnoticed, since only the current worker's deregistration counted, so no report named it as gone.

Evidence: a_worker_that_ends_before_it_has_answered_a_new_agent_is_reported_as_gone failed with left: Unchanged, right: Left.

Change: a deregistration also marks the candidates with its name. An agent without a worker takes such a candidate for gone once its address refuses the probe or answers as another incarnation; a refusal alone still shows nothing.

--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -27,6 +27,8 @@
     registered_at: Duration,
     /// When it registered last.
     last_registered_at: Duration,
+    /// Whether a worker with its name has deregistered.
+    leaving: bool,
     /// When it is polled next; `None` if that waits for another event.
     probe_at: Option<Duration>,
 }
@@ -66,11 +68,29 @@
             address,
             registered_at: now,
             last_registered_at: now,
+            leaving: false,
             probe_at: Some(now),
         });
         true
     }
 
+    /// Marks the candidates with a worker's name as deregistered; they are then due to be polled.
+    pub fn deregister(&mut self, now: Duration, worker: &str) {
+        let with_name =
+            |candidate: &&mut Candidate| &*candidate.facts.incarnation().worker == worker;
+        for candidate in self.0.iter_mut().filter(with_name) {
+            candidate.leaving = true;
+            candidate.probe_at = Some(now);
+        }
+    }
+
+    /// Returns whether a worker with a candidate's name has deregistered.
+    pub fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.0
+            .iter()
+            .any(|candidate| candidate.leaving && candidate.facts.incarnation() == incarnation)
+    }
+
     fn get_mut(&mut self, incarnation: &Incarnation) -> Option<&mut Candidate> {
         self.0
             .iter_mut()
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -95,6 +95,7 @@
     /// Processes the deregistration of a worker. Returns whether it has the name of the current one, which then gets no
     /// new runs and is probed until its end shows.
     pub fn deregister(&mut self, now: Duration, worker: &str) -> bool {
+        self.candidates.deregister(now, worker);
         let Some(session) = self
             .session
             .as_mut()
@@ -177,6 +178,13 @@
                 self.candidates.retry(now, incarnation);
                 Transition::Unchanged
             }
+            Contact::OtherLife | Contact::Refused
+                if self.session.is_none() && self.candidates.is_leaving(incarnation) =>
+            {
+                self.candidates.take(incarnation);
+                self.deregistered = Some((now, incarnation.clone()));
+                Transition::Left(incarnation.clone())
+            }
             Contact::OtherLife | Contact::Refused | Contact::Unanswered => {
                 self.candidates.retry(now, incarnation);
                 Transition::Unchanged
