--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -253,7 +253,7 @@
                 true
             }
             failure => {
-                tracing::warn!(worker = %request.incarnation, ?failure, "worker did not answer");
+                tracing::warn!(worker = %request.incarnation, reason = ?failure, "worker did not answer");
                 metrics::counter!("godwitstep_worker_failures_total").increment(1);
                 let transition = self.state_machine.borrow_mut().poll_failed(
                     now,
