test: a job that another entry just accepted can be cancelled

An entry that does not decide pauses for 250 ms between two reads; another entry's job arrives in the pause and is cancelled at once. Fails on: left: Unknown, right: Stored.

--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -16,7 +16,7 @@
 use godwitstep_batch::message::{Reachability, Reply, Report, Start, Worker, WorkerInfo};
 use godwitstep_batch::policy::{Policy, Queue};
 use godwitstep_batch::progress::Outcome;
-use godwitstep_batch::record::Record;
+use godwitstep_batch::record::{Claim, Record};
 use log::MemoryLog;
 use smol::Timer;
 use smol::future::FutureExt;
@@ -183,3 +183,28 @@
         assert!(entry.status(2).is_some(), "the job is still in the log");
     });
 }
+
+/// Guards against a job that runs although its caller was told that it does not exist any more: another entry accepted
+/// it after this entry's last read of the log.
+#[test]
+fn a_job_that_another_entry_just_accepted_can_be_cancelled() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    log.push_record(&Record::Claimed(Claim {
+        epoch: 1,
+        host: "host-9".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        released: false,
+    }));
+    log.push_record(&Record::Submitted(job(1)));
+    run(&entry, async {
+        wait_until("the log is read", || entry.status(1).is_some()).await;
+        // An entry that does not decide pauses between two reads.
+        log.push_record(&Record::Submitted(job(2)));
+        assert_eq!(entry.status(2), None);
+        assert_eq!(entry.cancel(2, TIMEOUT).await, Verdict::Stored);
+        assert_eq!(entry.cancel(3, TIMEOUT).await, Verdict::Unknown);
+        let ended = || entry.status(2) == Some(Status::Ended(Outcome::Cancelled));
+        wait_until("the job is cancelled", ended).await;
+    });
+}
