fix: answer a cancel with 'no such job' only after a read of the log that was sent for it

Cause: the answer rested on a view of up to 1.5 s. Entries that do not decide read four times a second at most, and a slow or partly unreachable log makes the view older. Evidence: a_job_that_another_entry_just_accepted_can_be_cancelled failed on: left: Unknown, right: Stored. Change: a cancel of a job that the ledger does not have reads the rest of the log first, through another entry if this one can't; without such a read the cancel is refused (503). One more read for each such cancel. Why it works: a submission is acknowledged only once it is in the log, so a read sent later includes it.

--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -2,13 +2,13 @@
 
 use super::Entry;
 use super::writer::Error;
-use crate::batch::log::Log;
+use crate::batch::log::{Log, ReadError, Stream};
 use godwitstep_batch::access::MAX_JOBS_AGE;
 use godwitstep_batch::demand::Demand;
-use godwitstep_batch::id::JobId;
+use godwitstep_batch::id::{JobId, Offset};
 use godwitstep_batch::job::Job;
 use godwitstep_batch::ledger::Status;
-use godwitstep_batch::record::Record;
+use godwitstep_batch::record::{Record, submitted_key};
 use smol::Timer;
 use smol::future::FutureExt;
 use std::sync::Arc;
@@ -65,15 +65,17 @@
         verdict
     }
 
-    /// Stores the cancellation of a job within `time_limit`.
+    /// Stores the cancellation of a job within `time_limit`. Callers take the answer that the job does not exist for
+    /// its end, so this answer rests on a read of the log that was sent after the request arrived.
     pub async fn cancel(&self, id: JobId, time_limit: Duration) -> Verdict {
         match self.status(id) {
             Some(Status::Ended(_)) => return Verdict::Stored,
             Some(Status::Queued | Status::Running) => {}
-            None if self.has_current_jobs() => return Verdict::Unknown,
-            None => {
-                return Verdict::Refused;
-            }
+            None => match self.is_submitted(id).await {
+                Some(true) => {}
+                Some(false) => return Verdict::Unknown,
+                None => return Verdict::Refused,
+            },
         }
         let visible = || matches!(self.status(id), Some(Status::Ended(_)));
         let verdict = self
@@ -83,6 +85,23 @@
         verdict
     }
 
+    /// Returns whether the part of the log that the ledger does not include yet holds the submission of a job. Returns
+    /// `None` if it could not be read up to its end.
+    async fn is_submitted(&self, id: JobId) -> Option<bool> {
+        let from = self.state.borrow().records_end;
+        let page = match self.log.read(Stream::Records, from, Duration::ZERO).await {
+            Ok(page) => page,
+            // The partition is still empty.
+            Err(ReadError::Expired { start: 0 }) => return Some(false),
+            Err(_) => self.read_from_peer(Stream::Records, from).await?,
+        };
+        let key = submitted_key(id);
+        let mut items = page.items.iter().flatten();
+        let submitted = items.any(|item| item.key == key && !item.value.is_empty());
+        let complete = from + page.items.len() as Offset >= page.end;
+        (submitted || complete).then_some(submitted)
+    }
+
     /// Stores a record within `time_limit`. `visible` returns whether the ledger already reflects it.
     async fn store(
         &self,
