test: a repeated append extends the decider's lease from its first sending

An append is stored but its response is lost; 2 s later the log answers the repetition as the first time.

--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -1,7 +1,7 @@
 //! Log service in memory, with faults that a test switches on.
 
 use godwitstep::batch::log::{AppendError, Fence, Item, Log, Newest, Page, ReadError, Stream};
-use godwitstep_batch::id::{Epoch, Offset};
+use godwitstep_batch::id::Offset;
 use godwitstep_batch::record::Record;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
@@ -12,6 +12,19 @@
 /// Time after which a read that gets no response fails, in addition to the time for which it may wait for a record.
 const READ_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
+/// How the service handles appends.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum AppendMode {
+    #[default]
+    Up,
+    /// Stores appends, but does not answer them.
+    LosesResponses,
+    /// Neither stores nor answers appends.
+    Silent,
+    /// Answers repeated appends as the first time, and is silent otherwise.
+    RepeatsOnly,
+}
+
 #[derive(Default)]
 struct Partition {
     items: RefCell<Vec<Item>>,
@@ -26,8 +39,9 @@
 pub struct MemoryLog {
     records: Rc<Partition>,
     operator: Rc<Partition>,
-    /// Highest epoch.
-    epoch: Rc<Cell<Epoch>>,
+    append_mode: Rc<Cell<AppendMode>>,
+    /// Last fenced append and the offset after it.
+    last_append: Rc<Cell<Option<(Fence, Offset)>>>,
 }
 
 impl MemoryLog {
@@ -59,6 +73,16 @@
         self.partition(stream).unreadable.set(unreadable);
     }
 
+    /// Sets how appends are handled.
+    pub fn set_append_mode(&self, mode: AppendMode) {
+        self.append_mode.set(mode);
+    }
+
+    /// Returns the offset after the last record.
+    pub fn end(&self, stream: Stream) -> Offset {
+        self.partition(stream).items.borrow().len() as Offset
+    }
+
     /// Expires all records except the newest one of each key.
     pub fn expire_history(&self, stream: Stream) {
         let partition = self.partition(stream);
@@ -82,15 +106,32 @@
 
 impl Log for MemoryLog {
     async fn append(&self, items: &[Item], fence: Option<Fence>) -> Result<Offset, AppendError> {
-        if let Some(fence) = fence {
-            if fence.epoch < self.epoch.get() {
-                return Err(AppendError::Fenced);
+        let unanswered = || AppendError::Unanswered("no response".to_owned());
+        let mode = self.append_mode.get();
+        let first_response = self
+            .last_append
+            .get()
+            .filter(|(last, _)| fence == Some(*last));
+        let fenced =
+            |(last, _): (Fence, Offset)| fence.is_some_and(|fence| fence.epoch < last.epoch);
+        let end = match (mode, first_response) {
+            (AppendMode::Silent, _) | (AppendMode::RepeatsOnly, None) => return Err(unanswered()),
+            (_, Some((_, end))) => end,
+            _ if self.last_append.get().is_some_and(fenced) => return Err(AppendError::Fenced),
+            _ => {
+                let mut records = self.records.items.borrow_mut();
+                records.extend_from_slice(items);
+                let end = records.len() as Offset;
+                if let Some(fence) = fence {
+                    self.last_append.set(Some((fence, end)));
+                }
+                end
             }
-            self.epoch.set(fence.epoch);
+        };
+        match mode {
+            AppendMode::LosesResponses => Err(unanswered()),
+            _ => Ok(end),
         }
-        let mut records = self.records.items.borrow_mut();
-        records.extend_from_slice(items);
-        Ok(records.len() as Offset)
     }
 
     async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Result<Page, ReadError> {
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -8,7 +8,7 @@
 use godwitstep::batch::operator::OperatorRecord;
 use godwitstep::batch::settings::Settings;
 use godwitstep::clock::BootClock;
-use godwitstep_batch::bounds::{MAX_CANCELLATION_DELAY, START_ORDER_TTL};
+use godwitstep_batch::bounds::{DECIDER_LEASE, MAX_CANCELLATION_DELAY, START_ORDER_TTL};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Incarnation, JobId};
 use godwitstep_batch::job::{Job, Step};
@@ -17,7 +17,7 @@
 use godwitstep_batch::policy::{Policy, Queue};
 use godwitstep_batch::progress::Outcome;
 use godwitstep_batch::record::{Claim, Record};
-use log::MemoryLog;
+use log::{AppendMode, MemoryLog};
 use smol::Timer;
 use smol::future::FutureExt;
 use std::rc::Rc;
@@ -88,8 +88,9 @@
     }
 }
 
-/// Reports an idle worker to the entry. Returns the runs that the reply orders to start.
-async fn report_idle_worker(entry: &Entry<MemoryLog>, sequence: u64) -> Vec<Start> {
+/// Reports an idle worker to the entry. Returns the runs that the reply orders to start, or `None` if the entry does not
+/// answer as the decider.
+async fn report_idle_worker(entry: &Entry<MemoryLog>, sequence: u64) -> Option<Vec<Start>> {
     let info = WorkerInfo {
         incarnation: Incarnation {
             host: "host-2".into(),
@@ -117,8 +118,8 @@
         ..Report::default()
     };
     match entry.handle_report(report).await {
-        Reply::Directive(directive) => directive.start,
-        Reply::NotDecider { .. } => Vec::new(),
+        Reply::Directive(directive) => Some(directive.start),
+        Reply::NotDecider { .. } => None,
     }
 }
 
@@ -139,7 +140,7 @@
         for sequence in 1.. {
             let started = report_idle_worker(&entry, sequence).await;
             assert_eq!(
-                started,
+                started.unwrap_or_default(),
                 [],
                 "{:?} after the cancellation",
                 cancelled.elapsed()
@@ -208,3 +209,35 @@
         wait_until("the job is cancelled", ended).await;
     });
 }
+
+/// Guards against a decider that answers agents after its lease: the log answers a repeated append as it answered the
+/// first one, whoever decides by then, so the answer does not show that the claim was renewed when it was repeated.
+#[test]
+fn a_repeated_append_extends_the_lease_from_its_first_sending() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    run(&entry, async {
+        wait_until("the entry decides", || entry.is_decider()).await;
+        log.set_append_mode(AppendMode::LosesResponses);
+        let end = log.end(Stream::Records);
+        wait_until("a renewal is stored", || log.end(Stream::Records) > end).await;
+        let stored_at = Instant::now();
+        log.set_append_mode(AppendMode::Silent);
+        assert!(
+            report_idle_worker(&entry, 1).await.is_some(),
+            "the lease holds"
+        );
+        Timer::after(DECIDER_LEASE - Duration::from_millis(500)).await;
+        log.set_append_mode(AppendMode::RepeatsOnly);
+        Timer::after(
+            (DECIDER_LEASE + Duration::from_millis(100)).saturating_sub(stored_at.elapsed()),
+        )
+        .await;
+        assert_eq!(
+            report_idle_worker(&entry, 2).await,
+            None,
+            "{:?} after the last renewal",
+            stored_at.elapsed()
+        );
+    });
+}
