test: silence after a change of the decider counts from the end of the previous lease

An agent reports to a new decider once and then only to the previous one, whose lease still holds. Fails on: restarted too early, left: [host-00, host-01], right: [host-00].

--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -2,11 +2,12 @@
 
 mod simulation;
 
-use godwitstep_batch::bounds::{AGENT_LEASE, Bounds};
+use godwitstep_batch::bounds::{AGENT_LEASE, Bounds, DECIDER_LEASE};
 use godwitstep_batch::id::Task;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::{EndReason, Reachability};
+use godwitstep_batch::planner::Planner;
 use godwitstep_batch::progress::{Outcome, State};
 use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, gang, seconds, step};
 use std::time::Duration;
@@ -74,6 +75,28 @@
     assert_eq!(sim.hosts_running(1).len(), 2, "not restarted elsewhere");
 }
 
+/// Guards against a second run after a change of the decider: an agent that reported to the new decider once may have been
+/// answered by the previous one later, until the end of that one's lease.
+#[test]
+fn work_of_an_agent_that_the_previous_decider_answered_last_restarts_after_the_longest_lease() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let host = sim.hosts_running(1)[0].clone();
+    sim.planner = Planner::new(2 << 20, sim.now, Bounds::default());
+    let answered_until = sim.now + DECIDER_LEASE;
+    sim.round();
+    sim.hosts.get_mut(&host).unwrap().reachable = false;
+    sim.run_for((answered_until + Bounds::default().agent_timeout()).saturating_sub(sim.now));
+    assert_eq!(
+        sim.hosts_running(1),
+        std::slice::from_ref(&host),
+        "restarted too early"
+    );
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1).len(), 2, "not restarted elsewhere");
+}
+
 /// Guards against the end of an independent task being applied to another task of its step, whose
 /// agent is silent.
 #[test]
