fix: an answer to a repeated append renews the decider's claim from its first sending only

Callers would see a task run twice around a change of the decider: the previous one answers agents beyond the lease that its successor waits for, so agents renew their workers' leases for up to 2.5 s longer than the successor assumes. Cause: the claim counted as renewed when the successful attempt was sent. Evidence: a_repeated_append_extends_the_lease_from_its_first_sending failed on: 2.600246807s after the last renewal, left: Some([]). Ruled out: an attempt after a refusal, which stored nothing, counts from its own sending. Why it works: the log stored the append after its first sending, before any higher epoch.

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -102,7 +102,7 @@
 /// State of the decider role.
 struct Decider {
     planner: Planner,
-    /// When the newest successful append was sent. Each append renews the claim.
+    /// When the newest successful append was sent for the first time. Each append renews the claim.
     renewed_at: Duration,
     /// Whether the log refused an append since the last successful one.
     last_append_refused: bool,
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -315,14 +315,16 @@
         let sequence = self.next_sequence();
         let started_at = self.clock.now();
         let mut failing = false;
-        let mut unanswered = false;
+        // When the first attempt was sent that was not answered. The log may answer a repeated append as the first time
+        // even after another entry has claimed the role, so the answer renews the claim from then only.
+        let mut unanswered_since: Option<Duration> = None;
         loop {
             let sent = self.clock.now();
             let fence = Fence { epoch, sequence };
             match self.log.append(&batch, Some(fence)).await {
                 Ok(end) => {
                     if let Some(decider) = &mut self.state.borrow_mut().decider {
-                        decider.renewed_at = sent;
+                        decider.renewed_at = unanswered_since.unwrap_or(sent);
                         decider.last_append_refused = false;
                     }
                     metrics::histogram!("godwitstep_decision_append_seconds")
@@ -342,7 +344,7 @@
                     }
                     failing = true;
                     metrics::counter!("godwitstep_log_append_failures_total").increment(1);
-                    if matches!(error, AppendError::Refused(_)) && !unanswered {
+                    if matches!(error, AppendError::Refused(_)) && unanswered_since.is_none() {
                         // Nothing is stored, so the entries may append the callers' records themselves.
                         self.reject_relayed(&std::mem::take(&mut relayed));
                         batch.drain(..batch.len() - planned);
@@ -351,7 +353,7 @@
                             return Ok(());
                         }
                     } else {
-                        unanswered = true;
+                        unanswered_since.get_or_insert(sent);
                     }
                     Timer::after(APPEND_RETRY_DELAY).await;
                 }
