fix(batch): silence of an agent without a directive counts from the end of the previous decider's lease

Callers would see a task run twice after a change of the decider: an agent reports to the new decider, the reply is lost, and the previous decider, whose lease still holds, answers its next reports. The new one counted the silence from that report, up to 2.5 s too early; the worker's lease is renewed for as long after the last answer. Cause: only agents that had never reported were given the previous decider's lease. Evidence: work_of_an_agent_that_the_previous_decider_answered_last_restarts_after_the_longest_lease failed on: restarted too early, left: [host-00, host-01], right: [host-00]. Ruled out: an agent that reports this decider's epoch ignores earlier deciders, so its silence counts from its report as before; work_of_a_silent_agent_restarts_only_after_the_longest_lease holds unchanged. Change: AgentReports compares the epoch in the report; the simulated agents report the epoch that they received. Why it works: agents accept no directive of an epoch below the highest that they received.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -218,7 +218,7 @@
     pub fn new(epoch: Epoch, now: Duration, bounds: Bounds) -> Self {
         Self {
             epoch,
-            reports: AgentReports::new(now, &bounds),
+            reports: AgentReports::new(epoch, now, &bounds),
             bounds,
             health: Health::default(),
             failures: FailedWorkers::default(),
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -2,7 +2,7 @@
 
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
-use crate::id::{Host, Incarnation, Run, Task};
+use crate::id::{Epoch, Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -40,8 +40,10 @@
 #[derive(Debug)]
 pub(super) struct AgentReports {
     hosts: BTreeMap<Host, LatestReport>,
-    /// Time from which the silence of an agent that never reported counts. Until then an earlier
-    /// decider may have answered it.
+    /// Epoch of the decider.
+    epoch: Epoch,
+    /// Time from which the silence of an agent counts that has received no directive of this decider.
+    /// Until then an earlier decider may have answered it, also after a report to this one.
     silence_counted_from: Duration,
     max_silence: Duration,
     /// Time after which a start that was sent to one incarnation of a worker can no longer be
@@ -50,8 +52,9 @@
 }
 
 impl AgentReports {
-    pub fn new(now: Duration, bounds: &Bounds) -> Self {
+    pub fn new(epoch: Epoch, now: Duration, bounds: &Bounds) -> Self {
         Self {
+            epoch,
             hosts: BTreeMap::new(),
             silence_counted_from: now + DECIDER_LEASE,
             max_silence: bounds.agent_timeout(),
@@ -163,7 +166,12 @@
         if latest.report.deregistered.as_ref() == Some(incarnation) {
             return Some(EndCause::WorkerGone);
         }
-        (now > latest.received_at + self.max_silence).then_some(EndCause::AgentSilent)
+        let counted_from = if latest.report.epoch >= self.epoch {
+            latest.received_at
+        } else {
+            latest.received_at.max(self.silence_counted_from)
+        };
+        (now > counted_from + self.max_silence).then_some(EndCause::AgentSilent)
     }
 }
 
--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -85,7 +85,9 @@
     let host = sim.hosts_running(1)[0].clone();
     sim.planner = Planner::new(2 << 20, sim.now, Bounds::default());
     let answered_until = sim.now + DECIDER_LEASE;
-    sim.round();
+    sim.deliver_reports();
+    sim.decide();
+    // The reply is lost.
     sim.hosts.get_mut(&host).unwrap().reachable = false;
     sim.run_for((answered_until + Bounds::default().agent_timeout()).saturating_sub(sim.now));
     assert_eq!(
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -4,7 +4,7 @@
 
 use godwitstep_batch::Bounds;
 use godwitstep_batch::demand::Demand;
-use godwitstep_batch::id::{Domain, Incarnation, JobId, Run, Task};
+use godwitstep_batch::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::{Ledger, Status};
 use godwitstep_batch::message::{
@@ -32,6 +32,8 @@
 pub struct SimulatedHost {
     pub worker: Worker,
     pub incarnation: u64,
+    /// Highest epoch that the agent has received.
+    pub epoch: Epoch,
     /// Whether the agent's reports reach the decider.
     pub reachable: bool,
     /// Whether the agent executes start and stop orders.
@@ -164,6 +166,7 @@
         let host = SimulatedHost {
             worker,
             incarnation: 1,
+            epoch: 0,
             reachable: true,
             executes_orders: true,
             makes_progress: true,
@@ -222,6 +225,7 @@
                     host: name.as_str().into(),
                     incarnation: host.incarnation,
                     sequence: host.sequence,
+                    epoch: host.epoch,
                     worker: Some(host.worker.clone()),
                     ..Report::default()
                 };
@@ -265,7 +269,11 @@
     pub fn execute_orders(&mut self) {
         for (name, host) in &mut self.hosts {
             let directive = &self.directives[name];
-            if !host.reachable || !host.executes_orders {
+            if !host.reachable {
+                continue;
+            }
+            host.epoch = host.epoch.max(directive.epoch);
+            if !host.executes_orders {
                 continue;
             }
             host.worker
