--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -34,6 +34,23 @@
     unreadable: Cell<bool>,
 }
 
+impl Partition {
+    /// Returns the records from an offset on.
+    fn page(&self, from: Offset) -> Page {
+        let items = self.items.borrow();
+        let unread = items.get(usize::try_from(from).unwrap_or(usize::MAX)..);
+        Page {
+            items: unread
+                .unwrap_or_default()
+                .iter()
+                .cloned()
+                .map(Some)
+                .collect(),
+            end: items.len() as Offset,
+        }
+    }
+}
+
 /// Log service with one partition for each stream. Clones share their content.
 #[derive(Clone, Default)]
 pub struct MemoryLog {
@@ -144,16 +161,10 @@
             if from < start {
                 return Err(ReadError::Expired { start });
             }
-            let items = partition.items.borrow();
-            let unread = items.get(usize::try_from(from).unwrap_or(usize::MAX)..);
-            let unread = unread.unwrap_or_default();
-            if !unread.is_empty() || Instant::now() >= deadline {
-                return Ok(Page {
-                    items: unread.iter().cloned().map(Some).collect(),
-                    end: items.len() as Offset,
-                });
+            let page = partition.page(from);
+            if !page.items.is_empty() || Instant::now() >= deadline {
+                return Ok(page);
             }
-            drop(items);
             Timer::after(Duration::from_millis(5)).await;
         }
     }
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -136,7 +136,7 @@
         // Another entry acknowledges the cancellation once it is in the log.
         log.push_record(&Record::Cancelled { job: 1 });
         let cancelled = Instant::now();
-        Timer::after(MAX_CANCELLATION_DELAY - START_ORDER_TTL).await;
+        Timer::after(MAX_CANCELLATION_DELAY.saturating_sub(START_ORDER_TTL)).await;
         for sequence in 1.. {
             let started = report_idle_worker(&entry, sequence).await;
             assert_eq!(
@@ -227,7 +227,7 @@
             report_idle_worker(&entry, 1).await.is_some(),
             "the lease holds"
         );
-        Timer::after(DECIDER_LEASE - Duration::from_millis(500)).await;
+        Timer::after(DECIDER_LEASE.saturating_sub(Duration::from_millis(500))).await;
         log.set_append_mode(AppendMode::RepeatsOnly);
         Timer::after(
             (DECIDER_LEASE + Duration::from_millis(100)).saturating_sub(stored_at.elapsed()),
--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -318,7 +318,7 @@
                     tasks.spawn(serve).detach();
                 }
             };
-            tasks.run(accept).await
+            tasks.run(accept).await;
         };
         let client = Client::new(address);
         let calls = async {
