--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -32,6 +32,8 @@
 pub struct SimulatedHost {
     pub worker: Worker,
     pub incarnation: u64,
+    /// Highest epoch that the agent has received.
+    pub epoch: Epoch,
     /// Whether the agent's reports reach the decider.
     pub reachable: bool,
     /// Whether the agent executes start and stop orders.
@@ -165,6 +167,7 @@
         let host = SimulatedHost {
             worker,
             incarnation: 1,
+            epoch: 0,
             reachable: true,
             executes_orders: true,
             makes_progress: true,
@@ -264,7 +267,11 @@
     pub fn execute_orders(&mut self) {
         for (name, host) in &mut self.hosts {
             let directive = &self.directives[name];
-            if !host.reachable || !host.executes_orders {
+            if !host.reachable {
+                continue;
+            }
+            host.epoch = host.epoch.max(directive.epoch);
+            if !host.executes_orders {
                 continue;
             }
             host.worker
