fix(batch): the lease of a worker that does not answer is left to expire

What callers would see: tasks that stay 'running' for good on a worker that has crashed, while its agent goes on. Cause: an agent requested a later end of the lease with each poll, and with each repeated start, also while none was answered; it has to assume that a request without an answer took effect, so the lease never counted as expired. Evidence: the_lease_of_a_worker_that_does_not_answer_expires_while_a_decider_answers and repeated_starts_on_a_worker_that_does_not_answer_do_not_extend_its_lease failed with 'left: Unreachable, right: LeaseExpired'. Ruled out: registrations; a worker that never registers again was covered by nothing.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -181,8 +181,7 @@
         }
         let session = self.session.as_mut()?;
         // The lease of a worker that may be gone is left to expire, as the last evidence that it is.
-        let doubted = session.leaving_since.is_some() || !self.candidates.is_empty();
-        let renew = renew && !(doubted && session.is_unreachable());
+        let renew = renew && !session.is_unreachable();
         let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -97,10 +97,6 @@
             .find(|candidate| candidate.facts.incarnation() == incarnation)
     }
 
-    pub const fn is_empty(&self) -> bool {
-        self.0.is_empty()
-    }
-
     /// Returns the candidate to poll at this time, the one that registered last first.
     pub fn due(&self, now: Duration) -> Option<&Candidate> {
         let due = |candidate: &&Candidate| candidate.probe_at.is_some_and(|at| at <= now);
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -67,10 +67,12 @@
             return Vec::new();
         };
         let deadline = session.clock(now).saturating_add(millis(START_TTL));
-        let draining = session.draining();
+        // A start on a worker that does not answer could extend the lease whose end shows that nothing runs there.
+        let accepts_starts = !session.draining() && !session.is_unreachable();
         let mut calls = Vec::new();
         for (key, pending) in &mut self.pending {
-            if !pending.due(now) || (draining && matches!(pending.operation, Operation::Start(_))) {
+            let allowed = accepts_starts || !matches!(pending.operation, Operation::Start(_));
+            if !allowed || !pending.due(now) {
                 continue;
             }
             pending.mark_in_flight();
--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -322,6 +322,44 @@
     );
 }
 
+/// Guards against runs that stay placed for good on a worker that has crashed, because its agent goes on renewing a
+/// lease that no one holds.
+#[test]
+fn the_lease_of_a_worker_that_does_not_answer_expires_while_a_decider_answers() {
+    let mut agent = agent();
+    let mut now = millis(0);
+    let end = Bounds::default().max_lease + millis(1_500);
+    while now < end {
+        now += millis(200);
+        deliver(&mut agent, now, Directive::default());
+        assert!(agent.lease_request(now).is_some());
+        agent.poll_failed(now, &incarnation(1), &Contact::Unanswered);
+    }
+    let worker = agent.report(now, false).worker.unwrap();
+    assert_eq!(worker.reachability, Reachability::LeaseExpired);
+    poll(&mut agent, now, lists(&[], &[]));
+    assert!(agent.lease_request(now).unwrap().deadline.is_some());
+}
+
+/// Guards against runs that stay placed for good on a worker that has crashed, because the decider repeats the order to
+/// start one of them and each call could extend the lease.
+#[test]
+fn repeated_starts_on_a_worker_that_does_not_answer_do_not_extend_its_lease() {
+    let mut agent = agent();
+    let mut now = millis(0);
+    let end = Bounds::default().max_lease + millis(3_000);
+    while now < end {
+        now += millis(200);
+        deliver(&mut agent, now, start_directive(1));
+        for call in agent.due_calls(now) {
+            agent.call_answered(now, &call, Answer::Unanswered);
+        }
+        agent.poll_failed(now, &incarnation(1), &Contact::Unanswered);
+    }
+    let worker = agent.report(now, false).worker.unwrap();
+    assert_eq!(worker.reachability, Reachability::LeaseExpired);
+}
+
 /// Guards against answers to calls to an earlier incarnation that are applied to the current one.
 #[test]
 fn answers_of_an_earlier_incarnation_are_ignored() {
