fix: a panic in one loop of a process ends the process

What callers would see: an entry or agent that goes on without reading the log, deciding or polling, and is never restarted. Cause: the loops were detached tasks, whose panic the executor swallows. Evidence: a_panic_in_one_loop_ends_the_entry failed with 'the entry goes on'. Change: a process waits for its loops; a panic in one of them ends it, and the platform starts it again.

--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -10,6 +10,7 @@
 use super::wall_millis;
 use super::worker::{PollResult, Worker};
 use decider::DeciderConnection;
+use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use godwitstep_batch::agent::{self as state_machine, Answer, Call, Contact, Operation};
 use godwitstep_batch::bounds::AGENT_LEASE;
@@ -113,21 +114,23 @@
     {
         let tasks = LocalExecutor::new();
         let agent = self.clone();
-        tasks
-            .spawn(async move { agent.report_loop().await })
-            .detach();
+        let reports = async move { agent.report_loop().await };
         let agent = self.clone();
-        tasks
-            .spawn(async move { agent.report_changes_at_once().await })
-            .detach();
+        let changes = async move { agent.report_changes_at_once().await };
         let agent = self.clone();
-        tasks.spawn(async move { agent.poll_loop().await }).detach();
+        let polls = async move { agent.poll_loop().await };
         let agent = self.clone();
-        tasks
-            .spawn(async move { agent.probe_loop().await })
-            .detach();
-        tasks.spawn(async move { self.call_loop().await }).detach();
-        tasks.run(std::future::pending::<()>()).await;
+        let probes = async move { agent.probe_loop().await };
+        let calls = async move { self.call_loop().await };
+        // A panic in a loop ends the process, which is restarted; it does not go on without the loop.
+        let loops = [
+            tasks.spawn(reports),
+            tasks.spawn(changes),
+            tasks.spawn(polls),
+            tasks.spawn(probes),
+            tasks.spawn(calls),
+        ];
+        tasks.run(join_all(loops)).await;
     }
 
     /// Sends long-polling reports in a loop. The decider may hold each reply back until it has a new directive.
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -18,6 +18,7 @@
 use super::operator::{OperatorRecord, OperatorState};
 use super::settings::Settings;
 use super::wall_millis;
+use futures_util::future::join_all;
 use godwitstep_batch::access::{self, Grant, Refusal, View};
 use godwitstep_batch::bounds::Bounds;
 use godwitstep_batch::claim::FailureDetector;
@@ -209,12 +210,15 @@
         let entry = self.clone();
         let deciding = async move { entry.decider_loop().await };
         let announcing = async move { self.announce().await };
-        tasks.spawn(records).detach();
-        tasks.spawn(operator).detach();
-        tasks.spawn(writing).detach();
-        tasks.spawn(deciding).detach();
-        tasks.spawn(announcing).detach();
-        tasks.run(std::future::pending::<()>()).await;
+        // A panic in a loop ends the process, which is restarted; it does not go on without the loop.
+        let loops = [
+            tasks.spawn(records),
+            tasks.spawn(operator),
+            tasks.spawn(writing),
+            tasks.spawn(deciding),
+            tasks.spawn(announcing),
+        ];
+        tasks.run(join_all(loops)).await;
     }
 
     async fn follow(
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -20,6 +20,7 @@
 use log::{AppendMode, MemoryLog};
 use smol::Timer;
 use smol::future::FutureExt;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -70,6 +71,31 @@
     )
 }
 
+/// Guards against an entry that goes on without one of its loops after that loop has panicked.
+#[test]
+fn a_panic_in_one_loop_ends_the_entry() {
+    let log = MemoryLog::default();
+    let settings = r#"{
+        "host": "host-1", "domain": "domain-1", "log": "127.0.0.1:1", "agents": "127.0.0.1:1"
+    }"#;
+    let record = Item {
+        key: "policy".to_owned(),
+        value: Bytes::from_static(b"1"),
+    };
+    log.push(Stream::Operator, record);
+    let entry = Entry::new(
+        log,
+        Rc::new(BootClock),
+        Settings::parse(settings).unwrap(),
+        |_| panic!("this record can't be read"),
+    );
+    let timeout = async {
+        Timer::after(TIMEOUT).await;
+    };
+    let run = AssertUnwindSafe(|| smol::block_on(entry.run().or(timeout)));
+    assert!(std::panic::catch_unwind(run).is_err(), "the entry goes on");
+}
+
 /// Runs a test beside the tasks of an entry.
 fn run<T>(entry: &Rc<Entry<MemoryLog>>, test: impl Future<Output = T>) -> T {
     let tasks = async {
