test: list a task that a dead worker's last lists block as known red

What callers would see: a task of a worker that has crashed and does not come back waits for ever (LOST), a gang as a whole. Cause: Cluster::count_listed collects the runs of each worker with a fresh report in `active`, whatever its reachability. The agent goes on reporting `session.running` of the last answer after the lease has expired (agent.rs, worker_report), and its reports are fresh. The run has ended in the ledger as LeaseExpired, so each round leaves its task out. Evidence: a_run_on_a_worker_whose_lease_has_expired_does_not_block_its_task fails with 'not restarted elsewhere, only listed on ["host-00"]'. The older test work_on_an_unreachable_worker_moves_after_its_lease clears the lists, which the agent does not do.

--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -442,3 +442,24 @@
         assert_eq!(last_run(&sim), 2, "not restarted after the stop");
     }
 }
+
+/// Guards against a task that waits for ever, because the agent still lists a run from the last answer of a dead worker.
+#[test]
+fn a_run_on_a_worker_whose_lease_has_expired_does_not_block_its_task() {
+    for spec in [step(1, 8, seconds(60)), gang(2, 4, seconds(60))] {
+        let mut sim = Simulation::new(3, 3);
+        sim.submit(1, "normal", "north", vec![spec]);
+        sim.run_for(seconds(1));
+        let host = sim.hosts_running(1)[0].clone();
+        let dead = sim.hosts.get_mut(&host).unwrap();
+        dead.worker.reachability = Reachability::LeaseExpired;
+        dead.executes_orders = false;
+        dead.makes_progress = false;
+        sim.run_for(seconds(30));
+        let hosts = sim.hosts_running(1);
+        assert!(
+            hosts.iter().any(|other| *other != host),
+            "not restarted elsewhere, only listed on {hosts:?}"
+        );
+    }
+}
