test: list a worker whose probe other registrations starve as known red

What callers would see: a live worker stays unused while another writer registers two names a second at addresses that do not answer. Cause: Candidates::due takes the candidate that registered last first, and one probe is in flight at a time; an unanswered one takes 700 ms. The probes of the current worker come after all of them (Agent::due_probe). Evidence: registrations_that_do_not_answer_do_not_starve_the_probe_of_a_worker fails with 'worker-1 was not polled within 60 s'.

--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -382,3 +382,32 @@
     }
     assert_eq!(capacity(&mut agent), 7);
 }
+
+/// Guards against a worker that is never polled, because the probes of names that another writer registers come first.
+#[test]
+fn registrations_that_do_not_answer_do_not_starve_the_probe_of_a_worker() {
+    let probe_timeout = millis(700);
+    let mut agent = new_agent();
+    let mut now = Duration::ZERO;
+    let mut next_registration = Duration::ZERO;
+    while now < Duration::from_secs(60) {
+        while next_registration <= now {
+            register(&mut agent, now, "worker-1", 50, address(1));
+            for (name, port) in [("other-1", 2), ("other-2", 3)] {
+                register(&mut agent, now, name, 50, address(port));
+            }
+            next_registration += Duration::from_secs(1);
+        }
+        let Some(probe) = agent.due_probe(now) else {
+            now += millis(50);
+            continue;
+        };
+        if probe.address == address(1) {
+            return;
+        }
+        let sent = now;
+        now += probe_timeout;
+        agent.probe_answered(now, sent, &probe, Contact::Unanswered);
+    }
+    panic!("worker-1 was not polled within 60 s");
+}
