test: list a deregistration that is lost when a worker takes over as known red

What callers would see: a worker that deregistered before a new agent polled it gets new runs, and its end shows only after its lease. Cause: Agent::take_over takes facts and address of the candidate and drops `leaving`; the session starts with leaving_since None. Evidence: a_deregistration_before_the_first_answer_is_kept fails with 'the worker gets new runs'.

--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -411,3 +411,13 @@
     }
     panic!("worker-1 was not polled within 60 s");
 }
+
+/// Guards against new runs on a worker that deregistered before it answered its first poll.
+#[test]
+fn a_deregistration_before_the_first_answer_is_kept() {
+    let mut agent = new_agent();
+    register(&mut agent, Duration::ZERO, "worker-1", 50, ADDRESS);
+    agent.deregister(millis(10), "worker-1");
+    answer_probe(&mut agent, millis(20), &current(), empty_lists(50));
+    assert!(agent.draining(), "the worker gets new runs");
+}
