test: list a new agent that reports the first worker that answers as known red

What callers would see: two runs of one task, if an agent restarts while a worker that is shutting down and its successor both live. Cause: Agent::is_replaced_by returns true without a session, whatever other candidates there are, and take_over then drops them. The decider takes each other worker of the host for gone (AgentReports::end_cause_of_absent, `replaced`), with no wait for its lease.

--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -421,3 +421,23 @@
     answer_probe(&mut agent, millis(20), &current(), empty_lists(50));
     assert!(agent.draining(), "the worker gets new runs");
 }
+
+/// Guards against a live worker that is neither polled nor stopped, because a new agent was answered by another worker
+/// first.
+#[test]
+fn a_new_agent_waits_for_a_worker_that_has_registered_before_another_takes_over() {
+    let mut agent = new_agent();
+    register(&mut agent, Duration::ZERO, "worker-1", 50, address(1));
+    answer_probe(&mut agent, Duration::ZERO, &current(), Contact::Unanswered);
+    register(&mut agent, millis(100), "worker-2", 60, address(2));
+    let second = incarnation("worker-2", 60);
+    answer_probe(&mut agent, millis(100), &second, empty_lists(60));
+    assert_eq!(
+        agent
+            .report(millis(110), false)
+            .worker
+            .map(|worker| worker.info.incarnation),
+        None,
+        "worker-1 may hold a lease that an earlier process of the agent requested"
+    );
+}
