--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -382,3 +382,62 @@
     }
     assert_eq!(capacity(&mut agent), 7);
 }
+
+/// Guards against a worker that is never polled, because the probes of names that another writer registers come first.
+#[test]
+fn registrations_that_do_not_answer_do_not_starve_the_probe_of_a_worker() {
+    let probe_timeout = millis(700);
+    let mut agent = new_agent();
+    let mut now = Duration::ZERO;
+    let mut next_registration = Duration::ZERO;
+    while now < Duration::from_secs(60) {
+        while next_registration <= now {
+            register(&mut agent, now, "worker-1", 50, address(1));
+            for (name, port) in [("other-1", 2), ("other-2", 3)] {
+                register(&mut agent, now, name, 50, address(port));
+            }
+            next_registration += Duration::from_secs(1);
+        }
+        let Some(probe) = agent.due_probe(now) else {
+            now += millis(50);
+            continue;
+        };
+        if probe.address == address(1) {
+            return;
+        }
+        let sent = now;
+        now += probe_timeout;
+        agent.probe_answered(now, sent, &probe, Contact::Unanswered);
+    }
+    panic!("worker-1 was not polled within 60 s");
+}
+
+/// Guards against new runs on a worker that deregistered before it answered its first poll.
+#[test]
+fn a_deregistration_before_the_first_answer_is_kept() {
+    let mut agent = new_agent();
+    register(&mut agent, Duration::ZERO, "worker-1", 50, ADDRESS);
+    agent.deregister(millis(10), "worker-1");
+    answer_probe(&mut agent, millis(20), &current(), empty_lists(50));
+    assert!(agent.draining(), "the worker gets new runs");
+}
+
+/// Guards against a live worker that is neither polled nor stopped, because a new agent was answered by another worker
+/// first.
+#[test]
+fn a_new_agent_waits_for_a_worker_that_has_registered_before_another_takes_over() {
+    let mut agent = new_agent();
+    register(&mut agent, Duration::ZERO, "worker-1", 50, address(1));
+    answer_probe(&mut agent, Duration::ZERO, &current(), Contact::Unanswered);
+    register(&mut agent, millis(100), "worker-2", 60, address(2));
+    let second = incarnation("worker-2", 60);
+    answer_probe(&mut agent, millis(100), &second, empty_lists(60));
+    assert_eq!(
+        agent
+            .report(millis(110), false)
+            .worker
+            .map(|worker| worker.info.incarnation),
+        None,
+        "worker-1 may hold a lease that an earlier process of the agent requested"
+    );
+}
