fix(batch): lists of a worker whose lease has expired hold back no task

What callers would see: a task that never runs again after its worker has crashed for good (LOST). Cause: the planner holds back a task while a recent report lists a run of it; an agent whose worker is gone goes on listing the runs of the last answer, and its reports are recent. Evidence: a_run_on_a_worker_whose_lease_has_expired_does_not_block_its_task failed with 'not restarted elsewhere, only listed on host-00'.

--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -174,6 +174,10 @@
     fn count_listed(&mut self, now: Duration, reports: &AgentReports, draft: &Draft) {
         let mut active = HashSet::new();
         for (age, worker) in reports.workers(now) {
+            if worker.reachability == Reachability::LeaseExpired {
+                // The lists are those of its last answer; nothing runs there any more.
+                continue;
+            }
             for listed_run in &worker.running {
                 let Some(node) = self.node_mut(&worker.info.incarnation) else {
                     continue;
