fix(http): the check of a new connection has a time limit of its own

What callers would see: starts and stops that a worker answers after 250 to 500 ms are never answered in time on new connections. Cause: one limit covered the check and the call; a call that timed out closed the connection, so the next one was checked again. Evidence: a_start_on_a_new_connection_has_as_much_time_as_on_an_open_one failed with 'left: Some(Unanswered)'.

--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -88,6 +88,10 @@
     step: Cell<Option<Step>>,
     /// Whether the exchange uses a connection of the pool.
     reused: Cell<bool>,
+    /// Time limit of the exchange, and of the check of a new connection.
+    time: Cell<Duration>,
+    /// Whether a new connection has been opened and is checked first, which has a time limit of its own.
+    checking: Cell<bool>,
     written: RefCell<Option<Rc<Cell<bool>>>>,
 }
 
@@ -173,6 +177,7 @@
         time: Duration,
     ) -> Result<Checked, Error> {
         let progress = Progress::default();
+        progress.time.set(time);
         let started_at = Instant::now();
         let work = self.attempt(request, check, &progress);
         let result = self.with_timeout(time, work, &progress).await;
@@ -221,6 +226,9 @@
     ) -> Result<T, Error> {
         let timeout = async {
             Timer::after(time).await;
+            if progress.checking.get() {
+                Timer::after(time).await;
+            }
             Err((Step::Wait, Cause::TimedOut { time }))
         };
         work.or(timeout).await.map_err(|(step, cause)| Error {
@@ -260,7 +268,7 @@
         progress.step.set(Some(Step::Connect));
         let mut connection = self.connect().await?;
         if let Some(check) = check
-            && let Some(rejected) = self.check(&mut connection, check).await?
+            && let Some(rejected) = self.check_within(&mut connection, check, progress).await?
         {
             return Ok(Checked::Rejected(rejected));
         }
@@ -270,6 +278,23 @@
             .map(Checked::Response)
     }
 
+    /// Sends the check of a new connection, within the time limit of the exchange. The request that follows has as much
+    /// time as on a connection of the pool.
+    async fn check_within(
+        &self,
+        connection: &mut Connection,
+        check: &Check<'_>,
+        progress: &Progress,
+    ) -> Result<Option<Response<Bytes>>, (Step, Cause)> {
+        progress.checking.set(true);
+        let time = progress.time.get();
+        let timeout = async {
+            Timer::after(time).await;
+            Err((Step::Connect, Cause::TimedOut { time }))
+        };
+        self.check(connection, check).or(timeout).await
+    }
+
     /// Sends the check of a new connection. Returns the response if it is not accepted.
     async fn check(
         &self,
