fix(batch): candidates are probed in turn, and keep that they have deregistered

What callers would see: a worker that is not used for a minute while another writer registers unreachable ones; new runs on a worker that is about to end. Cause: the newest registration was probed first, before the current worker; a take-over dropped the mark of a deregistration. Evidence: registrations_that_do_not_answer_do_not_starve_the_probe_of_a_worker ('not polled within 60 s') and a_deregistration_before_the_first_answer_is_kept ('the worker gets new runs') failed. Change: the candidate that was not probed for the longest time comes first, by turns with the current worker.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -87,6 +87,8 @@
     refuted: Vec<Incarnation>,
     /// When the last probe was sent.
     last_probe: Option<Duration>,
+    /// Whether the last probe was sent to a candidate instead of the current worker.
+    candidate_probed: bool,
     /// When the last worker deregistered or was replaced by one with another name, and its incarnation.
     deregistered: Option<(Duration, Incarnation)>,
     pending: BTreeMap<RunKey, Pending>,
@@ -112,6 +114,7 @@
             candidates: Candidates::new(),
             refuted: Vec::new(),
             last_probe: None,
+            candidate_probed: false,
             deregistered: None,
             pending: BTreeMap::new(),
             resolving: BTreeMap::new(),
--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -5,6 +5,7 @@
 
 use super::session::{Facts, Registration};
 use crate::id::Incarnation;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,7 +29,9 @@
     /// When it registered last.
     last_registered_at: Duration,
     /// Whether a worker with its name has deregistered.
-    leaving: bool,
+    pub leaving: bool,
+    /// When it was polled last.
+    probed_at: Option<Duration>,
     /// When it is polled next; `None` if that waits for another event.
     probe_at: Option<Duration>,
 }
@@ -69,6 +72,7 @@
             registered_at: now,
             last_registered_at: now,
             leaving: false,
+            probed_at: None,
             probe_at: Some(now),
         });
         true
@@ -97,13 +101,21 @@
             .find(|candidate| candidate.facts.incarnation() == incarnation)
     }
 
-    /// Returns the candidate to poll at this time, the one that registered last first.
+    /// Returns the candidate to poll at this time: the one that was not polled for the longest time, so that others
+    /// that do not answer delay it by one poll each; among equal ones the one that registered last.
     pub fn due(&self, now: Duration) -> Option<&Candidate> {
         let due = |candidate: &&Candidate| candidate.probe_at.is_some_and(|at| at <= now);
         self.0
             .iter()
             .filter(due)
-            .max_by_key(|candidate| candidate.last_registered_at)
+            .min_by_key(|candidate| (candidate.probed_at, Reverse(candidate.last_registered_at)))
+    }
+
+    /// Records that a candidate is polled.
+    pub fn probed(&mut self, now: Duration, incarnation: &Incarnation) {
+        if let Some(candidate) = self.get_mut(incarnation) {
+            candidate.probed_at = Some(now);
+        }
     }
 
     /// Returns the earliest time at which a candidate is due.
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -116,15 +116,21 @@
         if !allowed || self.epoch == 0 {
             return None;
         }
-        let (address, incarnation, recorded) = if let Some(candidate) = self.candidates.due(now) {
-            let incarnation = candidate.facts.incarnation().clone();
-            (candidate.address, incarnation, 0)
-        } else {
-            let session = self.session.as_ref()?;
-            session.probe_at.filter(|at| *at <= now)?;
-            let incarnation = session.incarnation().clone();
-            (session.address, incarnation, session.acknowledged())
+        let session = self.session.as_ref();
+        let session = session.filter(|session| session.probe_at.is_some_and(|at| at <= now));
+        let candidate = self.candidates.due(now);
+        // If both are due, they are probed by turns.
+        let candidate = candidate.filter(|_| session.is_none() || !self.candidate_probed);
+        let (address, incarnation, recorded) = match (candidate, session) {
+            (Some(candidate), _) => (candidate.address, candidate.facts.incarnation().clone(), 0),
+            (None, Some(session)) => {
+                let incarnation = session.incarnation().clone();
+                (session.address, incarnation, session.acknowledged())
+            }
+            (None, None) => return None,
         };
+        self.candidate_probed = self.incarnation() != Some(&incarnation);
+        self.candidates.probed(now, &incarnation);
         self.last_probe = Some(now);
         Some(Probe {
             address,
@@ -237,7 +243,13 @@
         incarnation: &Incarnation,
         lists: RunLists,
     ) -> Transition {
-        let Some(Candidate { facts, address, .. }) = self.candidates.take(incarnation) else {
+        let Some(Candidate {
+            facts,
+            address,
+            leaving,
+            ..
+        }) = self.candidates.take(incarnation)
+        else {
             return Transition::Unchanged;
         };
         self.deregistered
@@ -251,7 +263,12 @@
         }
         self.clear_calls();
         let lease = self.bounds.worker_lease();
-        self.session = Some(Session::new(now, facts, address, lists, lease));
+        let mut session = Session::new(now, facts, address, lists, lease);
+        if leaving {
+            session.leaving_since = Some(now);
+            session.probe_at = Some(now + LEAVING_PROBE_INTERVAL);
+        }
+        self.session = Some(session);
         self.refute_candidates(requested);
         Transition::Started { previous }
     }
