--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -322,8 +322,7 @@
     );
 }
 
-/// Guards against runs that stay placed for good on a worker that has crashed, because its agent goes on renewing a
-/// lease that no one holds.
+/// Guards against runs that stay placed for good on a crashed worker whose lease its agent goes on renewing.
 #[test]
 fn the_lease_of_a_worker_that_does_not_answer_expires_while_a_decider_answers() {
     let mut agent = agent();
@@ -341,8 +340,7 @@
     assert!(agent.lease_request(now).unwrap().deadline.is_some());
 }
 
-/// Guards against runs that stay placed for good on a worker that has crashed, because the decider repeats the order to
-/// start one of them and each call could extend the lease.
+/// Guards against runs that stay placed for good on a crashed worker whose lease repeated starts extend.
 #[test]
 fn repeated_starts_on_a_worker_that_does_not_answer_do_not_extend_its_lease() {
     let mut agent = agent();
@@ -393,8 +391,7 @@
     assert_eq!(agent.lease_request(millis(60)).unwrap().recorded, 1);
 }
 
-/// Guards against a task that is not started elsewhere, because the repeated stop of another one, which carries no
-/// lease, counts as a renewal of the silent worker's lease.
+/// Guards against the stop of a run that counts as a renewal of a silent worker's lease.
 #[test]
 fn a_stop_does_not_extend_the_lease() {
     let mut agent = agent();
@@ -411,8 +408,7 @@
     assert_eq!(worker.reachability, Reachability::LeaseExpired);
 }
 
-/// Guards against a second run of a task, because a restarted agent does not know the lease that its predecessor
-/// requested.
+/// Guards against a second run beside one under the lease that the agent's former process requested.
 #[test]
 fn the_lease_that_an_earlier_process_of_the_agent_requested_counts() {
     let mut agent = agent();
@@ -426,8 +422,7 @@
     assert_eq!(reachability(&mut agent, later), Reachability::LeaseExpired);
 }
 
-/// Guards against a second run of a task, because a start that the agent's earlier process sent is executed after the
-/// worker has refused the same start of this one.
+/// Guards against a second run beside one that the agent's former process started late.
 #[test]
 fn a_refusal_soon_after_the_agent_has_started_is_confirmed_by_a_stop() {
     for answer in [Answer::Unhealthy, Answer::Room, Answer::Malformed] {
--- a/crates/godwitstep-batch/tests/ends.rs
+++ b/crates/godwitstep-batch/tests/ends.rs
@@ -75,8 +75,7 @@
     assert_eq!(sim.hosts_running(1).len(), 2, "not restarted elsewhere");
 }
 
-/// Guards against a second run after a change of the decider: an agent that reported to the new decider once may have been
-/// answered by the previous one later, until the end of that one's lease.
+/// Guards against a second run beside one whose agent the previous decider answered last.
 #[test]
 fn work_of_an_agent_that_the_previous_decider_answered_last_restarts_after_the_longest_lease() {
     let mut sim = Simulation::new(2, 2);
@@ -311,8 +310,7 @@
     assert_eq!(listed_runs[0].run, 2);
 }
 
-/// Guards against a registration that is taken for the end of a live worker: the agent has not heard from the worker
-/// that it names.
+/// Guards against runs of a live worker that end because another one has registered.
 #[test]
 fn unknown_worker_does_not_end_runs_of_the_former_one_within_its_lease() {
     let mut sim = Simulation::new(2, 2);
@@ -364,8 +362,7 @@
     assert_eq!(run(&sim), 2, "not restarted after the lease");
 }
 
-/// Guards against a second run of a task whose start may have been executed by the next incarnation of the worker, under
-/// the same name, after the last report of its agent.
+/// Guards against a second run beside a late start that the next incarnation of the worker executed.
 #[test]
 fn late_start_on_a_restarted_worker_is_not_ruled_out_by_an_old_report() {
     let mut sim = Simulation::new(2, 2);
@@ -389,8 +386,7 @@
     assert_eq!(run(&sim), 2, "not restarted");
 }
 
-/// Guards against a second run of a gang member that waits alone on a silent agent, because another member was listed
-/// before it and failed at once.
+/// Guards against a second run of a gang beside a member that waits alone on a silent agent.
 #[test]
 fn gang_member_that_waits_alone_is_not_over_with_an_earlier_one() {
     let mut sim = Simulation::new(4, 4);
@@ -429,8 +425,7 @@
     );
 }
 
-/// Guards against a second run of a task while an earlier run of it, whose late start the next incarnation of a worker
-/// executed, is being stopped.
+/// Guards against a second run of a task while a late run of it is being stopped.
 #[test]
 fn a_task_is_not_placed_while_a_report_lists_a_run_of_it() {
     for spec in [step(1, 8, seconds(60)), gang(2, 4, seconds(60))] {
--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -180,8 +180,7 @@
     assert!(now > Bounds::default().worker_lease(), "{now:?}");
 }
 
-/// Guards against a live worker that gets no more work, because a deregistration of its earlier life under the same
-/// name arrived late.
+/// Guards against a live worker without work after a late deregistration under its name.
 #[test]
 fn a_late_deregistration_of_an_earlier_life_bars_no_worker() {
     let mut agent = leaving_agent();
@@ -221,8 +220,7 @@
     assert_eq!(worker.info.incarnation, incarnation(50));
 }
 
-/// Guards against lost work that is never restarted, because the worker deregistered and ended before it had answered
-/// a restarted agent.
+/// Guards against lost work of a worker that ended before it had answered a restarted agent.
 #[test]
 fn a_worker_that_ends_before_it_has_answered_a_new_agent_is_reported_as_gone() {
     let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -124,8 +124,7 @@
     assert_eq!(sim.status(1), COMPLETED);
 }
 
-/// Guards against starts by a decider that may not have read a cancellation yet, also of tasks that it placed before,
-/// and against one that stops recording ends and ordering stops meanwhile.
+/// Guards against starts by a decider that may not have read a cancellation yet.
 #[test]
 fn nothing_starts_on_an_outdated_view_of_the_jobs() {
     let mut sim = Simulation::new(1, 1);
--- a/crates/godwitstep-batch/tests/replacement.rs
+++ b/crates/godwitstep-batch/tests/replacement.rs
@@ -151,8 +151,7 @@
     agent
 }
 
-/// Guards against a live worker that is neither polled nor stopped any more, while its runs start elsewhere, because
-/// another writer registered another worker for its host.
+/// Guards against a live worker that another registration on its host displaces.
 #[test]
 fn a_registration_does_not_replace_a_worker_that_answers() {
     let mut agent = agent();
@@ -271,8 +270,7 @@
     }
 }
 
-/// Guards against a silent worker whose lease is renewed for ever, so that its successor never takes over, and against
-/// a successor that takes over before that lease has expired.
+/// Guards against a silent worker that is renewed for ever, and a successor that takes over within its lease.
 #[test]
 fn a_worker_at_another_address_waits_for_the_lease_of_a_silent_one() {
     let mut agent = agent();
@@ -297,8 +295,7 @@
     assert!(now > Bounds::default().worker_lease(), "{now:?}");
 }
 
-/// Guards against a decider that ends the runs of a live worker, because a restarted agent reports a worker that has
-/// registered but not answered.
+/// Guards against runs of a live worker that end because a restarted agent reports another one.
 #[test]
 fn a_new_agent_reports_a_worker_only_once_it_has_answered() {
     let mut agent = new_agent();
@@ -345,8 +342,7 @@
     assert!(agent.take_refuted().len() <= 4);
 }
 
-/// Guards against new runs on a worker that is shutting down, because another writer's sequence number hides all of
-/// its later registrations.
+/// Guards against new runs on a draining worker whose registrations a huge sequence number hides.
 #[test]
 fn a_huge_sequence_number_does_not_hide_that_a_worker_is_draining() {
     let mut agent = agent();
@@ -357,8 +353,7 @@
     assert!(agent.draining());
 }
 
-/// Guards against more runs than a worker has room for, because another writer registered another capacity for it,
-/// and against a wrong capacity that stays.
+/// Guards against a capacity of a worker that another writer registered.
 #[test]
 fn another_capacity_of_the_same_worker_has_to_be_confirmed() {
     let mut agent = agent();
@@ -422,8 +417,7 @@
     assert!(agent.draining(), "the worker gets new runs");
 }
 
-/// Guards against a live worker that is neither polled nor stopped, because a new agent was answered by another worker
-/// first.
+/// Guards against a live worker that is lost because another one answered a new agent first.
 #[test]
 fn a_new_agent_waits_for_a_worker_that_has_registered_before_another_takes_over() {
     let mut agent = new_agent();
--- a/crates/godwitstep-batch/tests/reports.rs
+++ b/crates/godwitstep-batch/tests/reports.rs
@@ -333,8 +333,7 @@
     assert!(sim.decisions.iter().all(|decision| !ended(decision)));
 }
 
-/// Guards against a report from before a take-over that ends a run because a start of the agent's former process was
-/// refused, while the start of its successor was executed.
+/// Guards against an old report of a refusal that ends a run which the agent's next process started.
 #[test]
 fn refusal_from_before_a_takeover_ends_no_run() {
     let mut sim = taken_over();
@@ -412,8 +411,7 @@
     assert_eq!(&*task.saved, "second");
 }
 
-/// Guards against a second run of a task whose agent restarted and was answered by the former decider, whose lease had
-/// not ended yet.
+/// Guards against a second run of a task whose restarted agent the former decider answered.
 #[test]
 fn silence_after_a_takeover_counts_from_the_end_of_the_former_deciders_lease() {
     let mut sim = taken_over();
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -149,8 +149,7 @@
     }
 }
 
-/// Guards against tasks that a decider starts although it can't see that their job was cancelled: its reads of the
-/// log get no response while its appends succeed.
+/// Guards against starts of cancelled tasks by a decider whose reads of the log get no response.
 #[test]
 fn a_decider_that_cannot_read_the_log_starts_no_tasks() {
     let log = MemoryLog::default();
@@ -182,8 +181,7 @@
     });
 }
 
-/// Guards against a job that starts again after it has ended: its removal from the log is not among the records that
-/// an entry reads after it was cut off for longer than the log keeps its history.
+/// Guards against a done job that starts again after a reload that does not name it any more.
 #[test]
 fn a_job_that_was_dropped_before_a_reload_is_removed() {
     let log = MemoryLog::default();
@@ -211,8 +209,7 @@
     });
 }
 
-/// Guards against a job that runs although its caller was told that it does not exist any more: another entry accepted
-/// it after this entry's last read of the log.
+/// Guards against a job that runs although its cancellation was answered with 'no such job'.
 #[test]
 fn a_job_that_another_entry_just_accepted_can_be_cancelled() {
     let log = MemoryLog::default();
@@ -236,8 +233,7 @@
     });
 }
 
-/// Guards against a decider that answers agents after its lease: the log answers a repeated append as it answered the
-/// first one, whoever decides by then, so the answer does not show that the claim was renewed when it was repeated.
+/// Guards against a decider that answers agents after its lease because a repeated append was answered.
 #[test]
 fn a_repeated_append_extends_the_lease_from_its_first_sending() {
     let log = MemoryLog::default();
--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -299,8 +299,7 @@
     }
 }
 
-/// Guards against exchanges that time out one after another, each on the next idle connection that has fallen silent
-/// without a reset, although new connections work.
+/// Guards against exchanges that time out one after another on idle connections that fell silent.
 #[test]
 fn one_timeout_replaces_all_silent_connections() {
     smol::block_on(async {
