--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -88,8 +88,6 @@
     step: Cell<Option<Step>>,
     /// Whether the exchange uses a connection of the pool.
     reused: Cell<bool>,
-    /// Time limit of the exchange, and of the check of a new connection.
-    time: Cell<Duration>,
     /// Whether a new connection has been opened and is checked first, which has a time limit of its own.
     checking: Cell<bool>,
     written: RefCell<Option<Rc<Cell<bool>>>>,
@@ -177,8 +175,8 @@
         time: Duration,
     ) -> Result<Checked, Error> {
         let progress = Progress::default();
-        progress.time.set(time);
         let started_at = Instant::now();
+        let check = check.map(|check| (check, time));
         let work = self.attempt(request, check, &progress);
         let result = self.with_timeout(time, work, &progress).await;
         let timed_out =
@@ -242,7 +240,7 @@
     async fn attempt(
         &self,
         mut request: Request<Bytes>,
-        check: Option<&Check<'_>>,
+        check: Option<(&Check<'_>, Duration)>,
         progress: &Progress,
     ) -> Result<Checked, (Step, Cause)> {
         self.set_host_header(&mut request);
@@ -267,10 +265,12 @@
         progress.reused.set(false);
         progress.step.set(Some(Step::Connect));
         let mut connection = self.connect().await?;
-        if let Some(check) = check
-            && let Some(rejected) = self.check_within(&mut connection, check, progress).await?
-        {
-            return Ok(Checked::Rejected(rejected));
+        if let Some((check, time)) = check {
+            progress.checking.set(true);
+            let rejected = self.check_within(&mut connection, check, time).await?;
+            if let Some(rejected) = rejected {
+                return Ok(Checked::Rejected(rejected));
+            }
         }
         let result = self.send_and_read(&mut connection, request, progress).await;
         self.recycle(connection, result)
@@ -278,16 +278,14 @@
             .map(Checked::Response)
     }
 
-    /// Sends the check of a new connection, within the time limit of the exchange. The request that follows has as much
-    /// time as on a connection of the pool.
+    /// Sends the check of a new connection within `time`. The request that follows has as much time as on a connection
+    /// of the pool.
     async fn check_within(
         &self,
         connection: &mut Connection,
         check: &Check<'_>,
-        progress: &Progress,
+        time: Duration,
     ) -> Result<Option<Response<Bytes>>, (Step, Cause)> {
-        progress.checking.set(true);
-        let time = progress.time.get();
         let timeout = async {
             Timer::after(time).await;
             Err((Step::Connect, Cause::TimedOut { time }))
