fix: processes that start at the same time have different incarnations

Cause: an incarnation was the microsecond of the start. Entries that start in the same one share it, and agents tell requests and replies apart by it. Ruled out: http/client.rs, as fails in the same way; load, as two proofs failed with nothing else running.

--- a/crates/godwitstep/src/agent/state.rs
+++ b/crates/godwitstep/src/agent/state.rs
@@ -5,6 +5,7 @@
 use super::requests::Requests;
 use super::rules::Rules;
 use super::target::{self, Health};
+use crate::incarnation::incarnation;
 use crate::link::{Link, LinkId};
 use crate::settings;
 use godwitstep_core::clock::Clock;
@@ -15,7 +16,7 @@
 use smol::channel::Receiver;
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// Gap between two activity checks after which the process counts as having been paused.
 ///
@@ -49,7 +50,7 @@
         let identity = Peer {
             name: settings.name.clone(),
             role: Role::Agent,
-            incarnation: incarnation(clock.wall()),
+            incarnation: incarnation(&settings.name, clock.wall()),
             region: settings.region.clone(),
             domain: settings.domain.clone(),
         };
@@ -206,10 +207,3 @@
         }
     }
 }
-
-fn incarnation(wall: SystemTime) -> Incarnation {
-    let since = wall.duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/godwitstep/src/entry/run.rs
+++ b/crates/godwitstep/src/entry/run.rs
@@ -5,12 +5,12 @@
 use super::stream::Stream;
 use super::{State, follow, operating_mode, requests, serve};
 use crate::http::Shutdown;
+use crate::incarnation::incarnation;
 use crate::link::{self, Event};
 use crate::log::{Client, Reader, Writer};
 use crate::{decider, settings, telemetry};
 use godwitstep_core::authority::OperatingMode;
 use godwitstep_core::clock::Clock;
-use godwitstep_core::id::Incarnation;
 use godwitstep_core::registry::{self, Registry};
 use godwitstep_core::router;
 use godwitstep_wire::auth::Key;
@@ -21,7 +21,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// Capacity of the queue of link events. Handlers never wait, so a short queue is enough.
 const LINK_EVENT_CAPACITY: usize = 1_024;
@@ -140,19 +140,12 @@
     Peer {
         name: settings.name.clone(),
         role: Role::Entry,
-        incarnation: incarnation(clock.wall()),
+        incarnation: incarnation(&settings.name, clock.wall()),
         region: settings.region.clone(),
         domain: settings.domain.clone(),
     }
 }
 
-fn incarnation(wall: SystemTime) -> Incarnation {
-    let elapsed = wall.duration_since(SystemTime::UNIX_EPOCH);
-    elapsed.map_or(0, |elapsed| {
-        u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
-    })
-}
-
 fn open_streams(
     settings: &settings::Entry,
     identity: &Peer,
--- a/crates/godwitstep/src/lib.rs
+++ b/crates/godwitstep/src/lib.rs
@@ -10,6 +10,7 @@
 mod decider;
 pub mod entry;
 pub mod http;
+pub mod incarnation;
 pub mod link;
 pub mod log;
 pub mod resources;
