feat: logs tell which report an order answers, and when a run's end is recorded

To tell apart whether an agent starts a run after its own report that the lease has expired, whether the decider orders a run that it has taken for over but not yet recorded, and whether a worker carries out an old call, the logs lacked: the report that the order behind a call answers, how many calls of the order went before, the worker's clock and the deadline; when an agent begins to report an expired lease; the report behind 'run ended'; appends of decisions that take long. No logic changes.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -161,6 +161,12 @@
             .is_some_and(Session::has_unrecorded_ends)
     }
 
+    /// Returns the number of orders whose calls are not settled.
+    #[must_use]
+    pub fn pending_orders(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether the worker has active runs or may have some soon, because calls are pending or not settled.
     #[must_use]
     pub fn busy(&self) -> bool {
@@ -341,12 +347,12 @@
         session.recorded = session.recorded.max(directive.recorded);
         let draining = session.draining();
         for key in directive.stop {
-            self.enqueue_stop(now, key);
+            self.enqueue_stop(now, directive.sequence, key);
         }
         let expires = reported + START_ORDER_TTL;
         if expires > now && !draining {
             for start in directive.start {
-                self.enqueue_start(expires, start);
+                self.enqueue_start(directive.sequence, expires, start);
             }
         }
         true
--- a/crates/godwitstep-batch/src/agent/call.rs
+++ b/crates/godwitstep-batch/src/agent/call.rs
@@ -32,6 +32,12 @@
     pub operation: Operation,
     /// Time on the worker's clock in milliseconds after which the worker rejects a start.
     pub deadline: u64,
+    /// Estimated time on the worker's clock in milliseconds when the call is sent.
+    pub clock: u64,
+    /// Sequence number of the newest report that the order answers.
+    pub order: u64,
+    /// Number of calls of the order so far, including this one.
+    pub attempt: u32,
 }
 
 /// Result of a call to the worker.
@@ -63,6 +69,10 @@
     pub operation: Operation,
     /// Whether a call was not answered and may still be executed.
     pub unanswered: bool,
+    /// Sequence number of the newest report that the order answers.
+    pub order: u64,
+    /// Number of calls so far.
+    pub attempts: u32,
     /// Time from which on no call is sent any more.
     expires: Duration,
     schedule: Schedule,
@@ -77,17 +87,21 @@
 }
 
 impl Pending {
-    pub const fn new(operation: Operation, expires: Duration) -> Self {
+    pub const fn new(operation: Operation, order: u64, expires: Duration) -> Self {
         Self {
             operation,
             unanswered: false,
+            order,
+            attempts: 0,
             expires,
             schedule: Schedule::Due,
             delay: INITIAL_RETRY_DELAY,
         }
     }
 
-    pub fn extend(&mut self, expires: Duration) {
+    /// Applies a repetition of the order, in the answer to another report.
+    pub fn extend(&mut self, order: u64, expires: Duration) {
+        self.order = self.order.max(order);
         self.expires = self.expires.max(expires);
     }
 
@@ -113,6 +127,7 @@
     }
 
     pub const fn mark_in_flight(&mut self) {
+        self.attempts = self.attempts.saturating_add(1);
         self.schedule = Schedule::InFlight;
     }
 
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -11,7 +11,7 @@
 const PREDECESSOR_START_TIME: Duration = START_TTL.saturating_add(DELIVERY_ALLOWANCE);
 
 impl Agent {
-    pub(super) fn enqueue_start(&mut self, expires: Duration, start: Start) {
+    pub(super) fn enqueue_start(&mut self, order: u64, expires: Duration, start: Start) {
         let key = (start.task, start.run);
         let known = self.resolving.contains_key(&key)
             || self
@@ -28,11 +28,11 @@
         }
         self.pending
             .entry(key)
-            .or_insert_with(|| Pending::new(Operation::Start(start), expires))
-            .extend(expires);
+            .or_insert_with(|| Pending::new(Operation::Start(start), order, expires))
+            .extend(order, expires);
     }
 
-    pub(super) fn enqueue_stop(&mut self, now: Duration, key: RunKey) {
+    pub(super) fn enqueue_stop(&mut self, now: Duration, order: u64, key: RunKey) {
         let session = self.session.as_ref();
         if session.is_some_and(|session| session.lists_ended(&key)) {
             return;
@@ -55,7 +55,7 @@
             Some(pending) => pending.in_doubt(),
             None => true,
         };
-        let mut stop = Pending::new(Operation::Stop(Refusal::Withdrawn), Duration::MAX);
+        let mut stop = Pending::new(Operation::Stop(Refusal::Withdrawn), order, Duration::MAX);
         stop.unanswered = unanswered;
         self.pending.insert(key, stop);
     }
@@ -66,7 +66,8 @@
         let Some(session) = &mut self.session else {
             return Vec::new();
         };
-        let deadline = session.clock(now).saturating_add(millis(START_TTL));
+        let clock = session.clock(now);
+        let deadline = clock.saturating_add(millis(START_TTL));
         // A start on a worker that does not answer could extend the lease whose end shows that nothing runs there.
         let accepts_starts = !session.draining() && !session.is_unreachable();
         let mut calls = Vec::new();
@@ -82,6 +83,9 @@
                 epoch,
                 operation: pending.operation.clone(),
                 deadline,
+                clock,
+                order: pending.order,
+                attempt: pending.attempts,
             });
         }
         let starts = |call: &Call| matches!(call.operation, Operation::Start(_));
@@ -145,13 +149,12 @@
     /// Processes the refusal of a start. If an earlier call of the same start may still be executed, by this process of
     /// the agent or the one before, a stop has to rule that out first.
     fn settle_refused(&mut self, now: Duration, key: RunKey, reason: Refusal) -> bool {
-        let unanswered = self
-            .pending
-            .remove(&key)
-            .is_some_and(|pending| pending.unanswered);
+        let start = self.pending.remove(&key);
+        let order = start.as_ref().map_or(0, |start| start.order);
+        let unanswered = start.is_some_and(|start| start.unanswered);
         if unanswered || now < self.started_at + PREDECESSOR_START_TIME {
-            self.pending
-                .insert(key, Pending::new(Operation::Stop(reason), Duration::MAX));
+            let stop = Pending::new(Operation::Stop(reason), order, Duration::MAX);
+            self.pending.insert(key, stop);
             return false;
         }
         let (task, run) = key;
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -77,6 +77,8 @@
 /// Parts of an agent's report that explain a decision in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportSummary {
+    /// Sequence number of the report.
+    pub sequence: u64,
     /// Time since the report was received.
     pub age: Duration,
     /// Epoch up to which the agent had received directives when it reported.
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -158,6 +158,7 @@
         let latest = self.hosts.get(host)?;
         let worker = latest.report.worker.as_ref();
         Some(ReportSummary {
+            sequence: latest.report.sequence,
             age: now.saturating_sub(latest.received_at),
             epoch: latest.report.epoch,
             worker: worker.map(|worker| worker.info.incarnation.clone()),
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -14,7 +14,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use godwitstep_batch::agent::{self as state_machine, Answer, Call, Contact, Operation};
 use godwitstep_batch::bounds::AGENT_LEASE;
-use godwitstep_batch::message::{Reply, Report};
+use godwitstep_batch::message::{Reachability, Reply, Report};
 use smol::future::{self, FutureExt};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -56,6 +56,8 @@
     worker_changes: ChangeNotifier,
     /// When an event of a candidate was last logged.
     candidate_logged_at: Cell<Option<Duration>>,
+    /// Whether the last report said that the worker's lease has expired.
+    lease_expired: Cell<bool>,
 }
 
 impl<L: Log, W: Worker> Agent<L, W> {
@@ -85,6 +87,7 @@
             work_changes: ChangeNotifier::default(),
             worker_changes: ChangeNotifier::default(),
             candidate_logged_at: Cell::default(),
+            lease_expired: Cell::default(),
         })
     }
 
@@ -170,6 +173,7 @@
             nonce: self.nonce,
             ..self.state_machine.borrow_mut().report(now, wait)
         };
+        self.log_lease(&report);
         let reply = decider::exchange(&self.decider, address, &report).await;
         let now = self.clock.now();
         match reply {
@@ -200,6 +204,28 @@
         }
     }
 
+    /// Logs when reports begin or cease to say that the worker's lease has expired. The decider ends all its runs on such
+    /// a report.
+    fn log_lease(&self, report: &Report) {
+        let expired = report
+            .worker
+            .as_ref()
+            .filter(|worker| worker.reachability == Reachability::LeaseExpired);
+        if expired.is_some() == self.lease_expired.replace(expired.is_some()) {
+            return;
+        }
+        let (report, pending) = (
+            report.sequence,
+            self.state_machine.borrow().pending_orders(),
+        );
+        if let Some(worker) = expired {
+            let worker = &worker.info.incarnation;
+            tracing::info!(%worker, report, pending, "reporting that the worker's lease has expired");
+        } else {
+            tracing::info!(report, pending, "worker is in reach again");
+        }
+    }
+
     /// Polls the worker in a loop, which also renews its lease.
     async fn poll_loop(&self) {
         loop {
@@ -353,7 +379,7 @@
         };
         metrics::counter!("godwitstep_calls_total", "deed" => operation).increment(1);
         metrics::histogram!("godwitstep_call_seconds").record(elapsed);
-        tracing::info!(%task, run, deed = operation, answer = ?answer, worker = %call.incarnation, epoch = call.epoch, took_ms = elapsed.as_millis(), host = %self.settings.host, "worker called");
+        tracing::info!(%task, run, deed = operation, answer = ?answer, worker = %call.incarnation, epoch = call.epoch, took_ms = elapsed.as_millis(), order = call.order, attempt = call.attempt, clock = call.clock, deadline = call.deadline, host = %self.settings.host, "worker called");
     }
 
     /// Renews the worker's lease a last time before the process ends, so that runs stay active while the agent
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -28,6 +28,8 @@
 /// receive new jobs. Above the age at which it starts no more tasks, so that a short failure of its reads does not move
 /// the role.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(5);
+/// Duration of an append from which on it is logged: until then agents get orders from before its decisions.
+const SLOW_APPEND: Duration = Duration::from_millis(100);
 /// Delay before a failed append is retried.
 const APPEND_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed claim is retried: the log may be busy with the claims of other entries.
@@ -331,8 +333,17 @@
                         decider.renewed_at = unanswered_since.unwrap_or(sent);
                         decider.last_append_refused = false;
                     }
-                    metrics::histogram!("godwitstep_decision_append_seconds")
-                        .record(self.clock.now().saturating_sub(started_at));
+                    let elapsed = self.clock.now().saturating_sub(started_at);
+                    metrics::histogram!("godwitstep_decision_append_seconds").record(elapsed);
+                    if planned > 0 && elapsed > SLOW_APPEND {
+                        tracing::info!(
+                            epoch,
+                            sequence,
+                            records = planned,
+                            took_ms = elapsed.as_millis(),
+                            "decisions recorded late"
+                        );
+                    }
                     self.apply_relayed(end.saturating_sub(batch.len() as u64), &relayed);
                     self.apply_planned(end, planned, records);
                     return Ok(());
@@ -481,6 +492,7 @@
             report,
         } => {
             metrics::counter!("godwitstep_runs_ended_total", "how" => *how).increment(1);
+            let sequence = report.as_ref().map(|report| report.sequence);
             let report_ms = report.as_ref().map(|report| report.age.as_millis());
             let report_epoch = report.as_ref().map(|report| report.epoch);
             // Empty if the report lists the worker of the run, which is the usual case.
@@ -488,7 +500,7 @@
             let other = other.filter(|worker| *worker != Some(incarnation));
             let reported =
                 other.map(|worker| worker.map_or_else(|| "none".to_owned(), ToString::to_string));
-            tracing::info!(%task, run, worker = %incarnation, how, epoch, report_ms, report_epoch, reported, "run ended");
+            tracing::info!(%task, run, worker = %incarnation, how, epoch, report = sequence, report_ms, report_epoch, reported, "run ended");
         }
         Decision::Preempted { task, run, by } => {
             metrics::counter!("godwitstep_preemptions_total").increment(1);
