test: list runs that start after they were taken for over as known red

Six tests without network that fail on this code, of both hypotheses of docs/incidents/runs-ended-by-time.md: an agent carries out an order from before its report of an expired lease, and a decider orders a run whose end it has decided but not stored.

--- /dev/null
+++ b/crates/godwitstep-batch/tests/ended_runs.rs
@@ -0,0 +1,251 @@
+//! Runs that are taken for over because time has passed: nothing may start them any more.
+
+mod simulation;
+
+use godwitstep_batch::agent::{Agent, Answer, Call, Contact, Operation, Registration, RunLists};
+use godwitstep_batch::bounds::{AGENT_LEASE, Bounds};
+use godwitstep_batch::demand::Demand;
+use godwitstep_batch::id::{Epoch, Incarnation, Run, Task};
+use godwitstep_batch::message::{Directive, Reachability, Report, Start, WorkerInfo};
+use godwitstep_batch::planner::{OperatorView, Plan};
+use simulation::{Simulation, seconds, step};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const EPOCH: Epoch = 1 << 20;
+const TASK: Task = Task {
+    job: 7,
+    step: 0,
+    index: 0,
+};
+/// Simulated time between two exchanges of the agent.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
+
+fn incarnation() -> Incarnation {
+    Incarnation {
+        host: "host-1".into(),
+        worker: "worker-1".into(),
+        started_ms: 1,
+    }
+}
+
+/// Returns the worker's lists without any run.
+fn lists(now: Duration) -> RunLists {
+    RunLists {
+        clock: u64::try_from(now.as_millis()).unwrap(),
+        started_ms: Some(1),
+        ..RunLists::default()
+    }
+}
+
+/// Returns an agent whose worker has answered at time zero.
+fn new_agent() -> Agent {
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
+    let report = agent.report(Duration::ZERO, false);
+    agent.apply_directive(Duration::ZERO, reply(&report, None));
+    let info = WorkerInfo {
+        incarnation: incarnation(),
+        pool: "floor".into(),
+        domain: "domain-1".into(),
+        capacity: Demand::default(),
+        labels: Vec::new(),
+        rack: None,
+        draining: false,
+    };
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    agent.register(Duration::ZERO, Registration { info, sequence: 1 }, address);
+    let probe = agent.due_probe(Duration::ZERO).expect("a probe is due");
+    let contact = Contact::Lists(lists(Duration::ZERO));
+    agent.probe_answered(Duration::ZERO, Duration::ZERO, &probe, contact);
+    agent
+}
+
+/// Returns the decider's reply to a report, which orders the start of a run.
+fn reply(report: &Report, run: Option<Run>) -> Directive {
+    let start = |run| Start {
+        task: TASK,
+        run,
+        spec: "spec".into(),
+        saved: "".into(),
+    };
+    Directive {
+        epoch: EPOCH,
+        sequence: report.sequence,
+        incarnation: report
+            .worker
+            .as_ref()
+            .map(|worker| worker.info.incarnation.clone()),
+        start: run.into_iter().map(start).collect(),
+        ..Directive::default()
+    }
+}
+
+/// Lets the worker answer nothing until the agent reports that its lease has expired, while the decider orders a run with
+/// each reply. Returns the time and the last two reports.
+fn expire_lease(agent: &mut Agent, run: Run) -> (Duration, Report, Report) {
+    let mut now = Duration::ZERO;
+    let mut previous = agent.report(now, false);
+    loop {
+        now += EXCHANGE_INTERVAL;
+        assert!(now < AGENT_LEASE * 2, "the lease does not expire");
+        let report = agent.report(now, false);
+        let reachability = report.worker.as_ref().map(|worker| worker.reachability);
+        if reachability == Some(Reachability::LeaseExpired) {
+            return (now, previous, report);
+        }
+        agent.apply_directive(now, reply(&report, Some(run)));
+        for call in agent.due_calls(now) {
+            agent.call_answered(now, &call, Answer::Unanswered);
+        }
+        agent.lease_request(now);
+        agent.poll_failed(now, &incarnation(), &Contact::Unanswered);
+        previous = report;
+    }
+}
+
+/// Lets the worker answer a poll, after which it is in reach again.
+fn answer_poll(agent: &mut Agent, now: Duration) {
+    agent.lease_request(now);
+    agent.poll_answered(now, now, &incarnation(), lists(now));
+}
+
+fn starts(calls: &[Call]) -> usize {
+    calls
+        .iter()
+        .filter(|call| matches!(call.operation, Operation::Start(_)))
+        .count()
+}
+
+/// Guards against a second run of a task: a start that was ordered before the agent reported the lease as expired is sent
+/// when the worker answers again.
+#[test]
+fn a_start_from_before_an_expired_lease_is_not_sent_after_it() {
+    let mut agent = new_agent();
+    let (now, _, _) = expire_lease(&mut agent, 1);
+    answer_poll(&mut agent, now);
+    assert_eq!(starts(&agent.due_calls(now)), 0);
+}
+
+/// Guards against a second run of a task: an order that answers a report from before the expired lease, or the report of
+/// it, arrives when the worker answers again.
+#[test]
+fn an_order_that_answers_no_later_report_than_that_of_the_expired_lease_is_ignored() {
+    let mut agent = new_agent();
+    let (now, before, expired) = expire_lease(&mut agent, 1);
+    answer_poll(&mut agent, now);
+    for report in [before, expired] {
+        agent.apply_directive(now, reply(&report, Some(1)));
+        agent.apply_directive(now, reply(&report, Some(2)));
+        assert_eq!(starts(&agent.due_calls(now)), 0, "{}", report.sequence);
+    }
+}
+
+/// Guards against a task that never starts again: a decider that did not receive the report of the expired lease goes on
+/// ordering the run.
+#[test]
+fn an_order_that_answers_a_later_report_is_carried_out() {
+    let mut agent = new_agent();
+    let (now, _, _) = expire_lease(&mut agent, 1);
+    answer_poll(&mut agent, now);
+    let report = agent.report(now, false);
+    agent.apply_directive(now, reply(&report, Some(1)));
+    assert_eq!(starts(&agent.due_calls(now)), 1);
+}
+
+/// Returns the orders for the only host.
+fn directive(sim: &Simulation, report: &Report) -> Directive {
+    let view = OperatorView {
+        policy: &sim.policy,
+        domains_out: &sim.domains_out,
+        age: sim.view_age,
+        jobs_age: sim.jobs_age,
+    };
+    sim.planner
+        .directive(report, &sim.ledger, &view, Vec::new())
+}
+
+/// Plans a round whose records are not stored yet.
+fn plan(sim: &mut Simulation) -> Plan {
+    let view = OperatorView {
+        policy: &sim.policy,
+        domains_out: &sim.domains_out,
+        age: sim.view_age,
+        jobs_age: sim.jobs_age,
+    };
+    sim.planner.decide(sim.now, 0, &sim.ledger, &view)
+}
+
+/// Returns a simulation of one worker on which a task is placed whose start has not been carried out.
+fn placed() -> Simulation {
+    let mut sim = Simulation::new(1, 1);
+    sim.round();
+    sim.host(0).executes_orders = false;
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.round();
+    assert!(sim.started(1));
+    sim
+}
+
+fn report(sim: &mut Simulation, sequence: u64, reachability: Reachability) -> Report {
+    let epoch = sim.planner.epoch();
+    let mut worker = sim.host(0).worker.clone();
+    worker.reachability = reachability;
+    let report = Report {
+        host: "host-00".into(),
+        incarnation: 1,
+        sequence,
+        epoch,
+        worker: Some(worker),
+        ..Report::default()
+    };
+    assert!(sim.planner.report(sim.now, report.clone()));
+    report
+}
+
+/// Guards against a second run of a task: while the record of a run's end is under way to the log, the agent whose worker
+/// answers again is told to start that run.
+#[test]
+fn a_run_whose_end_is_not_recorded_yet_is_not_ordered() {
+    let mut sim = placed();
+    report(&mut sim, 1_000, Reachability::LeaseExpired);
+    let records = plan(&mut sim).records;
+    assert!(!records.is_empty(), "the run has ended");
+    let reachable = report(&mut sim, 1_001, Reachability::Reachable);
+    assert_eq!(directive(&sim, &reachable).start, []);
+    sim.planner.refresh_assignments(&sim.ledger);
+    assert_eq!(directive(&sim, &reachable).start, []);
+}
+
+/// Guards against a second run of a task: an agent that comes back after a long silence is told to start a run whose end is
+/// under way to the log.
+#[test]
+fn a_run_of_a_silent_agent_whose_end_is_not_recorded_yet_is_not_ordered() {
+    let mut sim = placed();
+    report(&mut sim, 1_000, Reachability::Reachable);
+    sim.now += Bounds::default().agent_timeout() + seconds(1);
+    let records = plan(&mut sim).records;
+    assert!(!records.is_empty(), "the run has ended");
+    let reachable = report(&mut sim, 1_001, Reachability::Reachable);
+    assert_eq!(directive(&sim, &reachable).start, []);
+}
+
+/// Guards against a second run of a task: the report of the expired lease itself is answered with a start.
+#[test]
+fn a_report_of_an_expired_lease_is_answered_without_starts() {
+    let mut sim = placed();
+    let expired = report(&mut sim, 1_000, Reachability::LeaseExpired);
+    assert_eq!(directive(&sim, &expired).start, []);
+}
+
+/// Guards against a task that waits for good: the record of its run's end is lost, and the run is neither started nor ended.
+#[test]
+fn a_run_whose_end_was_never_recorded_is_stopped() {
+    let mut sim = placed();
+    report(&mut sim, 1_000, Reachability::LeaseExpired);
+    plan(&mut sim);
+    let reachable = report(&mut sim, 1_001, Reachability::Reachable);
+    assert_eq!(directive(&sim, &reachable).stop.len(), 1);
+    sim.host(0).executes_orders = true;
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1), ["host-00"]);
+}
