fix(batch): a run that is stopped before its worker lists it stays in the agent's reports

Callers saw: a worker with more runs than it has room for (LIMIT). Cause: a run of a task that is done counts only through the reports that list it. An agent lists a run that was accepted but is in no answer of the worker yet, until a stop of it is accepted: then it was in no list at all until the next poll. Change: such a run stays in the report until a poll that was sent after the stop's answer shows its end. Before: the test failed ([] for [1]). After: it passes.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -306,7 +306,7 @@
         let begun = self
             .resolving
             .iter()
-            .filter(|(key, resolution)| resolution.refusal.is_none() && !session.lists_active(key));
+            .filter(|(key, resolution)| resolution.begun && !session.lists_active(key));
         running.extend(begun.map(|((task, run), _)| Running {
             task: *task,
             run: *run,
--- a/crates/godwitstep-batch/src/agent/call.rs
+++ b/crates/godwitstep-batch/src/agent/call.rs
@@ -155,6 +155,8 @@
 pub(super) struct Resolution {
     /// When the worker answered the call; polls sent earlier don't count.
     pub since: Duration,
+    /// Whether the worker accepted the start, so that the run occupies capacity.
+    pub begun: bool,
     /// Reason to report if the run never began; `None` if the worker accepted the start.
     pub refusal: Option<Refusal>,
 }
@@ -163,13 +165,15 @@
     pub const fn begun(since: Duration) -> Self {
         Self {
             since,
+            begun: true,
             refusal: None,
         }
     }
 
-    pub const fn stopped(since: Duration, refusal: Refusal) -> Self {
+    pub const fn stopped(since: Duration, begun: bool, refusal: Refusal) -> Self {
         Self {
             since,
+            begun,
             refusal: Some(refusal),
         }
     }
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -113,6 +113,10 @@
             // The order was replaced while the call was in flight.
             return false;
         }
+        let begun = self
+            .resolving
+            .get(&call.key)
+            .is_some_and(|resolution| resolution.begun);
         let resolution = match (answer, &pending.operation) {
             (Answer::Unanswered, _) => {
                 pending.retry(now, true);
@@ -125,7 +129,7 @@
             (Answer::Fenced | Answer::OtherLife, _) => None,
             (Answer::Accepted, Operation::Start(_)) => Some(Resolution::begun(now)),
             (Answer::Superseded, Operation::Start(_)) => {
-                Some(Resolution::stopped(now, Refusal::Superseded))
+                Some(Resolution::stopped(now, begun, Refusal::Superseded))
             }
             (Answer::Unhealthy, Operation::Start(_)) => {
                 return self.settle_refused(now, call.key, Refusal::Unhealthy);
@@ -136,7 +140,7 @@
             (Answer::Malformed, Operation::Start(_)) => {
                 return self.settle_refused(now, call.key, Refusal::Malformed);
             }
-            (_, Operation::Stop(reason)) => Some(Resolution::stopped(now, *reason)),
+            (_, Operation::Stop(reason)) => Some(Resolution::stopped(now, begun, *reason)),
         };
         self.pending.remove(&call.key);
         let Some(resolution) = resolution else {
--- a/crates/godwitstep-batch/tests/agent.rs
+++ b/crates/godwitstep-batch/tests/agent.rs
@@ -473,3 +473,33 @@
     );
     assert_eq!(reported_refusals(&mut agent, millis(40)), []);
 }
+
+/// Guards against a worker with too many runs: a run that was accepted and is being stopped is in no list of the worker yet,
+/// and its room counted as free because the report left it out.
+#[test]
+fn a_run_that_is_stopped_before_the_worker_lists_it_is_reported_until_its_end_shows() {
+    let mut agent = agent();
+    deliver(&mut agent, millis(10), start_directive(1));
+    let start = single_call(agent.due_calls(millis(10)));
+    agent.call_answered(millis(12), &start, Answer::Accepted);
+    deliver(&mut agent, millis(13), stop_directive(1));
+    let stop = single_call(agent.due_calls(millis(13)));
+    agent.call_answered(millis(15), &stop, Answer::Accepted);
+    let runs = |agent: &mut Agent, now| {
+        let worker = agent.report(now, false).worker.unwrap();
+        let runs = worker.running.iter().map(|run| run.run);
+        runs.collect::<Vec<_>>()
+    };
+    assert_eq!(runs(&mut agent, millis(16)), [1]);
+    // This poll was sent before the stop was answered.
+    agent.poll_answered(millis(17), millis(14), &incarnation(1), lists(&[], &[]));
+    assert_eq!(runs(&mut agent, millis(17)), [1]);
+    poll(&mut agent, millis(20), lists(&[1], &[]));
+    assert_eq!(runs(&mut agent, millis(20)), [1], "it is listed once");
+    poll(
+        &mut agent,
+        millis(30),
+        lists(&[], &[(1, 1, EndReason::Stopped)]),
+    );
+    assert!(runs(&mut agent, millis(30)).is_empty());
+}
