--- a/crates/godwitstep-batch/tests/ended_runs.rs
+++ b/crates/godwitstep-batch/tests/ended_runs.rs
@@ -97,7 +97,7 @@
         for call in agent.due_calls(now) {
             agent.call_answered(now, &call, Answer::Unanswered);
         }
-        agent.lease_request(now);
+        assert!(agent.lease_request(now).is_some());
         agent.poll_failed(now, &incarnation(), &Contact::Unanswered);
         previous = report;
     }
@@ -105,7 +105,7 @@
 
 /// Lets the worker answer a poll, after which it is in reach again.
 fn answer_poll(agent: &mut Agent, now: Duration) {
-    agent.lease_request(now);
+    assert!(agent.lease_request(now).is_some());
     agent.poll_answered(now, now, &incarnation(), lists(now));
 }
 
