test(batch): random late orders with a second decider and suspended agents

A decider that the log does not answer goes on answering agents until its lease ends, while another one takes over; its last records are stored or not, and it does not learn which. Agents are suspended, restarted agents may find the former decider first, deregistrations arrive that the worker did not send, and probes are not answered.

--- a/crates/godwitstep-batch/tests/late_orders/main.rs
+++ b/crates/godwitstep-batch/tests/late_orders/main.rs
@@ -1,23 +1,25 @@
 //! Random runs of a decider, its agents and their workers in which calls to the workers get no answer and are carried out
-//! seconds later, messages are slow or lost, decisions are recorded late and agents restart.
+//! seconds later, messages are slow or lost, decisions are recorded late, another decider takes over, and agents restart or are suspended.
 
+mod decider;
+mod host;
 #[path = "../simulation/mod.rs"]
 mod simulation;
 mod worker;
 
-use godwitstep_batch::agent::{Agent, Answer, Call, Contact, LeaseRequest, Registration, RunKey};
-use godwitstep_batch::bounds::{Bounds, WORKER_CLOCK_DRIFT};
+use decider::Decider;
+use godwitstep_batch::agent::{Answer, Call, Contact, LeaseRequest, Registration, RunKey};
+use godwitstep_batch::bounds::WORKER_CLOCK_DRIFT;
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Incarnation, JobId};
 use godwitstep_batch::job::Step;
-use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::message::{Directive, Report};
-use godwitstep_batch::planner::{OperatorView, Planner};
+use godwitstep_batch::planner::OperatorView;
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::Record;
+use host::Host;
 use simulation::{Simulation, seconds, step};
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::time::Duration;
 use worker::Worker;
@@ -31,6 +33,10 @@
 const POLL_TIMEOUT: u64 = 700;
 const WORKERS: usize = 4;
 const JOBS: JobId = 12;
+/// Time from the last stored record of a decider to the claim of the next one. Unit: milliseconds.
+const TAKEOVER_DELAY: Range<u64> = 1_200..2_400;
+/// Chance that an agent restarts within a tick, while the network is disturbed.
+const RESTART_CHANCE: f64 = 0.000_5;
 /// Time within which all jobs end.
 const MAX_DURATION: Duration = Duration::from_secs(180);
 /// Period in which calls are carried out late and messages and appends are slow.
@@ -44,23 +50,34 @@
 
 /// Something that happens at a later time, on the host of this number.
 enum Event {
-    Report(Report),
+    /// A report to the decider of this number.
+    Report(usize, Report),
     Directive(u64, Directive),
     /// A call that got no answer is carried out.
     Late(Request),
     CallAnswered(u64, Call, Answer),
     PollAnswered(u64, LeaseRequest, Duration),
     PollFailed(u64, Incarnation),
-    Recorded(Vec<Record>),
+    /// Decisions of the decider of this number are stored.
+    Recorded(usize, Vec<Record>),
+    /// Another entry takes over from a decider that the log does not answer.
+    TakeOver,
+    /// The agent learns of the newest decider.
+    Referred,
 }
 
-struct Host {
-    agent: Agent,
-    /// Number of the agent's process.
-    process: u64,
-    worker: Worker,
-    next_report: Duration,
-    next_poll: Duration,
+impl Event {
+    /// Returns whether the agent handles it.
+    const fn is_for_agent(&self) -> bool {
+        match self {
+            Self::Directive(..)
+            | Self::CallAnswered(..)
+            | Self::PollAnswered(..)
+            | Self::PollFailed(..)
+            | Self::Referred => true,
+            Self::Report(..) | Self::Late(_) | Self::Recorded(..) | Self::TakeOver => false,
+        }
+    }
 }
 
 /// A decider and hosts, with the messages between them.
@@ -73,19 +90,19 @@
     min_append: u64,
     /// Longest delay of a message between an agent and the decider meanwhile. Unit: milliseconds.
     max_delay: u64,
-    planner: Planner,
-    ledger: Ledger,
+    /// All deciders so far; only the last one can write to the log.
+    deciders: Vec<Decider>,
+    /// All records of the deciders.
+    log: Vec<Record>,
+    jobs: Vec<(JobId, &'static str, Vec<Step>)>,
     policy: Policy,
-    recording: bool,
-    next_round: Duration,
     hosts: Vec<Host>,
     events: Vec<(Duration, usize, Event)>,
-    offset: u64,
 }
 
 impl Network {
     fn new(seed: u64) -> Self {
-        let mut sim = Simulation::new(WORKERS, WORKERS);
+        let mut jobs = Vec::new();
         let mut rng = fastrand::Rng::with_seed(seed);
         for job in 1..=JOBS {
             let tasks = rng.u16(1..=4);
@@ -93,8 +110,9 @@
             let estimate = Duration::from_millis(rng.u64(2_000..9_000));
             let queue = ["urgent", "normal", "patient"][rng.usize(..3)];
             let steps: Vec<Step> = vec![step(tasks, accelerators, estimate)];
-            sim.submit(job, queue, "north", steps);
+            jobs.push((job, queue, steps));
         }
+        let mut sim = submitted(&jobs);
         let now = sim.now;
         let hosts = (0..WORKERS)
             .map(|number| {
@@ -105,13 +123,7 @@
                     WORKER_CLOCK_DRIFT
                 };
                 let worker = Worker::new(Registration { info, sequence: 1 }, 1.0 - drift);
-                Host {
-                    agent: new_agent(now, 1, &worker),
-                    process: 1,
-                    worker,
-                    next_report: now,
-                    next_poll: now,
-                }
+                Host::new(now, worker)
             })
             .collect();
         Self {
@@ -120,14 +132,12 @@
             min_append: rng.choice([4, 200, 300]).unwrap_or_default(),
             max_delay: rng.choice([60, 100, 400]).unwrap_or_default(),
             rng,
-            planner: sim.planner,
-            ledger: sim.ledger,
-            policy: sim.policy,
-            recording: false,
-            next_round: now,
+            policy: sim.policy.clone(),
+            deciders: vec![Decider::new(sim, JOBS)],
+            log: Vec::new(),
+            jobs,
             hosts,
             events: Vec::new(),
-            offset: JOBS,
         }
     }
 
@@ -150,16 +160,6 @@
         }
     }
 
-    fn view(&self) -> OperatorView<'_> {
-        static NONE: BTreeSet<godwitstep_batch::id::Domain> = BTreeSet::new();
-        OperatorView {
-            policy: &self.policy,
-            domains_out: &NONE,
-            age: Duration::ZERO,
-            jobs_age: Duration::ZERO,
-        }
-    }
-
     fn step(&mut self) {
         self.now += TICK;
         let now = self.now;
@@ -171,48 +171,112 @@
             .partition(|(at, _, _)| *at <= now);
         self.events = later;
         for (_, host, event) in due {
-            self.handle(host, event);
+            let resumes = self.hosts[host].resumes_at;
+            if now < resumes && event.is_for_agent() {
+                self.events.push((resumes, host, event));
+            } else {
+                self.handle(host, event);
+            }
         }
-        if now >= self.next_round && !self.recording {
+        if self.disturbed() && !self.newest().is_stalled() && self.rng.f64() < 0.001 {
+            self.stall();
+        }
+        let decider = self.newest();
+        if now >= decider.next_round && !decider.recording {
             self.decide();
         }
         for host in 0..self.hosts.len() {
-            self.serve(host);
+            if self.disturbed() {
+                self.disturb(host);
+            }
+            if now >= self.hosts[host].resumes_at {
+                self.serve(host);
+            }
+        }
+    }
+
+    /// Restarts or suspends a host's agent at times, or delivers a deregistration that its worker did not send.
+    fn disturb(&mut self, number: usize) {
+        let (now, chance) = (self.now, self.rng.f64());
+        let host = &mut self.hosts[number];
+        if chance < RESTART_CHANCE {
+            host.restart_agent(now);
+            // The new process may find the former decider first.
+            host.decider = self.deciders.len().saturating_sub(self.rng.usize(1..=2));
+            self.after(1..1_500, number, Event::Referred);
+        } else if chance < RESTART_CHANCE + 0.000_5 {
+            host.resumes_at = now + Duration::from_millis(self.rng.u64(300..9_000));
+        } else if chance < RESTART_CHANCE + 0.001 {
+            host.deregister(now);
+        }
+    }
+
+    fn newest(&self) -> &Decider {
+        self.deciders.last().expect("there is a decider")
+    }
+
+    /// Lets the log answer the decider no more. Records that are under way to it may be stored nevertheless.
+    fn stall(&mut self) {
+        let now = self.now;
+        let number = self.deciders.len() - 1;
+        self.deciders[number].stall(now);
+        let stored = self.rng.bool();
+        let log = &mut self.log;
+        self.events.retain(|(_, _, event)| match event {
+            Event::Recorded(_, records) => {
+                if stored {
+                    log.extend(records.iter().cloned());
+                }
+                false
+            }
+            _ => true,
+        });
+        self.after(TAKEOVER_DELAY, 0, Event::TakeOver);
+    }
+
+    fn take_over(&mut self) {
+        let sim = submitted(&self.jobs);
+        let next = self.newest().successor(self.now, sim, JOBS, &self.log);
+        self.deciders.push(next);
+        for host in 0..self.hosts.len() {
+            self.after(1..1_500, host, Event::Referred);
         }
     }
 
     fn decide(&mut self) {
-        self.next_round = self.now + ROUND_INTERVAL;
-        let mut planner = std::mem::replace(
-            &mut self.planner,
-            Planner::new(0, Duration::ZERO, Bounds::default()),
-        );
-        let plan = planner.decide(self.now, 0, &self.ledger, &self.view());
-        self.planner = planner;
+        let (now, number) = (self.now, self.deciders.len() - 1);
+        let mut decider = self.deciders.pop().expect("there is a decider");
+        decider.next_round = now + ROUND_INTERVAL;
+        let plan = decider
+            .planner
+            .decide(now, 0, &decider.ledger, &view(&self.policy));
         if plan.records.is_empty() {
-            self.planner.refresh_assignments(&self.ledger);
+            decider.planner.refresh_assignments(&decider.ledger);
+            self.deciders.push(decider);
             return;
         }
-        self.recording = true;
+        decider.recording = true;
+        self.deciders.push(decider);
         let delay = if self.disturbed() {
             self.min_append..600
         } else {
             4..15
         };
-        self.after(delay, 0, Event::Recorded(plan.records));
+        self.after(delay, 0, Event::Recorded(number, plan.records));
     }
 
     /// Lets a host's agent do what is due.
     fn serve(&mut self, number: usize) {
         let now = self.now;
-        if self.disturbed() && self.rng.f64() < 0.000_5 {
-            let host = &mut self.hosts[number];
-            host.process += 1;
-            host.agent = new_agent(now, host.process, &host.worker);
-        }
+        let unanswered = self.disturbed() && self.rng.f64() < self.late_share;
         let host = &mut self.hosts[number];
+        host.register(now);
         if let Some(probe) = host.agent.due_probe(now) {
-            let contact = Contact::Lists(host.worker.lists(now));
+            let contact = if unanswered {
+                Contact::Unanswered
+            } else {
+                Contact::Lists(host.worker.lists(now))
+            };
             host.agent.probe_answered(now, now, &probe, contact);
         }
         if now >= host.next_report {
@@ -237,7 +301,8 @@
             nonce: host.process,
             ..host.agent.report(self.now, false)
         };
-        self.send(number, Event::Report(report));
+        let decider = host.decider;
+        self.send(number, Event::Report(decider, report));
     }
 
     /// Calls a worker, which carries the call out at once or, without an answer, seconds later.
@@ -273,13 +338,17 @@
     fn handle(&mut self, number: usize, event: Event) {
         let now = self.now;
         match event {
-            Event::Report(report) => {
-                self.planner.report(now, report.clone());
-                let process = report.nonce;
-                let directive =
-                    self.planner
-                        .directive(&report, &self.ledger, &self.view(), Vec::new());
-                self.send(number, Event::Directive(process, directive));
+            Event::Report(decider, report) => {
+                let view = view(&self.policy);
+                let reply = self.deciders[decider].reply(now, &report, &view);
+                if let Some(directive) = reply {
+                    self.send(number, Event::Directive(report.nonce, directive));
+                }
+            }
+            Event::TakeOver => self.take_over(),
+            Event::Referred => {
+                self.hosts[number].decider = self.deciders.len() - 1;
+                self.hosts[number].next_report = now;
             }
             Event::Directive(process, directive) => {
                 let host = &mut self.hosts[number];
@@ -324,13 +393,11 @@
                     self.report(number);
                 }
             }
-            Event::Recorded(records) => {
-                for record in records {
-                    self.offset += 1;
-                    self.ledger.apply(self.offset, record);
-                }
-                self.planner.refresh_assignments(&self.ledger);
-                self.recording = false;
+            Event::Recorded(decider, records) => {
+                self.log.extend(records.iter().cloned());
+                let decider = &mut self.deciders[decider];
+                decider.apply(&records);
+                decider.recording = false;
             }
         }
     }
@@ -338,9 +405,13 @@
     /// Carries out a call on a worker, and checks that a start breaks no rule.
     fn execute(&mut self, number: usize, call: &Call) -> Answer {
         let task = call.key.0;
-        let run_time = self.ledger.job(task.job).map_or(Duration::ZERO, |state| {
-            state.job.steps[usize::from(task.step)].estimate
-        });
+        let run_time = self
+            .newest()
+            .ledger
+            .job(task.job)
+            .map_or(Duration::ZERO, |state| {
+                state.job.steps[usize::from(task.step)].estimate
+            });
         let worker = &mut self.hosts[number].worker;
         worker.advance(self.now);
         let was_active = worker.active.contains_key(&call.key);
@@ -365,7 +436,7 @@
         }
         let worker = &self.hosts[number].worker;
         let demand = |(task, _): &RunKey| {
-            let job_state = self.ledger.job(task.job);
+            let job_state = self.newest().ledger.job(task.job);
             job_state.map(|state| state.job.steps[usize::from(task.step)].demand)
         };
         let demands: Vec<Demand> = worker.active.keys().filter_map(demand).collect();
@@ -386,13 +457,23 @@
     }
 }
 
-/// Returns an agent whose worker has registered.
-fn new_agent(now: Duration, process: u64, worker: &Worker) -> Agent {
-    let host = worker.registration.info.incarnation.host.clone();
-    let mut agent = Agent::new(now, host, process, Bounds::default());
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    agent.register(now, worker.registration.clone(), address);
-    agent
+fn view(policy: &Policy) -> OperatorView<'_> {
+    static NONE: BTreeSet<godwitstep_batch::id::Domain> = BTreeSet::new();
+    OperatorView {
+        policy,
+        domains_out: &NONE,
+        age: Duration::ZERO,
+        jobs_age: Duration::ZERO,
+    }
+}
+
+/// Returns a simulation whose jobs are submitted.
+fn submitted(jobs: &[(JobId, &'static str, Vec<Step>)]) -> Simulation {
+    let mut sim = Simulation::new(WORKERS, WORKERS);
+    for (job, queue, steps) in jobs {
+        sim.submit(*job, queue, "north", steps.clone());
+    }
+    sim
 }
 
 /// Guards against two runs of a task, a run of a task that is done, and more runs than a worker has room for, when calls
@@ -405,7 +486,7 @@
         println!("seed {seed}");
         let mut network = Network::new(seed);
         let start = network.now;
-        while network.now < start + DISTURBED.end || network.ledger.open().count() > 0 {
+        while network.now < start + DISTURBED.end || network.newest().ledger.open().count() > 0 {
             network.step();
             assert!(network.now < start + MAX_DURATION, "jobs do not end");
         }
