fix(batch): runs that are being stopped count for a step's limit per worker

Callers would see: more tasks of a step on one worker than its limit allows. Shown by a test only; found by reading. Cause: the limit counted the runs that the ledger places on a worker. A run that has been taken for over but is listed there, because it was started late and is being stopped, counted for the worker's capacity and not for the limit. Ruled out: the same gap in the capacity itself; such runs are subtracted from it. Change: listed runs that the ledger does not place count for the limit until no report lists them. Before: the test failed (1 placed beside the run, 0 expected). After: it passes.

--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -10,7 +10,7 @@
 use super::reports::AgentReports;
 use super::speed::SLOW_LOG_RATIO;
 use crate::demand::Demand;
-use crate::id::{Host, Incarnation, Pool, Run, Task};
+use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -45,6 +45,8 @@
     /// Whether the worker accepts new tasks.
     pub schedulable: bool,
     pub occupants: Vec<Occupant>,
+    /// Tasks of the other runs that a report lists here. They occupy capacity until they end.
+    pub unplaced: Vec<Task>,
 }
 
 /// Capacity that is reserved from a time on.
@@ -97,6 +99,15 @@
         }
     }
 
+    /// Returns how many runs of a step are placed or listed here.
+    pub fn count_runs(&self, job: JobId, step: u16) -> u64 {
+        let placed = self.occupants.iter().map(|occupant| &occupant.task);
+        let tasks = placed.chain(&self.unplaced);
+        tasks
+            .filter(|task| task.job == job && task.step == step)
+            .count() as u64
+    }
+
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
         self.occupants.is_empty() && self.free == self.capacity
@@ -188,6 +199,7 @@
                 if already_counted {
                     continue;
                 }
+                node.unplaced.push(listed_run.task);
                 if AgentReports::is_fresh(age) {
                     active.insert(listed_run.task);
                 }
@@ -267,5 +279,6 @@
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
         occupants: Vec::new(),
+        unplaced: Vec::new(),
     }
 }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -192,14 +192,8 @@
         if self.step.per_worker == 0 {
             return copies;
         }
-        let placed = node
-            .occupants
-            .iter()
-            .filter(|occupant| {
-                occupant.task.job == self.job && occupant.task.step == self.step_number
-            })
-            .count() as u64;
-        copies.min(u64::from(self.step.per_worker).saturating_sub(placed))
+        let present = node.count_runs(self.job, self.step_number);
+        copies.min(u64::from(self.step.per_worker).saturating_sub(present))
     }
 }
 
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -6,6 +6,7 @@
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
+use godwitstep_batch::message::EndReason;
 use godwitstep_batch::progress::Outcome;
 use godwitstep_batch::record::Record;
 use simulation::{COMPLETED, Simulation, gang, seconds, step};
@@ -205,6 +206,35 @@
     );
 }
 
+/// Guards against more tasks of a step on a worker than its limit: a run that is being stopped there does not count.
+#[test]
+fn a_run_that_the_ledger_does_not_place_counts_for_the_limit_per_worker() {
+    let mut sim = Simulation::new(1, 1);
+    let spread_out = Step {
+        per_worker: 1,
+        ..step(2, 1, seconds(60))
+    };
+    sim.submit(1, "normal", "north", vec![spread_out]);
+    sim.run_for(seconds(1));
+    let host = sim.host(0);
+    let late = host.worker.running[0].clone();
+    host.end_run(late.task, late.run, EndReason::LeaseExpired);
+    // A late start has begun the run again; its stop is not executed yet.
+    host.worker.running.push(late.clone());
+    host.executes_orders = false;
+    sim.deliver_reports();
+    sim.decide();
+    sim.host(0).worker.ended.clear();
+    sim.run_for(seconds(1));
+    let placed = |sim: &Simulation| sim.ledger.job(1).unwrap().progress.placed().count();
+    assert_eq!(placed(&sim), 0, "placed beside a run of the same step");
+    let host = sim.host(0);
+    host.executes_orders = true;
+    host.end_run(late.task, late.run, EndReason::Stopped);
+    sim.run_for(seconds(1));
+    assert_eq!(placed(&sim), 1, "not placed after the stop");
+}
+
 /// Guards against a job that fits no worker and blocks other jobs or the planner.
 #[test]
 fn task_that_fits_no_worker_waits_without_blocking_others() {
