fix(batch): a stop that the worker could not read counts as not carried out

Callers would see: two runs of one task, or a worker with more runs than it has room for. Shown by a test only; found by reading. Cause: any answer to a stop but 'unhealthy' and 'fenced' counted as if the run had been stopped, also 400 and a conflict with another or an unreadable reason. The next poll that did not list the run then made it one that never began, while an unanswered copy of its start could still be carried out. Ruled out: a stop that is answered with 'old'; the run has been stopped or has ended there. Change: such a stop is sent again. Before: the test failed ([Withdrawn] for []). After: it passes.

--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -122,7 +122,9 @@
                 pending.retry(now, true);
                 return false;
             }
-            (Answer::Late, Operation::Start(_)) | (Answer::Unhealthy, Operation::Stop(_)) => {
+            // The worker has not carried out the call. Other answers to a stop than these show that it has.
+            (Answer::Late, _)
+            | (Answer::Unhealthy | Answer::Malformed | Answer::Room, Operation::Stop(_)) => {
                 pending.retry(now, false);
                 return false;
             }
--- a/crates/godwitstep-batch/tests/incomplete_lists.rs
+++ b/crates/godwitstep-batch/tests/incomplete_lists.rs
@@ -1,4 +1,4 @@
-//! Tests of an agent whose worker lists rows that can't be read.
+//! Tests of an agent whose worker lists rows that can't be read, or can't read a call.
 
 use godwitstep_batch::agent::{Agent, Answer, Contact, Registration, RunLists};
 use godwitstep_batch::bounds::Bounds;
@@ -74,6 +74,11 @@
 
 /// Returns an agent whose worker has accepted a start and then, at 20 ms, a stop of a run that it has not listed yet.
 fn agent_with_stopped_run() -> Agent {
+    agent_with_stop(Answer::Accepted, Answer::Accepted)
+}
+
+/// Returns an agent whose worker has answered the start of a run, and its stop at 20 ms.
+fn agent_with_stop(to_start: Answer, to_stop: Answer) -> Agent {
     let mut agent = agent();
     let start = Start {
         task: TASK,
@@ -86,13 +91,13 @@
         ..Directive::default()
     };
     deliver(&mut agent, millis(10), directive);
-    answer_calls(&mut agent, millis(10), Answer::Accepted);
+    answer_calls(&mut agent, millis(10), to_start);
     let directive = Directive {
         stop: vec![(TASK, 1)],
         ..Directive::default()
     };
     deliver(&mut agent, millis(20), directive);
-    answer_calls(&mut agent, millis(20), Answer::Accepted);
+    answer_calls(&mut agent, millis(20), to_stop);
     agent
 }
 
@@ -160,3 +165,17 @@
     let request = agent.lease_request(millis(70)).expect("a lease request");
     assert_eq!(request.recorded, 4);
 }
+
+/// Guards against a run that counts as never begun: its stop was answered but not carried out, and its start may still be
+/// executed.
+#[test]
+fn a_stop_that_the_worker_cannot_read_is_sent_again() {
+    for answer in [Answer::Malformed, Answer::Room, Answer::Late] {
+        let mut agent = agent_with_stop(Answer::Unanswered, answer);
+        poll(&mut agent, millis(30), RunLists::default());
+        assert_eq!(refusals(&mut agent, millis(30)), [], "{answer:?}");
+        answer_calls(&mut agent, millis(500), Answer::Accepted);
+        poll(&mut agent, millis(510), RunLists::default());
+        assert_eq!(refusals(&mut agent, millis(510)), [Refusal::Withdrawn]);
+    }
+}
