fix(batch): a late result waits for the stop of a run that the newest report does not list

Callers would see: a start of a task that is done, or a worker with more runs than it has room for. Cause: a late result marks its task as done at once if the run that replaced it has ever been listed. If the worker of that run has restarted since, the run may still begin there by a late start, and nothing orders its stop or counts it any more. Ruled out: a worker that has not restarted; its newest report lists the run until its end, also after its agent has restarted. Change: the run has to be in the newest report of its own incarnation of the worker; otherwise it is stopped first. Before: the test failed (no stop ordered). After: it passes.

--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -131,8 +131,8 @@
     }
 
     /// Records results of runs that were already considered lost. If a replacement run was started
-    /// meanwhile and no report lists it yet, it is stopped first: it may have begun, and a task
-    /// that is recorded as done occupies no capacity.
+    /// meanwhile and the newest report of its worker does not list it, it is stopped first: it may
+    /// have begun or still begin, and a task that is recorded as done occupies no capacity.
     fn apply_late_results(&mut self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
         let mut late: Vec<(JobId, Task, Run, Incarnation)> = Vec::new();
         for (_, worker) in self.reports.workers(now) {
@@ -164,9 +164,11 @@
                 continue;
             };
             let mut unlisted = placed_runs(step, gang, task);
-            unlisted.retain(|(task, run)| !self.health.was_listed(*task, *run));
+            unlisted
+                .retain(|(task, run, incarnation)| !self.reports.lists(incarnation, *task, *run));
             if !unlisted.is_empty() {
-                self.stopping.extend(unlisted);
+                let runs = unlisted.into_iter().map(|(task, run, _)| (task, run));
+                self.stopping.extend(runs);
                 continue;
             }
             mark_done(step, gang, usize::from(task.index));
@@ -208,12 +210,15 @@
     }
 }
 
-/// Returns the placed runs of a task, or of all members of its gang.
-fn placed_runs(step: &Step, gang: bool, task: Task) -> Vec<(Task, Run)> {
+/// Returns the placed runs of a task, or of all members of its gang, with their workers.
+fn placed_runs(step: &Step, gang: bool, task: Task) -> Vec<(Task, Run, Incarnation)> {
     (0..)
         .zip(&step.tasks)
-        .filter(|(index, state)| (gang || *index == task.index) && state.placed_on().is_some())
-        .map(|(index, state)| (Task { index, ..task }, state.run))
+        .filter(|(index, _)| gang || *index == task.index)
+        .filter_map(|(index, state)| {
+            let incarnation = state.placed_on()?.clone();
+            Some((Task { index, ..task }, state.run, incarnation))
+        })
         .collect()
 }
 
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -9,7 +9,7 @@
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
 use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
-use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
+use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Running, Worker};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -219,6 +219,17 @@
         cause.or(silent.then_some(EndCause::AgentSilent))
     }
 
+    /// Returns whether the newest report lists a run as active on this incarnation of a worker.
+    pub fn lists(&self, incarnation: &Incarnation, task: Task, run: Run) -> bool {
+        let worker = self
+            .get(&incarnation.host)
+            .and_then(|report| report.worker.as_ref());
+        worker.is_some_and(|worker| {
+            let is_run = |listed_run: &Running| listed_run.task == task && listed_run.run == run;
+            worker.info.incarnation == *incarnation && worker.running.iter().any(is_run)
+        })
+    }
+
     /// Returns whether a run that an incarnation of a worker has listed may still be active there.
     pub fn may_be_active(
         &self,
@@ -236,11 +247,8 @@
         }
         match &latest.report.worker {
             Some(worker) if worker.info.incarnation == *incarnation => {
-                let listed = worker
-                    .running
-                    .iter()
-                    .any(|listed_run| listed_run.task == task && listed_run.run == run);
-                listed && worker.reachability != Reachability::LeaseExpired
+                self.lists(incarnation, task, run)
+                    && worker.reachability != Reachability::LeaseExpired
             }
             other => self
                 .end_cause_of_absent(latest, other.as_ref(), incarnation)
--- a/crates/godwitstep-batch/tests/ended_runs.rs
+++ b/crates/godwitstep-batch/tests/ended_runs.rs
@@ -8,7 +8,7 @@
 use godwitstep_batch::id::{Epoch, Incarnation, Run, Task};
 use godwitstep_batch::message::{Directive, EndReason, Reachability, Report, Start, WorkerInfo};
 use godwitstep_batch::planner::{OperatorView, Plan};
-use simulation::{ROUND_INTERVAL, Simulation, seconds, step};
+use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, seconds, step};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -313,3 +313,30 @@
     run_without_worker(&mut sim, seconds(3));
     assert_eq!(last_run(&sim), 2, "not restarted");
 }
+
+/// Guards against a late start of a done task: its second run was listed by a worker that has restarted since, and counted
+/// as stopped although the next incarnation had not been told to stop it.
+#[test]
+fn a_late_result_waits_for_the_stop_of_a_run_that_the_newest_report_does_not_list() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "normal", "north", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    let first = sim.hosts_running(1)[0].clone();
+    sim.hosts.get_mut(&first).unwrap().reachable = false;
+    sim.run_for(Bounds::default().agent_timeout() + seconds(1));
+    let mut hosts = sim.hosts_running(1);
+    hosts.retain(|host| *host != first);
+    let second = hosts.pop().expect("the task is restarted");
+    sim.hosts.get_mut(&second).unwrap().restart_worker();
+    sim.deliver_reports();
+    let host = sim.hosts.get_mut(&first).unwrap();
+    host.reachable = true;
+    let done = host.worker.running[0].clone();
+    host.end_run(done.task, done.run, EndReason::Done);
+    sim.deliver_reports();
+    sim.decide();
+    assert_eq!(sim.directives[&second].stop, [(done.task, 2)]);
+    sim.execute_orders();
+    sim.run_for(ROUND_INTERVAL * 2);
+    assert_eq!(sim.status(1), COMPLETED);
+}
