fix(batch): a run of an earlier incarnation keeps its room until its stop is answered

Callers would see: a worker with more runs than it has room for (LIMIT). Shown by a test only; found by reading. Cause: the room of a placed run was taken from the node of its own incarnation of the worker. After a restart under the same name the next incarnation's node counted as empty, while it may still carry out the unanswered start of the run; the decider knows that (end_cause_after_restart) and orders its stop, but gave the room away meanwhile. Ruled out: a worker with another name, to which such a start is not sent; runs that the next incarnation lists. Change: placed runs count on the node of their worker, whichever its incarnation is. Their stop is answered within one exchange, so the room is held back for that long. Before: the test failed (placed before the stop is answered). After: it passes.

--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -170,7 +170,7 @@
             for (step, index, placed, incarnation) in progress.placed() {
                 let demand = job_state.job.steps[usize::from(step)].demand;
                 let task = Task { job, step, index };
-                if let Some(node) = self.node_mut(incarnation) {
+                if let Some(node) = self.node_by_name(incarnation) {
                     let occupant = Occupant {
                         task,
                         run: placed.run,
@@ -241,6 +241,14 @@
         }
     }
 
+    /// Returns the node of a worker, whichever its current incarnation is: it may still carry out a start that was sent to
+    /// an earlier one under its name.
+    fn node_by_name(&mut self, incarnation: &Incarnation) -> Option<&mut Node> {
+        let index = *self.by_host.get(&incarnation.host)?;
+        let node = self.nodes.get_mut(index)?;
+        (node.incarnation.worker == incarnation.worker).then_some(node)
+    }
+
     /// Returns the node of an incarnation of a worker.
     pub fn node_mut(&mut self, incarnation: &Incarnation) -> Option<&mut Node> {
         let index = *self.by_host.get(&incarnation.host)?;
--- a/crates/godwitstep-batch/tests/ended_runs.rs
+++ b/crates/godwitstep-batch/tests/ended_runs.rs
@@ -6,7 +6,9 @@
 use godwitstep_batch::bounds::{AGENT_LEASE, Bounds};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Epoch, Incarnation, Run, Task};
-use godwitstep_batch::message::{Directive, EndReason, Reachability, Report, Start, WorkerInfo};
+use godwitstep_batch::message::{
+    Directive, EndReason, Reachability, Report, Running, Start, WorkerInfo,
+};
 use godwitstep_batch::planner::{OperatorView, Plan};
 use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, seconds, step};
 use std::net::SocketAddr;
@@ -340,3 +342,29 @@
     sim.run_for(ROUND_INTERVAL * 2);
     assert_eq!(sim.status(1), COMPLETED);
 }
+
+/// Guards against a worker with too many runs: a start that was sent before it restarted under its name can still be carried
+/// out, and its room counted as free with the first report of the next incarnation.
+#[test]
+fn a_run_of_an_earlier_incarnation_keeps_its_room_until_its_stop_is_answered() {
+    let mut sim = placed();
+    sim.submit(2, "normal", "north", vec![step(1, 8, seconds(60))]);
+    let host = sim.host(0);
+    host.restart_worker();
+    host.executes_orders = true;
+    sim.deliver_reports();
+    sim.decide();
+    assert!(!sim.started(2), "placed before the stop is answered");
+    // The late start is carried out now, and then the stop.
+    let task = Task { job: 1, ..TASK };
+    sim.host(0).worker.running.push(Running {
+        task,
+        run: 1,
+        saved: "".into(),
+        percent: 0,
+    });
+    sim.execute_orders();
+    sim.run_for(seconds(1));
+    sim.assert_capacity();
+    assert_eq!(sim.hosts_running(1).len() + sim.hosts_running(2).len(), 1);
+}
