--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -7,10 +7,11 @@
 use super::OperatorView;
 use super::draft::Draft;
 use super::health::{Health, StallTimes};
+use super::late::LateRuns;
 use super::reports::AgentReports;
 use super::speed::SLOW_LOG_RATIO;
 use crate::demand::Demand;
-use crate::id::{Host, Incarnation, Pool, Run, Task};
+use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -45,6 +46,8 @@
     /// Whether the worker accepts new tasks.
     pub schedulable: bool,
     pub occupants: Vec<Occupant>,
+    /// Tasks of the other runs that a report lists here. They occupy capacity until they end.
+    pub unplaced: Vec<Task>,
 }
 
 /// Capacity that is reserved from a time on.
@@ -97,6 +100,15 @@
         }
     }
 
+    /// Returns how many runs of a step are placed or listed here.
+    pub fn count_runs(&self, job: JobId, step: u16) -> u64 {
+        let placed = self.occupants.iter().map(|occupant| &occupant.task);
+        let tasks = placed.chain(&self.unplaced);
+        tasks
+            .filter(|task| task.job == job && task.step == step)
+            .count() as u64
+    }
+
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
         self.occupants.is_empty() && self.free == self.capacity
@@ -120,7 +132,7 @@
 pub(super) struct Cluster {
     pub nodes: Vec<Node>,
     by_host: HashMap<Host, usize>,
-    /// Tasks of which a recent report lists a run that the ledger does not place there.
+    /// Tasks of late runs that may be active.
     active: HashSet<Task>,
 }
 
@@ -129,6 +141,7 @@
         now: Duration,
         reports: &AgentReports,
         health: &Health,
+        late: &LateRuns,
         draft: &Draft,
         view: &OperatorView,
     ) -> Self {
@@ -144,7 +157,7 @@
         let mut cluster = Self {
             nodes,
             by_host,
-            active: HashSet::new(),
+            active: late.tasks().collect(),
         };
         cluster.count_placed(draft);
         cluster.count_listed(now, reports, draft);
@@ -157,7 +170,7 @@
             for (step, index, placed, incarnation) in progress.placed() {
                 let demand = job_state.job.steps[usize::from(step)].demand;
                 let task = Task { job, step, index };
-                if let Some(node) = self.node_mut(incarnation) {
+                if let Some(node) = self.node_by_name(incarnation) {
                     let occupant = Occupant {
                         task,
                         run: placed.run,
@@ -172,8 +185,7 @@
     /// Counts reported runs that the ledger does not place on that worker: remaining members of a
     /// completed gang and runs that are being stopped.
     fn count_listed(&mut self, now: Duration, reports: &AgentReports, draft: &Draft) {
-        let mut active = HashSet::new();
-        for (age, worker) in reports.workers(now) {
+        for (_, worker) in reports.workers(now) {
             if worker.reachability == Reachability::LeaseExpired {
                 // The lists are those of its last answer; nothing runs there any more.
                 continue;
@@ -188,9 +200,7 @@
                 if already_counted {
                     continue;
                 }
-                if AgentReports::is_fresh(age) {
-                    active.insert(listed_run.task);
-                }
+                node.unplaced.push(listed_run.task);
                 let demand = draft
                     .ledger()
                     .job(listed_run.task.job)
@@ -205,7 +215,6 @@
                 }
             }
         }
-        self.active = active;
     }
 
     /// Returns whether a run of a task is active although the ledger does not place it. It may have been started late
@@ -232,6 +241,14 @@
         }
     }
 
+    /// Returns the node of a worker, whichever its current incarnation is: it may still carry out a start that was sent to
+    /// an earlier one under its name.
+    fn node_by_name(&mut self, incarnation: &Incarnation) -> Option<&mut Node> {
+        let index = *self.by_host.get(&incarnation.host)?;
+        let node = self.nodes.get_mut(index)?;
+        (node.incarnation.worker == incarnation.worker).then_some(node)
+    }
+
     /// Returns the node of an incarnation of a worker.
     pub fn node_mut(&mut self, incarnation: &Incarnation) -> Option<&mut Node> {
         let index = *self.by_host.get(&incarnation.host)?;
@@ -267,5 +284,6 @@
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
         occupants: Vec::new(),
+        unplaced: Vec::new(),
     }
 }
