fix(batch): late copies of calls are fenced off at the next incarnation of a worker

Callers would see: a task that runs again after it was done, when its worker restarts under its name within seconds of a call that got no answer (TWICE). Cause: the token of a call was the decider's epoch. A worker that has restarted has received no token, and the agent's calls to it carry the same one as the copies that are still under way, so it carries these out, too. Ruled out: the deadline of a start and the check of a connection. The deadline refers to the clock of the earlier incarnation, and a copy has passed the check before. Change: tokens are ordered by epoch, then by the agent's process, then by incarnation (token.rs). The decider numbers the processes of each host and names the first token of each in its directives (an optional field). The process raises its token when a poll fails after one that was answered, and before the first call to a new incarnation under the name of its worker. When another incarnation answers a poll, it is called with the raised token at once, before it registers. An epoch is at least 2^20 above the one before, so it is above all tokens of that one. A call that was refused because the token was raised meanwhile is repeated at once. No time of day is used, and a process is never below its predecessor under the same epoch, so a token needs no bump after a refusal: it would let a process that was paused overtake its successor. Mixed versions: a directive without the field leaves the token at the epoch; agents of the version before ignore the field. Weighed and not done: to hold back the record of an end while a copy of the run's start may be under way. No bound on a copy holds across a restart, and callers would wait for seconds. What is left: copies that arrive between the restart and the first call to the new incarnation.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -33,8 +33,9 @@
 pub use session::{Registration, RunLists};
 
 use crate::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
-use crate::id::{Epoch, Host, Incarnation, Run, Task};
+use crate::id::{Epoch, Host, Incarnation, Run, Task, Token};
 use crate::message::{Directive, Refused, Report, Running, Worker, WorkerInfo};
+use crate::token::Fence;
 use call::{Pending, Resolution};
 use candidate::Candidates;
 use session::Session;
@@ -58,8 +59,8 @@
 pub struct LeaseRequest {
     /// Incarnation of the worker that is addressed.
     pub incarnation: Incarnation,
-    /// Fencing token: highest epoch that the agent has received.
-    pub epoch: Epoch,
+    /// Fencing token.
+    pub token: Token,
     /// Highest sequence number up to which all ends are recorded; the worker may forget these.
     pub recorded: u64,
     /// New end of the lease on the worker's clock in milliseconds; `None` to leave the lease unchanged.
@@ -82,6 +83,7 @@
     /// Sending time of the newest report that a decider answered.
     last_answered: Option<Duration>,
     epoch: Epoch,
+    fence: Fence,
     /// The host's worker, once it has answered a poll.
     session: Option<Session>,
     candidates: Candidates,
@@ -112,6 +114,7 @@
             sent: VecDeque::new(),
             last_answered: None,
             epoch: 0,
+            fence: Fence::new(),
             session: None,
             candidates: Candidates::new(),
             refuted: Vec::new(),
@@ -185,9 +188,8 @@
         let renew = self
             .time_since_answer(now)
             .is_some_and(|silence| silence < AGENT_LEASE);
-        let epoch = self.epoch;
         let lease = self.bounds.worker_lease();
-        if epoch == 0 {
+        if self.epoch == 0 {
             return None;
         }
         let session = self.session.as_mut()?;
@@ -197,7 +199,7 @@
         session.extend_lease(deadline);
         Some(LeaseRequest {
             incarnation: session.incarnation().clone(),
-            epoch,
+            token: self.fence.token(),
             recorded: session.acknowledged(),
             deadline,
             wait: !session.has_unrecorded_ends(),
@@ -265,7 +267,14 @@
         else {
             return Transition::Unchanged;
         };
+        if session.failed_polls == 0 {
+            self.fence.raise();
+        }
         session.failed_polls += 1;
+        if matches!(contact, Contact::OtherLife) && !session.absent && self.candidates.is_empty() {
+            // Fences off late calls at the incarnation that has answered, before its registration arrives.
+            session.probe_at = Some(now);
+        }
         self.note_absence(now, contact)
     }
 
@@ -335,6 +344,7 @@
             return false;
         }
         self.epoch = directive.epoch;
+        self.fence.advance(directive.epoch, directive.token);
         let reported = self
             .sent
             .iter()
--- a/crates/godwitstep-batch/src/agent/call.rs
+++ b/crates/godwitstep-batch/src/agent/call.rs
@@ -1,7 +1,7 @@
 //! Calls that start and stop runs, their retries and their results.
 
 use super::RunKey;
-use crate::id::{Epoch, Incarnation};
+use crate::id::{Incarnation, Token};
 use crate::message::{Refusal, Start};
 use std::time::Duration;
 
@@ -26,8 +26,8 @@
     pub incarnation: Incarnation,
     /// Run to start or stop.
     pub key: RunKey,
-    /// Fencing token: highest epoch that the agent has received.
-    pub epoch: Epoch,
+    /// Fencing token.
+    pub token: Token,
     /// Requested operation.
     pub operation: Operation,
     /// Time on the worker's clock in milliseconds after which the worker rejects a start.
@@ -47,7 +47,7 @@
     Accepted,
     /// There was no answer; the call may still be executed.
     Unanswered,
-    /// The worker has received a higher epoch.
+    /// The worker has received a higher token.
     Fenced,
     /// The run, or a later one of its task, was stopped or has ended on this worker.
     Superseded,
--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -45,6 +45,10 @@
         Self(Vec::new())
     }
 
+    pub const fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Adds or updates a candidate, which is then due to be polled. Returns whether it is new.
     pub fn register(
         &mut self,
@@ -111,11 +115,10 @@
             .min_by_key(|candidate| (candidate.probed_at, Reverse(candidate.last_registered_at)))
     }
 
-    /// Records that a candidate is polled.
-    pub fn probed(&mut self, now: Duration, incarnation: &Incarnation) {
-        if let Some(candidate) = self.get_mut(incarnation) {
-            candidate.probed_at = Some(now);
-        }
+    /// Records that an incarnation is polled. Returns whether it is a candidate that was not polled before.
+    pub fn probed(&mut self, now: Duration, incarnation: &Incarnation) -> bool {
+        self.get_mut(incarnation)
+            .is_some_and(|candidate| candidate.probed_at.replace(now).is_none())
     }
 
     /// Returns the earliest time at which a candidate is due.
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -62,7 +62,7 @@
 
     /// Returns the calls that are due and marks them as in flight.
     pub fn due_calls(&mut self, now: Duration) -> Vec<Call> {
-        let epoch = self.epoch;
+        let token = self.fence.token();
         let Some(session) = &mut self.session else {
             return Vec::new();
         };
@@ -80,7 +80,7 @@
             calls.push(Call {
                 incarnation: session.incarnation().clone(),
                 key: *key,
-                epoch,
+                token,
                 operation: pending.operation.clone(),
                 deadline,
                 clock,
@@ -126,6 +126,11 @@
                 pending.retry(now, false);
                 return false;
             }
+            (Answer::Fenced, _) if call.token < self.fence.token() => {
+                // The token was raised after the call was sent.
+                pending.retry(now, false);
+                return false;
+            }
             (Answer::Fenced | Answer::OtherLife, _) => None,
             (Answer::Accepted, Operation::Start(_)) => Some(Resolution::begun(now)),
             (Answer::Superseded, Operation::Start(_)) => {
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -130,13 +130,16 @@
             (None, None) => return None,
         };
         self.candidate_probed = self.incarnation() != Some(&incarnation);
-        self.candidates.probed(now, &incarnation);
+        let first = self.candidates.probed(now, &incarnation);
+        if first && self.was_called(&incarnation.worker) {
+            self.fence.raise();
+        }
         self.last_probe = Some(now);
         Some(Probe {
             address,
             request: LeaseRequest {
                 incarnation,
-                epoch: self.epoch,
+                token: self.fence.token(),
                 recorded,
                 deadline: None,
                 wait: false,
@@ -144,6 +147,15 @@
         })
     }
 
+    /// Returns whether calls to a worker of this name may still be under way, which its next incarnation would carry out.
+    fn was_called(&self, worker: &str) -> bool {
+        let left = self.deregistered.as_ref();
+        self.incarnation()
+            .into_iter()
+            .chain(left.map(|(_, incarnation)| incarnation))
+            .any(|known| &*known.worker == worker)
+    }
+
     /// Returns the earliest time at which a probe is due; `None` if there is none or no decider has answered yet.
     #[must_use]
     pub fn next_probe(&self) -> Option<Duration> {
--- a/crates/godwitstep-batch/src/claim.rs
+++ b/crates/godwitstep-batch/src/claim.rs
@@ -20,6 +20,7 @@
 use crate::bounds::{RENEWAL_INTERVAL, TAKEOVER_TIMEOUT, UNREACHABLE_TAKEOVER_TIMEOUT};
 use crate::id::{Epoch, Host};
 use crate::record::{Claim, MAX_EPOCH};
+use crate::token::TOKENS_PER_EPOCH;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -48,11 +49,13 @@
 const CLAIMANT_BITS: u32 = 20;
 
 /// Returns the epoch for a claim that follows `after`. Concurrent claimants get different epochs if their
-/// numbers differ in the lowest 20 bits, so the log can order their claims.
+/// numbers differ in the lowest 20 bits, so the log can order their claims. It is above all fencing tokens of the epoch
+/// before.
 #[must_use]
 pub const fn next_epoch(after: Epoch, claimant: u64) -> Epoch {
     let own = claimant & ((1 << CLAIMANT_BITS) - 1);
-    (((after >> CLAIMANT_BITS) + 1) << CLAIMANT_BITS) | own
+    let above = after.saturating_add(TOKENS_PER_EPOCH) >> CLAIMANT_BITS;
+    ((above + 1) << CLAIMANT_BITS) | own
 }
 
 /// Returns the epoch to claim after, given that of the newest known claim, and that which the log fenced while the same
--- a/crates/godwitstep-batch/src/id.rs
+++ b/crates/godwitstep-batch/src/id.rs
@@ -17,6 +17,8 @@
 pub type Run = u32;
 /// Fencing token of a decider, increasing with each claim.
 pub type Epoch = u64;
+/// Fencing token of an agent's call to its worker.
+pub type Token = u64;
 /// Name of a host.
 pub type Host = Arc<str>;
 /// Identity of an agent's process: its start in Unix milliseconds and a random number. Has no order, because the
--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`planner`] decides where tasks run.
 //! * [`agent`] renews one worker's lease and executes orders.
 //! * [`address`] checks the addresses that other processes name.
+//! * [`token`] fences off late copies of agents' calls to workers.
 //! * [`bounds`] defines the time limits and lease durations that these modules rely on.
 
 pub mod access;
@@ -26,6 +27,7 @@
 pub mod prelude;
 pub mod progress;
 pub mod record;
+pub mod token;
 
 pub use agent::Agent;
 pub use bounds::Bounds;
--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -12,7 +12,7 @@
 //! ```
 
 use crate::demand::Demand;
-use crate::id::{AgentProcess, Domain, Epoch, Host, Incarnation, Offset, Pool, Run, Task};
+use crate::id::{AgentProcess, Domain, Epoch, Host, Incarnation, Offset, Pool, Run, Task, Token};
 use bytes::Bytes;
 use serde::de::{self, DeserializeOwned, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -194,6 +194,8 @@
 pub struct Directive {
     /// Epoch of the decider. An agent ignores directives below the highest epoch that it has received.
     pub epoch: Epoch,
+    /// First fencing token of the agent's process for calls to its worker; 0 from deciders of earlier versions.
+    pub token: Token,
     /// Sequence number of the newest report of the agent's process; bounds the age of the orders. 0, which no
     /// report has, if the decider does not use the reports of the process, or not yet.
     pub sequence: u64,
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -5,6 +5,7 @@
 use crate::ledger::Ledger;
 use crate::message::{Directive, EndReason, Ended, Reachability, Report, Start, Worker};
 use crate::progress::State;
+use crate::token::first_token;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -79,7 +80,7 @@
 
     /// Returns the reply to a report, which holds the orders for its host. For a process of the agent whose reports
     /// are not used, or not yet, it holds no orders and counts as the reply to no report; the process learns the
-    /// decider's epoch from it.
+    /// decider's epoch and its own tokens from it.
     #[must_use]
     pub fn directive(
         &self,
@@ -88,12 +89,14 @@
         view: &OperatorView,
         entries: Vec<SocketAddr>,
     ) -> Directive {
+        let process = report.process();
+        let number = self.reports.process_number(&report.host, process);
         let mut directive = Directive {
             epoch: self.epoch,
+            token: number.map_or(0, |number| first_token(self.epoch, number)),
             entries,
             ..Directive::default()
         };
-        let process = report.process();
         let latest = self.reports.get(&report.host);
         let Some(report) = latest.filter(|latest| latest.process() == process) else {
             return directive;
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -51,8 +51,8 @@
 pub(super) struct AgentReports {
     epoch: Epoch,
     hosts: BTreeMap<Host, LatestReport>,
-    /// Processes of the agent of each host, in the order of their first reports.
-    processes: BTreeMap<Host, VecDeque<AgentProcess>>,
+    /// Processes of the agent of each host, in the order of their first reports, with their numbers.
+    processes: BTreeMap<Host, VecDeque<(AgentProcess, u64)>>,
     /// Time from which the silence of an agent counts. Until then an earlier decider may have answered it.
     silence_counted_from: Duration,
     max_silence: Duration,
@@ -111,17 +111,20 @@
     fn remember(&mut self, report: &Report) {
         let processes = self.processes.entry(report.host.clone()).or_default();
         let process = report.process();
-        if processes.contains(&process) {
+        if processes.iter().any(|(known, _)| *known == process) {
             return;
         }
+        let number = processes.back().map_or(1, |(_, last)| last + 1);
         let latest = self.hosts.get(&report.host);
         let current = latest.map(|latest| latest.report.process());
         if processes.len() == MAX_PROCESSES
-            && let Some(oldest) = processes.iter().position(|known| Some(*known) != current)
+            && let Some(oldest) = processes
+                .iter()
+                .position(|(known, _)| Some(*known) != current)
         {
             processes.remove(oldest);
         }
-        processes.push_back(process);
+        processes.push_back((process, number));
     }
 
     /// Returns whether a report is newer than the stored one of its host, and not from before the take-over.
@@ -136,11 +139,15 @@
         if current == process {
             return report.sequence > latest.report.sequence;
         }
-        let first_reported = |process| {
-            let processes = self.processes.get(&report.host)?;
-            processes.iter().position(|known| *known == process)
-        };
-        first_reported(process) > first_reported(current)
+        self.process_number(&report.host, process) > self.process_number(&report.host, current)
+    }
+
+    /// Returns the number of a process of an agent, by the order of the first reports from 1; `None` if it is forgotten.
+    pub fn process_number(&self, host: &Host, process: AgentProcess) -> Option<u64> {
+        let mut processes = self.processes.get(host)?.iter();
+        processes
+            .find(|(known, _)| *known == process)
+            .map(|(_, number)| *number)
     }
 
     /// Returns whether a report was sent after this decider took over and had replied to the process that sent it.
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -78,7 +78,7 @@
 }
 
 /// Maximum epoch of a claim. Epochs that follow it stay far below the largest number, so that entries can replace any
-/// decider; claims reach it after 2^32 changes of the decider.
+/// decider; claims reach it after 2^31 changes of the decider.
 pub const MAX_EPOCH: Epoch = 1 << 52;
 /// Maximum number of a run and of a task's failures, so that the next one is valid.
 const MAX_RUN: Run = Run::MAX / 2;
--- a/crates/godwitstep-batch/tests/late_orders/worker.rs
+++ b/crates/godwitstep-batch/tests/late_orders/worker.rs
@@ -4,7 +4,7 @@
     Answer, Call, LeaseRequest, Operation, Registration, RunKey, RunLists,
 };
 use godwitstep_batch::bounds::Bounds;
-use godwitstep_batch::id::{Epoch, Run, Task};
+use godwitstep_batch::id::{Run, Task, Token};
 use godwitstep_batch::message::{EndReason, Ended, Running};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -39,7 +39,7 @@
     pub registration: Registration,
     clock_rate: f64,
     lease_end: u64,
-    highest_epoch: Epoch,
+    highest_token: Token,
     pub active: BTreeMap<RunKey, ActiveRun>,
     ended: Vec<Ended>,
     pub done: Vec<DoneRun>,
@@ -54,7 +54,7 @@
             registration,
             clock_rate,
             lease_end: 0,
-            highest_epoch: 0,
+            highest_token: 0,
             active: BTreeMap::new(),
             ended: Vec::new(),
             done: Vec::new(),
@@ -72,9 +72,9 @@
         self.lease_end = self.lease_end.max(deadline.min(longest));
     }
 
-    fn fences(&mut self, epoch: Epoch) -> bool {
-        let fenced = epoch < self.highest_epoch;
-        self.highest_epoch = self.highest_epoch.max(epoch);
+    fn fences(&mut self, token: Token) -> bool {
+        let fenced = token < self.highest_token;
+        self.highest_token = self.highest_token.max(token);
         fenced
     }
 
@@ -136,7 +136,7 @@
     /// Carries out a start or a stop.
     pub fn execute(&mut self, now: Duration, call: &Call, run_time: Duration) -> Answer {
         let (task, run) = call.key;
-        if self.fences(call.epoch) {
+        if self.fences(call.token) {
             return Answer::Fenced;
         }
         if matches!(call.operation, Operation::Stop(_)) {
@@ -166,7 +166,7 @@
     }
 
     pub fn apply_poll(&mut self, now: Duration, request: &LeaseRequest) {
-        if self.fences(request.epoch) {
+        if self.fences(request.token) {
             return;
         }
         if let Some(deadline) = request.deadline {
--- a/crates/godwitstep/src/batch/agent.rs
+++ b/crates/godwitstep/src/batch/agent.rs
@@ -294,7 +294,7 @@
                 true
             }
             PollResult::Fenced => {
-                tracing::warn!(epoch = request.epoch, "worker has seen a higher epoch");
+                tracing::warn!(token = request.token, "worker has seen a higher token");
                 Timer::after(POLL_RETRY_DELAY).await;
                 true
             }
@@ -379,7 +379,7 @@
         };
         metrics::counter!("godwitstep_calls_total", "deed" => operation).increment(1);
         metrics::histogram!("godwitstep_call_seconds").record(elapsed);
-        tracing::info!(%task, run, deed = operation, answer = ?answer, worker = %call.incarnation, epoch = call.epoch, took_ms = elapsed.as_millis(), order = call.order, attempt = call.attempt, clock = call.clock, deadline = call.deadline, host = %self.settings.host, "worker called");
+        tracing::info!(%task, run, deed = operation, answer = ?answer, worker = %call.incarnation, token = call.token, took_ms = elapsed.as_millis(), order = call.order, attempt = call.attempt, clock = call.clock, deadline = call.deadline, host = %self.settings.host, "worker called");
     }
 
     /// Renews the worker's lease a last time before the process ends, so that runs stay active while the agent
--- a/crates/godwitstep/src/batch/worker.rs
+++ b/crates/godwitstep/src/batch/worker.rs
@@ -8,7 +8,7 @@
 pub enum PollResult {
     /// The worker's lists of runs.
     Lists(RunLists),
-    /// The worker has received a higher epoch.
+    /// The worker has received a higher fencing token.
     Fenced,
     /// Another incarnation of the worker answered.
     OtherLife,
