--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -30,6 +30,8 @@
     last_registered_at: Duration,
     /// Whether a worker with its name has deregistered.
     pub leaving: bool,
+    /// Whether its address has refused a connection or answered as another incarnation.
+    absent: bool,
     /// When it was polled last.
     probed_at: Option<Duration>,
     /// When it is polled next; `None` if that waits for another event.
@@ -45,6 +47,10 @@
         Self(Vec::new())
     }
 
+    pub const fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Adds or updates a candidate, which is then due to be polled. Returns whether it is new.
     pub fn register(
         &mut self,
@@ -72,6 +78,7 @@
             registered_at: now,
             last_registered_at: now,
             leaving: false,
+            absent: false,
             probed_at: None,
             probe_at: Some(now),
         });
@@ -111,11 +118,10 @@
             .min_by_key(|candidate| (candidate.probed_at, Reverse(candidate.last_registered_at)))
     }
 
-    /// Records that a candidate is polled.
-    pub fn probed(&mut self, now: Duration, incarnation: &Incarnation) {
-        if let Some(candidate) = self.get_mut(incarnation) {
-            candidate.probed_at = Some(now);
-        }
+    /// Records that an incarnation is polled. Returns whether it is a candidate that was not polled before.
+    pub fn probed(&mut self, now: Duration, incarnation: &Incarnation) -> bool {
+        self.get_mut(incarnation)
+            .is_some_and(|candidate| candidate.probed_at.replace(now).is_none())
     }
 
     /// Returns the earliest time at which a candidate is due.
@@ -134,6 +140,21 @@
         }
     }
 
+    /// Records that a candidate's address refused a connection or answered as another incarnation.
+    pub fn note_absence(&mut self, incarnation: &Incarnation) {
+        if let Some(candidate) = self.get_mut(incarnation) {
+            candidate.absent = true;
+        }
+    }
+
+    /// Returns whether another candidate may be alive beside the one that has answered at an address.
+    pub fn has_other(&self, incarnation: &Incarnation, address: SocketAddr) -> bool {
+        self.0.iter().any(|candidate| {
+            let other = candidate.facts.incarnation() != incarnation;
+            other && candidate.address != address && !candidate.absent
+        })
+    }
+
     /// Makes all candidates due, because the current worker may be gone.
     pub fn expedite(&mut self, now: Duration) {
         for candidate in &mut self.0 {
