fix(batch): a smaller room of a worker counts from the first heartbeat that says so

Callers would see jobs slowed or broken on a worker that got more than its room (LIMIT); only tests show it.

Cause: a registration's properties counted once two in a row had the same. A worker's room may change while it runs, so a smaller one counted one heartbeat late, one that differed from heartbeat to heartbeat never, and two late heartbeats of an earlier time brought room back. The decider heard of a change with the next report.

Ruled out: going by the highest sequence number alone, since another writer's may be of any size and would hide the worker's own for good.

Change: the room has its own evidence (agent/room.rs). In each resource the smaller amount counts at once; a larger one when it is repeated with a sequence number not below that of the room that counts, or with any number once that room has not been confirmed for 5 s. A change is logged and reported at once.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -24,6 +24,7 @@
 mod candidate;
 mod order;
 mod replacement;
+mod room;
 mod search;
 mod session;
 
--- a/crates/godwitstep-batch/src/agent/candidate.rs
+++ b/crates/godwitstep-batch/src/agent/candidate.rs
@@ -56,7 +56,7 @@
             .retain(|candidate| now < candidate.last_registered_at + CANDIDATE_RETENTION);
         let incarnation = registration.info.incarnation.clone();
         if let Some(candidate) = self.get_mut(&incarnation) {
-            candidate.facts.register(registration);
+            candidate.facts.register(now, registration);
             candidate.address = address;
             candidate.last_registered_at = now;
             candidate.probe_at.get_or_insert(now);
@@ -67,7 +67,7 @@
             self.0.remove(oldest.unwrap_or_default());
         }
         self.0.push(Candidate {
-            facts: Facts::new(registration),
+            facts: Facts::new(now, registration),
             address,
             registered_at: now,
             last_registered_at: now,
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -1,6 +1,7 @@
 //! An agent's view of its worker: the worker's properties, clock, lease and runs.
 
 use super::RunKey;
+use super::room::Room;
 use crate::bounds::WORKER_CLOCK_DRIFT;
 use crate::id::Incarnation;
 use crate::message::{Ended, Reachability, Running, WorkerInfo};
@@ -19,7 +20,7 @@
 pub struct Registration {
     /// Properties of the worker.
     pub info: WorkerInfo,
-    /// Sequence number, increasing within an incarnation; for the log only.
+    /// Sequence number, increasing within an incarnation. That of another writer may be of any size.
     pub sequence: u64,
 }
 
@@ -44,18 +45,23 @@
 
 /// Properties of one incarnation of the worker, from its registrations.
 ///
-/// They don't change within an incarnation, except that it may begin to drain. A registration of another writer is
-/// therefore told from the worker's own by its properties, not by its sequence number, which may be of any size.
+/// They don't change within an incarnation, except that it may begin to drain and that its capacity may change. A
+/// registration of another writer is therefore told from the worker's own by its properties, not by its sequence number,
+/// which may be of any size.
 #[derive(Debug)]
 pub(super) struct Facts {
     pub info: WorkerInfo,
+    /// Evidence for the capacity in `info`.
+    room: Room,
     /// Properties in the last registration that differ from `info`; they apply once the next registration has the same.
+    /// The capacity is that of `info`.
     unconfirmed: Option<WorkerInfo>,
 }
 
 impl Facts {
-    pub fn new(registration: Registration) -> Self {
+    pub fn new(now: Duration, registration: Registration) -> Self {
         Self {
+            room: Room::new(now, registration.sequence, registration.info.capacity),
             info: registration.info,
             unconfirmed: None,
         }
@@ -67,10 +73,17 @@
 
     /// Applies a registration of the same incarnation. Draining never ends within an incarnation, so each
     /// registration that says so counts, even a late one.
-    pub fn register(&mut self, registration: Registration) {
+    pub fn register(&mut self, now: Duration, registration: Registration) {
         let mut info = registration.info;
         info.draining |= self.info.draining;
         self.info.draining = info.draining;
+        self.room
+            .register(now, registration.sequence, info.capacity);
+        info.capacity = self.room.usable();
+        self.info.capacity = info.capacity;
+        if let Some(unconfirmed) = &mut self.unconfirmed {
+            unconfirmed.capacity = info.capacity;
+        }
         if self.info == info {
             self.unconfirmed = None;
         } else if self.unconfirmed.as_ref() == Some(&info) {
@@ -150,7 +163,7 @@
 
     /// Applies a registration of the worker, which may show that a deregistration was not meant for it.
     pub fn register(&mut self, now: Duration, registration: Registration) {
-        self.facts.register(registration);
+        self.facts.register(now, registration);
         let (draining, answered) = (self.facts.info.draining, self.last_answered);
         self.leaving_since
             .take_if(|since| !draining && answered > *since && now >= *since + HEARTBEAT_DELAY);
--- a/crates/godwitstep/src/batch/agent/replacement.rs
+++ b/crates/godwitstep/src/batch/agent/replacement.rs
@@ -23,6 +23,7 @@
         let (info, sequence) = (&registration.info, registration.sequence);
         let (incarnation, draining) = (info.incarnation.clone(), info.draining);
         let was_draining = self.state_machine.borrow().draining();
+        let previous = self.current_room();
         let registered = self
             .state_machine
             .borrow_mut()
@@ -35,15 +36,42 @@
                 }
                 self.work_changes.notify();
             }
-            Registered::Current if draining && !was_draining => {
-                tracing::info!(worker = %incarnation, "worker is draining");
-                self.report_changes.notify();
-                self.work_changes.notify();
+            Registered::Current => {
+                let begins_to_drain = draining && !was_draining;
+                if begins_to_drain {
+                    tracing::info!(worker = %incarnation, "worker is draining");
+                }
+                if self.log_room(previous, sequence) || begins_to_drain {
+                    self.report_changes.notify();
+                    self.work_changes.notify();
+                }
             }
-            Registered::Current => {}
         }
     }
 
+    /// Logs a change of the worker's room by a registration. Returns whether there was one.
+    fn log_room(&self, previous: Option<Demand>, sequence: u64) -> bool {
+        let state_machine = self.state_machine.borrow();
+        let (Some(info), Some(previous)) = (state_machine.worker_info(), previous) else {
+            return false;
+        };
+        if info.capacity == previous {
+            return false;
+        }
+        let Demand {
+            cpu,
+            memory,
+            accelerators,
+        } = info.capacity;
+        tracing::info!(worker = %info.incarnation, sequence, cpu, memory, accelerators, previous_cpu = previous.cpu, previous_memory = previous.memory, previous_accelerators = previous.accelerators, "worker's room changed");
+        true
+    }
+
+    fn current_room(&self) -> Option<Demand> {
+        let state_machine = self.state_machine.borrow();
+        state_machine.worker_info().map(|info| info.capacity)
+    }
+
     /// Processes the deregistration of a worker, which is shutting down.
     pub fn deregister(&self, worker: &str) {
         let now = self.clock.now();
