fix(batch): an agent sends no start that was ordered on a larger room

Callers would see a worker over its room (LIMIT): a start that the decider had ordered before it heard of the smaller room was still sent, for up to the 0.9 s of an order, retries of an unanswered call among them. Only tests show it.

Cause: nothing tied an order to the room that the decider knew.

Change: an agent keeps the number of its last report from before the room became smaller, and holds back starts whose order answers that report or an earlier one. The next order, which answers a report with the new room, sends them or withdraws them, so none is lost. The wire is the same.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -9,6 +9,7 @@
 //!   to start it) and a poll that was sent later lists neither the run nor its end, but all other ends.
 //! * A report that the worker's lease has expired ends all runs. The deadlines of all starts that were sent have passed
 //!   then, and no start is sent any more on an order that answers this report or an earlier one.
+//! * No start is sent on an order that answers a report from before the worker's room became smaller.
 //!
 //! ```
 //! use godwitstep_batch::{agent::Agent, bounds::Bounds};
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -72,7 +72,8 @@
         let accepts_starts = !session.draining() && !session.is_unreachable();
         let mut calls = Vec::new();
         for (key, pending) in &mut self.pending {
-            let allowed = accepts_starts || !pending.starts_run();
+            let may_fit = pending.order > session.larger_room_through;
+            let allowed = (accepts_starts && may_fit) || !pending.starts_run();
             if !allowed || !pending.due(now) {
                 continue;
             }
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -85,7 +85,7 @@
         if let Some(session) = &mut self.session
             && session.incarnation() == &registration.info.incarnation
         {
-            session.register(now, registration);
+            session.register(now, self.sequence, registration);
             return Registered::Current;
         }
         let new = self.candidates.register(now, registration, address);
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -127,6 +127,9 @@
     /// Sequence number of the newest report that said that the lease has expired; 0 before the first one. The decider ends
     /// all runs on such a report, so starts that answer it or an earlier one are void.
     pub void_through: u64,
+    /// Sequence number of the last report before the room became smaller; 0 while it has not. Starts that answer it or an
+    /// earlier one may not fit; they wait for an order that answers a later report.
+    pub larger_room_through: u64,
 }
 
 impl Session {
@@ -154,6 +157,7 @@
             clock_reading: (now, lists.clock),
             lease_end: lists.clock.saturating_add(super::millis(lease)),
             void_through: 0,
+            larger_room_through: 0,
         }
     }
 
@@ -161,9 +165,14 @@
         self.facts.incarnation()
     }
 
-    /// Applies a registration of the worker, which may show that a deregistration was not meant for it.
-    pub fn register(&mut self, now: Duration, registration: Registration) {
+    /// Applies a registration of the worker, which may show that a deregistration was not meant for it. `reported` is the
+    /// sequence number of the last report.
+    pub fn register(&mut self, now: Duration, reported: u64, registration: Registration) {
+        let room = self.facts.info.capacity;
         self.facts.register(now, registration);
+        if !room.fits(&self.facts.info.capacity) {
+            self.larger_room_through = reported;
+        }
         let (draining, answered) = (self.facts.info.draining, self.last_answered);
         self.leaving_since
             .take_if(|since| !draining && answered > *since && now >= *since + HEARTBEAT_DELAY);
