fix(batch): a placed run that no longer fits its worker is withdrawn

Callers would see a worker over its room (LIMIT), or a gang that starts in part. Only tests show it.

Cause: a directive orders each placed run that the report does not list to start. It never looked at the room, which may have shrunk since the run was placed.

Ruled out: leaving such a run placed until there is room: a gang would wait alone, and the task could start elsewhere.

Change: a directive adds up what the report lists and what is placed and has not begun. What no longer fits, the last placed jobs first, is stopped; the agent then reports that it never began, which costs no attempt, and the task is placed anew. Such a run may have begun meanwhile, so nothing else is started there before its end or refusal is reported.

--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -1,10 +1,12 @@
 //! Start and stop orders for each agent, derived from the ledger alone.
 
 use super::{OperatorView, Planner};
+use crate::demand::Demand;
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::{Directive, EndReason, Ended, Reachability, Report, Start, Worker};
 use crate::progress::State;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -16,6 +18,7 @@
     pub incarnation: Incarnation,
     pub spec: Arc<str>,
     pub saved: Arc<str>,
+    pub demand: Demand,
     /// Whether the run should start or continue; otherwise it is stopped.
     pub should_run: bool,
 }
@@ -47,6 +50,7 @@
                         incarnation: incarnation.clone(),
                         spec: job_state.job.spec.clone(),
                         saved: placed.saved.clone(),
+                        demand: job_state.job.steps[usize::from(step)].demand,
                         should_run: job_state.active() && !gang_broken && !stopped,
                     });
             }
@@ -127,17 +131,22 @@
             view.permits_starts() && worker.reachability != Reachability::LeaseExpired;
         let accepts_no_runs =
             worker.info.draining || view.domains_out.contains(&worker.info.domain);
+        let withdrawn = self.withdrawn(worker, ledger, current());
         for assignment in current().filter(|assignment| !end_reported(worker, assignment)) {
-            let listed = worker.running.iter().any(|listed_run| {
-                listed_run.task == assignment.task && listed_run.run == assignment.run
-            });
+            let listed = lists(worker, assignment);
+            let no_room = withdrawn.contains(&(assignment.task, assignment.run));
             let cancelled = ledger
                 .job(assignment.task.job)
                 .is_none_or(|job_state| !job_state.active());
             let ended = self.ended.contains(&(assignment.task, assignment.run));
-            if !assignment.should_run || ended || cancelled || (accepts_no_runs && !listed) {
+            if !assignment.should_run
+                || ended
+                || cancelled
+                || no_room
+                || (accepts_no_runs && !listed)
+            {
                 directive.stop.push((assignment.task, assignment.run));
-            } else if !listed && accepts_starts {
+            } else if !listed && accepts_starts && withdrawn.is_empty() {
                 directive.start.push(Start {
                     task: assignment.task,
                     run: assignment.run,
@@ -165,6 +174,46 @@
             }
         }
     }
+
+    /// Returns the runs that have not begun and no longer fit, because the worker's room has shrunk since they were
+    /// placed. A run that is withdrawn may have begun all the same, so the others wait until its end or refusal is
+    /// reported.
+    fn withdrawn<'a>(
+        &self,
+        worker: &Worker,
+        ledger: &Ledger,
+        assignments: impl Iterator<Item = &'a Assignment>,
+    ) -> HashSet<(Task, Run)> {
+        let not_begun: Vec<&Assignment> = assignments
+            .filter(|assignment| {
+                let ended = self.ended.contains(&(assignment.task, assignment.run));
+                !ended && !lists(worker, assignment) && !end_reported(worker, assignment)
+            })
+            .collect();
+        let running = worker.running.iter().filter_map(|listed_run| {
+            let job = &ledger.job(listed_run.task.job)?.job;
+            Some(&job.steps.get(usize::from(listed_run.task.step))?.demand)
+        });
+        let running = Demand::sum(running);
+        let demand = |runs: &[&Assignment]| {
+            let demand = Demand::sum(runs.iter().map(|assignment| &assignment.demand));
+            running.saturating_add(&demand)
+        };
+        let fits = |count: &usize| demand(&not_begun[..*count]).fits(&worker.info.capacity);
+        let kept = (0..=not_begun.len()).rev().find(fits).unwrap_or_default();
+        not_begun[kept..]
+            .iter()
+            .map(|assignment| (assignment.task, assignment.run))
+            .collect()
+    }
+}
+
+/// Returns whether the worker's report lists a run as active.
+fn lists(worker: &Worker, assignment: &Assignment) -> bool {
+    worker
+        .running
+        .iter()
+        .any(|listed_run| listed_run.task == assignment.task && listed_run.run == assignment.run)
 }
 
 /// Returns whether the worker's report already shows the end or refusal of a run.
