fix(batch): runs in excess of a shrunk room drain before anything is free

Callers would see an urgent job that waits for several rounds of stops on a worker whose room has shrunk, or a task that starts there on a resource that is not in excess. Only tests show it.

Cause: the demand beyond a room counted as if it were committed to another job. Preemption took it off a room that was already zero, and so stopped too few runs. Listed runs that the ledger does not place were cut off at zero. Placement looked at each resource by itself.

Change: a node keeps what runs in excess of its capacity (`Node::excess`). While there is any, nothing is placed; what ends or is stopped pays it off first, in predictions, reservations, earmarks and preemption alike. A worker with excess is not empty. Without excess nothing changes.

--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -34,6 +34,9 @@
     pub capacity: Demand,
     /// Capacity that is neither occupied by runs nor committed in this round.
     pub free: Demand,
+    /// Demand of the runs in excess of the capacity, which has shrunk since they were placed. Their ends free nothing
+    /// before it has drained.
+    pub excess: Demand,
     /// Capacity that is committed to jobs but not free yet.
     pub committed: Demand,
     /// Capacity that is reserved for a waiting job.
@@ -59,10 +62,18 @@
 impl Node {
     /// Adds a run and subtracts its demand.
     pub fn occupy(&mut self, occupant: Occupant, estimate: Duration) {
-        self.commit(&occupant.demand, estimate);
+        self.subtract(&occupant.demand, estimate);
         self.occupants.push(occupant);
     }
 
+    /// Subtracts the demand of a run, which may have begun when there was more capacity.
+    fn subtract(&mut self, demand: &Demand, estimate: Duration) {
+        self.excess = self
+            .excess
+            .saturating_add(&demand.saturating_sub(&self.free));
+        self.commit(&demand.component_min(&self.free), estimate);
+    }
+
     /// Commits capacity for a task of the estimated duration.
     pub fn commit(&mut self, demand: &Demand, estimate: Duration) {
         self.committed = self
@@ -81,14 +92,26 @@
     pub fn free_after(&self, ends: impl Fn(&Occupant) -> bool) -> Demand {
         let ending = self.occupants.iter().filter(|occupant| ends(occupant));
         let freed = Demand::sum(ending.map(|occupant| &occupant.demand));
-        self.free
-            .saturating_add(&freed)
+        self.available(&self.free.saturating_add(&freed))
+    }
+
+    /// Returns the part of an amount of freed capacity that is not in excess nor committed to jobs; none until the whole
+    /// excess has drained.
+    pub fn available(&self, freed: &Demand) -> Demand {
+        if !self.excess.fits(freed) {
+            return Demand::default();
+        }
+        freed
+            .saturating_sub(&self.excess)
             .saturating_sub(&self.committed)
     }
 
     /// Returns the capacity for a task of this duration. The task must end before the reserved job
     /// starts unless it fits next to that job.
     pub fn free_for(&self, estimate: Duration) -> Demand {
+        if self.has_excess() {
+            return Demand::default();
+        }
         match &self.reservation {
             Some(reservation) if estimate > reservation.start => {
                 self.free.component_min(&reservation.spare)
@@ -99,7 +122,11 @@
 
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
-        self.occupants.is_empty() && self.free == self.capacity
+        self.occupants.is_empty() && self.free == self.capacity && !self.has_excess()
+    }
+
+    fn has_excess(&self) -> bool {
+        self.excess != Demand::default()
     }
 
     /// Returns whether tasks take clearly longer here than elsewhere.
@@ -199,7 +226,7 @@
                     })
                     .map(|step| step.demand);
                 match demand {
-                    Some(demand) => node.free = node.free.saturating_sub(&demand),
+                    Some(demand) => node.subtract(&demand, Duration::ZERO),
                     // The demand of the run is unknown, so no free capacity can be assumed.
                     None => node.schedulable = false,
                 }
@@ -261,6 +288,7 @@
         labels: worker.info.labels.clone(),
         capacity: worker.info.capacity,
         free: worker.info.capacity,
+        excess: Demand::default(),
         committed: Demand::default(),
         reservation: None,
         log_slowdown: health.log_slowdown(&worker.info.incarnation),
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -248,7 +248,17 @@
     /// Returns the runs with the least loss to stop on a worker so that a demand fits, or `None` if
     /// it cannot fit.
     fn victims(&self, node: &Node, demand: &Demand, losses: &Losses) -> Option<Vec<(Task, Run)>> {
-        let mut free = node.free_after(|occupant| self.is_stopping(occupant));
+        let stopping = node
+            .occupants
+            .iter()
+            .filter(|occupant| self.is_stopping(occupant));
+        let stopping = Demand::sum(stopping.map(|occupant| &occupant.demand));
+        // The excess is part of it, and drains before anything is free.
+        let mut free = node
+            .free
+            .saturating_add(&stopping)
+            .saturating_sub(&node.committed);
+        let demand = demand.saturating_add(&node.excess);
         let mut candidates: Vec<(&Occupant, f64)> = node
             .occupants
             .iter()
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -89,7 +89,7 @@
         let mut free = node.free;
         let mut push_wait_times = |free: &Demand, wait: Duration| {
             let copies = pending
-                .copies(node, &free.saturating_sub(&node.committed))
+                .copies(node, &node.available(free))
                 .min(pending.waiting.len() as u64);
             while (wait_times.len() as u64) < copies {
                 wait_times.push(wait);
--- a/crates/godwitstep-batch/tests/capacity.rs
+++ b/crates/godwitstep-batch/tests/capacity.rs
@@ -250,6 +250,26 @@
     assert_eq!(sim.status(2), COMPLETED);
 }
 
+/// Guards against a task that needs none of the accelerators that are in excess, but adds to what runs there.
+#[test]
+fn nothing_starts_on_a_worker_in_excess_even_if_it_needs_another_resource() {
+    let mut sim = Simulation::new(1, 1);
+    sim.submit(1, "normal", "south", vec![step(2, 4, seconds(3))]);
+    sim.run_for(seconds(1));
+    set_accelerators(&mut sim, 0, 4);
+    sim.submit(2, "urgent", "north", vec![step(1, 0, seconds(1))]);
+    sim.submit(3, "patient", "south", vec![step(1, 0, seconds(1))]);
+    while sim.hosts_running(1).len() == 2 {
+        assert!(!sim.started(2) && !sim.started(3));
+        sim.round();
+        assert!(sim.now < seconds(110), "the excess does not drain");
+    }
+    sim.run_for(seconds(8));
+    for job in 1..=3 {
+        assert_eq!(sim.status(job), COMPLETED);
+    }
+}
+
 /// Guards against a run that is started although it no longer fits, because it was placed before the room shrank.
 #[test]
 fn a_placed_run_that_no_longer_fits_is_withdrawn_and_starts_elsewhere() {
