fix(batch): a job does not return to the worker that failed it while others are small

Callers would see a job fail for good: its attempts are used up on a worker that fails everything at once. Only a test shows it.

Cause: a job avoids such a worker only if the others could run it when empty, and these were judged by the room that they had at the moment.

Ruled out: judging a rack for a gang that wants one (`fits_one_rack`) by the full room as well; waiting for room to grow again could last longer than running across racks.

Change: the decider keeps the largest capacity that each incarnation has reported to it, and judges the others by that. A job that fits no worker at full size still goes back, as before. A new decider knows only what workers report to it.

--- a/crates/godwitstep-batch/src/demand.rs
+++ b/crates/godwitstep-batch/src/demand.rs
@@ -76,6 +76,16 @@
         }
     }
 
+    /// Returns the larger amount in each dimension.
+    #[must_use]
+    pub fn component_max(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            memory: self.memory.max(other.memory),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns the saturating demand of a number of tasks with this demand each.
     #[must_use]
     pub const fn saturating_mul(&self, tasks: u64) -> Self {
--- a/crates/godwitstep-batch/src/planner/avoid.rs
+++ b/crates/godwitstep-batch/src/planner/avoid.rs
@@ -44,8 +44,8 @@
     }
 }
 
-/// Returns whether the other workers could run a step if they were empty: all tasks of a gang, or
-/// one independent task.
+/// Returns whether the other workers could run a step if they were empty and had all their capacity: all tasks of a
+/// gang, or one independent task.
 fn others_can_run(
     pending: &PendingStep,
     cluster: &Cluster,
@@ -62,7 +62,7 @@
     for node in cluster.nodes.iter().filter(other) {
         let group = node.rack.as_ref().filter(|_| by_rack);
         let copies: &mut u64 = copies_by_group.entry(group).or_default();
-        *copies = copies.saturating_add(pending.copies(node, &node.capacity));
+        *copies = copies.saturating_add(pending.copies(node, &node.full_capacity));
     }
     copies_by_group.values().any(|copies| *copies >= needed)
 }
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -32,6 +32,8 @@
     pub rack: Option<Arc<str>>,
     pub labels: Vec<Arc<str>>,
     pub capacity: Demand,
+    /// Capacity while it has not shrunk.
+    pub full_capacity: Demand,
     /// Capacity that is neither occupied by runs nor committed in this round.
     pub free: Demand,
     /// Demand of the runs in excess of the capacity, which has shrunk since they were placed. Their ends free nothing
@@ -162,7 +164,10 @@
         let stall_times = health.worker_stalls(now);
         let nodes: Vec<Node> = reports
             .workers(now)
-            .map(|(age, worker)| build_node(now, age, worker, health, &stall_times, view))
+            .map(|(age, worker)| Node {
+                full_capacity: reports.full_capacity(worker),
+                ..build_node(now, age, worker, health, &stall_times, view)
+            })
             .collect();
         let by_host = (0..)
             .zip(&nodes)
@@ -287,6 +292,7 @@
         rack: worker.info.rack.clone(),
         labels: worker.info.labels.clone(),
         capacity: worker.info.capacity,
+        full_capacity: worker.info.capacity,
         free: worker.info.capacity,
         excess: Demand::default(),
         committed: Demand::default(),
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -8,6 +8,7 @@
 
 use super::ReportSummary;
 use crate::bounds::{Bounds, DECIDER_LEASE};
+use crate::demand::Demand;
 use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
 use std::collections::{BTreeMap, VecDeque};
@@ -43,6 +44,8 @@
     /// Since when each report has named this incarnation of the worker, or none. Starts anew after a report that was
     /// late, as the agent may have listed another one meanwhile.
     incarnation_since: Duration,
+    /// Largest capacity, in each resource, that the reports have named for this incarnation in a row.
+    full_capacity: Demand,
     report: Report,
 }
 
@@ -97,9 +100,20 @@
             }
             _ => now,
         };
+        let capacity = |report: &Report| {
+            let worker = report.worker.as_ref();
+            worker.map_or_else(Demand::default, |worker| worker.info.capacity)
+        };
+        let full_capacity = match self.hosts.get(&report.host) {
+            Some(latest) if incarnation(&latest.report) == incarnation(&report) => {
+                latest.full_capacity.component_max(&capacity(&report))
+            }
+            _ => capacity(&report),
+        };
         let latest = LatestReport {
             received_at: now,
             incarnation_since,
+            full_capacity,
             report,
         };
         let host = latest.report.host.clone();
@@ -179,6 +193,13 @@
             .is_some_and(|worker| worker.info.incarnation == *incarnation && worker.info.draining)
     }
 
+    /// Returns the largest capacity that a worker has had in this decider's view: it may have shrunk for a while.
+    pub fn full_capacity(&self, worker: &Worker) -> Demand {
+        self.hosts
+            .get(&worker.info.incarnation.host)
+            .map_or(worker.info.capacity, |latest| latest.full_capacity)
+    }
+
     /// Returns the reported workers with the age of their report.
     pub fn workers(&self, now: Duration) -> impl Iterator<Item = (Duration, &Worker)> {
         self.hosts.values().filter_map(move |latest| {
--- a/crates/godwitstep-batch/tests/capacity.rs
+++ b/crates/godwitstep-batch/tests/capacity.rs
@@ -381,7 +381,7 @@
 fn a_job_does_not_return_to_a_worker_that_failed_it_while_others_are_small() {
     let mut sim = Simulation::new(2, 2);
     sim.submit(1, "normal", "south", vec![step(1, 8, seconds(5))]);
-    sim.run_for(millis(300));
+    sim.round();
     let failing = usize::from(running(&mut sim, 0) == 0);
     let other = 1 - failing;
     let listed = sim.host(failing).worker.running[0].clone();
