fix(batch): headroom is kept on workers with all their room

Callers of urgent jobs would wait for preemption although enough workers were left empty: those were small for a while, and the jobs need whole ones. Only a test shows it.

Cause: headroom counts workers by the largest capacity, and then took any empty ones.

Change: workers whose room has shrunk come last. Without such workers the order is the same.

--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -117,7 +117,8 @@
         usize::try_from(covering_size).map_or(max_size, |workers| workers.min(max_size))
     }
 
-    /// Selects the workers of a pool to leave empty: fast ones first, together in a rack.
+    /// Selects the workers of a pool to leave empty: those with all their capacity and fast ones first, together in a
+    /// rack.
     fn select_workers(
         &mut self,
         now: Duration,
@@ -132,7 +133,11 @@
         for node in &empty {
             *by_rack.entry(&node.rack).or_default() += 1;
         }
-        empty.sort_by_key(|node| (node.suspect, node.is_slow(), Reverse(by_rack[&node.rack])));
+        empty.sort_by_key(|node| {
+            let shrunk = node.capacity != node.full_capacity;
+            let in_rack = Reverse(by_rack[&node.rack]);
+            (shrunk, node.suspect, node.is_slow(), in_rack)
+        });
         let incarnations = empty.into_iter().map(|node| node.incarnation.clone());
         incarnations.take(target_size).collect()
     }
--- a/crates/godwitstep-batch/tests/capacity.rs
+++ b/crates/godwitstep-batch/tests/capacity.rs
@@ -394,3 +394,24 @@
     sim.run_for(seconds(1));
     assert_eq!(running(&mut sim, other), 1);
 }
+
+/// Guards against headroom that does not hold an urgent job, because it lies on workers that are small for a while.
+#[test]
+fn headroom_is_kept_on_workers_with_all_their_room() {
+    let mut sim = Simulation::new(6, 6);
+    for job in 100..104 {
+        sim.submit(job, "urgent", "north", vec![step(2, 8, seconds(1))]);
+        sim.run_for(millis(1_200));
+    }
+    sim.run_for(seconds(1));
+    for host in 0..2 {
+        set_accelerators(&mut sim, host, 4);
+    }
+    for job in 1..=6 {
+        sim.submit(job, "patient", "south", vec![step(4, 1, seconds(20))]);
+    }
+    sim.run_for(seconds(1));
+    sim.submit(104, "urgent", "north", vec![step(2, 8, seconds(1))]);
+    sim.round();
+    assert_eq!(sim.hosts_running(104).len(), 2, "both start at once");
+}
