--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -10,6 +10,7 @@
 //! * A report that the worker's lease has expired ends all runs. The deadlines of all starts that were sent have passed
 //!   then, and no start is sent any more on an order that answers this report or an earlier one. The same holds for
 //!   orders that answer a report from before the worker took over.
+//! * No start is sent on an order that answers a report from before the worker's room became smaller.
 //!
 //! ```
 //! use godwitstep_batch::{agent::Agent, bounds::Bounds};
@@ -25,6 +26,7 @@
 mod candidate;
 mod order;
 mod replacement;
+mod room;
 mod search;
 mod session;
 
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -33,8 +33,13 @@
     pub rack: Option<Arc<str>>,
     pub labels: Vec<Arc<str>>,
     pub capacity: Demand,
+    /// Capacity while it has not shrunk.
+    pub full_capacity: Demand,
     /// Capacity that is neither occupied by runs nor committed in this round.
     pub free: Demand,
+    /// Demand of the runs in excess of the capacity, which has shrunk since they were placed. Their ends free nothing
+    /// before it has drained.
+    pub excess: Demand,
     /// Capacity that is committed to jobs but not free yet.
     pub committed: Demand,
     /// Capacity that is reserved for a waiting job.
@@ -62,10 +67,18 @@
 impl Node {
     /// Adds a run and subtracts its demand.
     pub fn occupy(&mut self, occupant: Occupant, estimate: Duration) {
-        self.commit(&occupant.demand, estimate);
+        self.subtract(&occupant.demand, estimate);
         self.occupants.push(occupant);
     }
 
+    /// Subtracts the demand of a run, which may have begun when there was more capacity.
+    fn subtract(&mut self, demand: &Demand, estimate: Duration) {
+        self.excess = self
+            .excess
+            .saturating_add(&demand.saturating_sub(&self.free));
+        self.commit(&demand.component_min(&self.free), estimate);
+    }
+
     /// Commits capacity for a task of the estimated duration.
     pub fn commit(&mut self, demand: &Demand, estimate: Duration) {
         self.committed = self
@@ -84,14 +97,26 @@
     pub fn free_after(&self, ends: impl Fn(&Occupant) -> bool) -> Demand {
         let ending = self.occupants.iter().filter(|occupant| ends(occupant));
         let freed = Demand::sum(ending.map(|occupant| &occupant.demand));
-        self.free
-            .saturating_add(&freed)
+        self.available(&self.free.saturating_add(&freed))
+    }
+
+    /// Returns the part of an amount of freed capacity that is not in excess nor committed to jobs; none until the whole
+    /// excess has drained.
+    pub fn available(&self, freed: &Demand) -> Demand {
+        if !self.excess.fits(freed) {
+            return Demand::default();
+        }
+        freed
+            .saturating_sub(&self.excess)
             .saturating_sub(&self.committed)
     }
 
     /// Returns the capacity for a task of this duration. The task must end before the reserved job
     /// starts unless it fits next to that job.
     pub fn free_for(&self, estimate: Duration) -> Demand {
+        if self.has_excess() {
+            return Demand::default();
+        }
         match &self.reservation {
             Some(reservation) if estimate > reservation.start => {
                 self.free.component_min(&reservation.spare)
@@ -111,7 +136,11 @@
 
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
-        self.occupants.is_empty() && self.free == self.capacity
+        self.occupants.is_empty() && self.free == self.capacity && !self.has_excess()
+    }
+
+    fn has_excess(&self) -> bool {
+        self.excess != Demand::default()
     }
 
     /// Returns whether tasks take clearly longer here than elsewhere.
@@ -148,7 +177,10 @@
         let stall_times = health.worker_stalls(now);
         let nodes: Vec<Node> = reports
             .workers(now)
-            .map(|(age, worker)| build_node(now, age, worker, health, &stall_times, view))
+            .map(|(age, worker)| Node {
+                full_capacity: reports.full_capacity(worker),
+                ..build_node(now, age, worker, health, &stall_times, view)
+            })
             .collect();
         let by_host = (0..)
             .zip(&nodes)
@@ -209,7 +241,7 @@
                     })
                     .map(|step| step.demand);
                 match demand {
-                    Some(demand) => node.free = node.free.saturating_sub(&demand),
+                    Some(demand) => node.subtract(&demand, Duration::ZERO),
                     // The demand of the run is unknown, so no free capacity can be assumed.
                     None => node.schedulable = false,
                 }
@@ -277,7 +309,9 @@
         rack: worker.info.rack.clone(),
         labels: worker.info.labels.clone(),
         capacity: worker.info.capacity,
+        full_capacity: worker.info.capacity,
         free: worker.info.capacity,
+        excess: Demand::default(),
         committed: Demand::default(),
         reservation: None,
         log_slowdown: health.log_slowdown(&worker.info.incarnation),
