fix(batch): a task that crashes the workers that start it is given up

Cause: a run that a crash of its worker ends was put back like one whose worker left ("worker is gone") and counted nowhere. The report had one field for both, so the decider could not count it.

Change: an agent reports a crash, and the runs that it ended, if one process of the agent saw the worker answer until shortly before its address refused connections or answered as another incarnation, and the worker was neither draining nor deregistered. The decider counts these ends for each task in the record that ends the run. A task with a crash on its count starts only where no other job's task runs, on other hosts if they can run it, and no other job's task joins it in its first 2 s; it is cleared when it is done. Its job fails at the second crash that followed a start of it alone closely, on two hosts, or at the third; at the fourth crash in any case.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -22,6 +22,7 @@
 
 mod call;
 mod candidate;
+mod crash;
 mod order;
 mod replacement;
 mod search;
@@ -34,7 +35,7 @@
 
 use crate::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
 use crate::id::{Epoch, Host, Incarnation, Run, Task};
-use crate::message::{Directive, Refused, Report, Running, Worker, WorkerInfo};
+use crate::message::{Crash, Directive, Refused, Report, Running, Worker, WorkerInfo};
 use call::{Pending, Resolution};
 use candidate::Candidates;
 use session::Session;
@@ -93,6 +94,8 @@
     candidate_probed: bool,
     /// When the last worker deregistered or was replaced by one with another name, and its incarnation.
     deregistered: Option<(Duration, Incarnation)>,
+    /// Workers that crashed lately, and since when that is known.
+    crashes: Vec<(Duration, Crash)>,
     pending: BTreeMap<RunKey, Pending>,
     /// Runs whose call was answered and whose state is determined by the next poll.
     resolving: BTreeMap<RunKey, Resolution>,
@@ -118,6 +121,7 @@
             last_probe: None,
             candidate_probed: false,
             deregistered: None,
+            crashes: Vec::new(),
             pending: BTreeMap::new(),
             resolving: BTreeMap::new(),
             refused: Vec::new(),
@@ -220,7 +224,7 @@
         else {
             return false;
         };
-        session.answered(requested);
+        session.answered(now, requested);
         let truncated = lists.truncated;
         let incomplete = lists.incomplete;
         let max_stop_time = self.bounds.max_stop_time;
@@ -282,7 +286,9 @@
         if let Some(session) = self.session.as_mut().filter(|session| session.is_gone(now)) {
             session.void_through = self.sequence;
             self.pending.retain(|_, pending| !pending.starts_run());
+            self.note_crash(now);
         }
+        let crashed = self.reported_crashes(now);
         Report {
             host: self.host.clone(),
             incarnation: self.incarnation,
@@ -296,6 +302,7 @@
                 .deregistered
                 .as_ref()
                 .map(|(_, incarnation)| incarnation.clone()),
+            crashed,
             wait,
             ..Report::default()
         }
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -106,6 +106,11 @@
         if self.incarnation() != Some(&call.incarnation) {
             return false;
         }
+        if !matches!(answer, Answer::Unanswered | Answer::OtherLife)
+            && let Some(session) = &mut self.session
+        {
+            session.contact_at = now;
+        }
         let Some(pending) = self.pending.get_mut(&call.key) else {
             return false;
         };
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -210,7 +210,7 @@
             return Transition::Unchanged;
         };
         let transition = if matches!(contact, Contact::Lists(_)) {
-            session.answered(requested);
+            session.answered(now, requested);
             self.refute_candidates(requested);
             Transition::Unchanged
         } else {
@@ -254,6 +254,14 @@
         };
         self.deregistered
             .take_if(|(_, deregistered)| deregistered == incarnation);
+        if self
+            .session
+            .as_ref()
+            .is_some_and(|session| session.address == address)
+        {
+            self.note_loss(now, &Contact::OtherLife);
+        }
+        self.note_crash(now);
         let previous = self.session.take().map(|session| session.facts);
         let previous = previous.as_ref().map(Facts::incarnation).cloned();
         if let Some(previous) = &previous
@@ -288,10 +296,10 @@
     /// Processes a failed poll or probe of the current worker.
     pub(super) fn note_absence(&mut self, now: Duration, contact: &Contact) -> Transition {
         self.candidates.expedite(now);
+        self.note_loss(now, contact);
         let Some(session) = &mut self.session else {
             return Transition::Unchanged;
         };
-        session.absent |= matches!(contact, Contact::OtherLife | Contact::Refused);
         if session.leaving_since.is_none() {
             return Transition::Unchanged;
         }
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -1,9 +1,11 @@
 //! An agent's view of its worker: the worker's properties, clock, lease and runs.
 
 use super::RunKey;
+use super::crash::Loss;
 use crate::bounds::WORKER_CLOCK_DRIFT;
 use crate::id::Incarnation;
 use crate::message::{Ended, Reachability, Running, WorkerInfo};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -90,6 +92,8 @@
     pub address: SocketAddr,
     pub running: Vec<Running>,
     pub ended: Vec<Ended>,
+    /// When each active run was first listed.
+    pub listed_since: BTreeMap<RunKey, Duration>,
     /// Highest sequence number up to which all ends are recorded.
     pub recorded: u64,
     /// Highest sequence number that may be acknowledged, from the newest answer; `None` if all may be.
@@ -99,6 +103,10 @@
     /// Whether, since the worker's last answer, its address has refused a connection or answered as another
     /// incarnation.
     pub absent: bool,
+    /// When the worker last answered any call.
+    pub contact_at: Duration,
+    /// What ran when the polls began to fail; `None` after an answer.
+    pub loss: Option<Loss>,
     /// When a deregistration under the worker's name last arrived. It shows that the worker ends soon, or came late
     /// from an earlier incarnation.
     pub leaving_since: Option<Duration>,
@@ -126,15 +134,19 @@
         lists: RunLists,
         lease: Duration,
     ) -> Self {
+        let listed_since = keys(&lists.running).map(|key| (key, now)).collect();
         Self {
             facts,
             address,
             running: lists.running,
+            listed_since,
             ended: lists.ended,
             recorded: 0,
             acknowledgeable: lists.acknowledgeable,
             failed_polls: 0,
             absent: false,
+            contact_at: now,
+            loss: None,
             leaving_since: None,
             last_answered: Duration::ZERO,
             probe_at: None,
@@ -162,9 +174,11 @@
     }
 
     /// Records that the worker answered a poll or probe that was sent at this time.
-    pub fn answered(&mut self, requested: Duration) {
+    pub fn answered(&mut self, now: Duration, requested: Duration) {
         self.last_answered = self.last_answered.max(requested);
         self.absent = false;
+        self.contact_at = now;
+        self.loss = None;
     }
 
     /// Estimates the time on the worker's clock; at most slightly behind its true value.
@@ -222,6 +236,10 @@
             || self.ended != lists.ended;
         self.failed_polls = 0;
         self.clock_reading = (now, lists.clock);
+        let known = std::mem::take(&mut self.listed_since);
+        self.listed_since = keys(&lists.running)
+            .map(|key| (key, known.get(&key).copied().unwrap_or(now)))
+            .collect();
         self.running = lists.running;
         self.ended = lists.ended;
         self.acknowledgeable = lists.acknowledgeable;
@@ -251,3 +269,10 @@
             .map_or(self.recorded, |limit| limit.min(self.recorded))
     }
 }
+
+/// Returns the keys of active runs.
+fn keys(running: &[Running]) -> impl Iterator<Item = RunKey> {
+    running
+        .iter()
+        .map(|listed_run| (listed_run.task, listed_run.run))
+}
--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -39,6 +39,9 @@
     /// Last incarnation that deregistered; none of its runs is active any more.
     #[serde(rename = "left")]
     pub deregistered: Option<Incarnation>,
+    /// Incarnations that crashed lately; none of their runs is active any more.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<Crash>,
     /// Whether the decider may hold the reply back until it has an order (long poll).
     pub wait: bool,
 }
@@ -51,6 +54,27 @@
     }
 }
 
+/// A worker that crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// Incarnation that crashed.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+    /// Runs that were active, or may have been because their start was not answered.
+    pub runs: Vec<CrashedRun>,
+}
+
+/// A run that a crash of its worker ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashedRun {
+    /// Task that ran.
+    pub task: Task,
+    /// Number of the run.
+    pub run: Run,
+    /// Time from the first answer that listed the run to the crash in milliseconds; 0 if none did.
+    pub age_ms: u64,
+}
+
 /// Properties that a worker registers with.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerInfo {
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -22,6 +22,7 @@
 
 mod avoid;
 mod cluster;
+mod crashes;
 mod directive;
 mod draft;
 mod earmark;
@@ -41,7 +42,7 @@
 use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
-use crate::progress::{self, Outcome};
+use crate::progress::{self, Crashes, Outcome};
 use crate::record::Record;
 use avoid::FailedWorkers;
 use cluster::Cluster;
@@ -114,6 +115,23 @@
         /// Newest report of the run's host when the run was found to have ended; `None` if there is none.
         report: Option<ReportSummary>,
     },
+    /// A worker crashed under a run.
+    Crashed {
+        /// Task concerned.
+        task: Task,
+        /// Run number of the task.
+        run: Run,
+        /// Worker incarnation that crashed.
+        incarnation: Incarnation,
+        /// Whether no other job's task ran there.
+        alone: bool,
+        /// Whether the run had begun shortly before.
+        prompt: bool,
+        /// Crashes under the task so far.
+        crashes: Crashes,
+        /// Whether the job is given up.
+        given_up: bool,
+    },
     /// A run is stopped to free capacity for another job.
     Preempted {
         /// Task that is stopped.
@@ -375,7 +393,11 @@
                 Some(outcome) => Some(outcome),
                 None if job_state.cancelled => Some(Outcome::Cancelled),
                 None if progress.done() => Some(Outcome::Completed),
-                None if ends::exhausted(&job_state.job, progress) => Some(Outcome::Failed),
+                None if ends::exhausted(&job_state.job, progress)
+                    || crashes::given_up(progress) =>
+                {
+                    Some(Outcome::Failed)
+                }
                 None => None,
             };
             let Some(outcome) = outcome else {
--- a/crates/godwitstep-batch/src/planner/avoid.rs
+++ b/crates/godwitstep-batch/src/planner/avoid.rs
@@ -31,13 +31,18 @@
         self.jobs.retain(|job, _| open(*job));
     }
 
-    /// Returns the workers that a step must avoid; none if the others cannot run it.
-    pub fn excluded(&self, pending: &PendingStep, cluster: &Cluster) -> BTreeSet<Incarnation> {
-        let Some(failed) = self.jobs.get(&pending.job) else {
-            return BTreeSet::new();
-        };
-        if others_can_run(pending, cluster, failed) {
-            failed.clone()
+    /// Returns the workers that a step must avoid, besides those on hosts where workers crashed under it; none if the
+    /// others cannot run it.
+    pub fn excluded(
+        &self,
+        pending: &PendingStep,
+        cluster: &Cluster,
+        crashed_on: BTreeSet<Incarnation>,
+    ) -> BTreeSet<Incarnation> {
+        let mut failed = crashed_on;
+        failed.extend(self.jobs.get(&pending.job).into_iter().flatten().cloned());
+        if failed.is_empty() || others_can_run(pending, cluster, &failed) {
+            failed
         } else {
             BTreeSet::new()
         }
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -10,7 +10,7 @@
 use super::reports::AgentReports;
 use super::speed::SLOW_LOG_RATIO;
 use crate::demand::Demand;
-use crate::id::{Host, Incarnation, Pool, Run, Task};
+use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -45,6 +45,10 @@
     /// Whether the worker accepts new tasks.
     pub schedulable: bool,
     pub occupants: Vec<Occupant>,
+    /// Jobs of active runs that the ledger does not place here.
+    pub unplaced: Vec<JobId>,
+    /// Job that keeps all others off the worker, because workers have crashed under a task of it.
+    pub isolated_for: Option<JobId>,
 }
 
 /// Capacity that is reserved from a time on.
@@ -97,6 +101,22 @@
         }
     }
 
+    /// Returns whether a job may place tasks here although another one may keep the worker to itself.
+    pub fn admits(&self, job: JobId) -> bool {
+        self.isolated_for.is_none_or(|isolated| isolated == job)
+    }
+
+    /// Returns the runs of other jobs than this one.
+    pub fn others(&self, job: JobId) -> impl Iterator<Item = &Occupant> {
+        let occupants = self.occupants.iter();
+        occupants.filter(move |occupant| occupant.task.job != job)
+    }
+
+    /// Returns whether a task of another job than this one runs here and is not placed here.
+    pub fn has_unplaced_others(&self, job: JobId) -> bool {
+        self.unplaced.iter().any(|unplaced| *unplaced != job)
+    }
+
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
         self.occupants.is_empty() && self.free == self.capacity
@@ -149,6 +169,7 @@
         cluster.count_placed(draft);
         cluster.count_listed(now, reports, draft);
         cluster.exclude_slow(health, draft);
+        cluster.isolate_suspects(now, health, draft);
         cluster
     }
 
@@ -188,6 +209,7 @@
                 if already_counted {
                     continue;
                 }
+                node.unplaced.push(listed_run.task.job);
                 if AgentReports::is_fresh(age) {
                     active.insert(listed_run.task);
                 }
@@ -267,5 +289,7 @@
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
         occupants: Vec::new(),
+        unplaced: Vec::new(),
+        isolated_for: None,
     }
 }
--- a/crates/godwitstep-batch/src/planner/earmark.rs
+++ b/crates/godwitstep-batch/src/planner/earmark.rs
@@ -4,7 +4,7 @@
 //! ended a smaller urgent job that came later takes the capacity that is already free. The gang
 //! then preempts further runs, and so on.
 
-use super::cluster::Cluster;
+use super::cluster::{Cluster, Occupant};
 use super::place::{self, PendingStep, Placement};
 use super::{Planner, Round};
 use crate::id::{Incarnation, JobId};
@@ -72,6 +72,7 @@
                     &pending.step.demand.saturating_mul(*count),
                     pending.step.estimate,
                 );
+                pending.isolate(node);
             }
         }
         true
@@ -91,7 +92,8 @@
         else {
             return false;
         };
-        let free = node.free_after(|occupant| self.is_stopping(occupant));
-        pending.step.demand.saturating_mul(count).fits(&free)
+        let ends = |occupant: &Occupant| self.is_stopping(occupant);
+        let free = node.free_after(ends);
+        pending.step.demand.saturating_mul(count).fits(&free) && pending.joins_after(node, ends)
     }
 }
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -2,7 +2,7 @@
 
 use super::draft::Draft;
 use super::reports::EndCause;
-use super::{Decision, Plan, Planner};
+use super::{Decision, Plan, Planner, crashes};
 use crate::bounds::WORKER_CLOCK_DRIFT;
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Job;
@@ -37,7 +37,8 @@
     /// Applies all ends that the reports show.
     pub(super) fn record_ends(&mut self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
         for end in self.ends(now, draft) {
-            self.apply_end(now, draft, &end);
+            let crashed = self.apply_end(now, draft, &end);
+            plan.decisions.extend(crashed);
             plan.decisions.push(Decision::Ended {
                 task: end.task,
                 run: end.run,
@@ -96,10 +97,9 @@
             .then_some(EndCause::GangEnded)
     }
 
-    fn apply_end(&mut self, now: Duration, draft: &mut Draft, end: &EndedRun) {
-        let Some(job_state) = draft.ledger().job(end.task.job) else {
-            return;
-        };
+    /// Applies an end. Returns a decision if it counts as a crash.
+    fn apply_end(&mut self, now: Duration, draft: &mut Draft, end: &EndedRun) -> Option<Decision> {
+        let job_state = draft.ledger().job(end.task.job)?;
         let gang = job_state
             .job
             .steps
@@ -124,10 +124,21 @@
             _ => self.health.saved(end.task, end.run),
         };
         let progress = draft.edit(end.task.job);
-        let Some(step) = progress.steps.get_mut(usize::from(end.task.step)) else {
-            return;
-        };
+        let step = progress.steps.get_mut(usize::from(end.task.step))?;
         update_step(step, gang, end, &saved);
+        let EndCause::WorkerCrashed(evidence) = end.cause else {
+            return None;
+        };
+        let counted = crashes::count(step, end.task.index, &end.incarnation.host, evidence);
+        Some(Decision::Crashed {
+            task: end.task,
+            run: end.run,
+            incarnation: end.incarnation.clone(),
+            alone: evidence.alone,
+            prompt: evidence.prompt,
+            given_up: crashes::given_up(progress),
+            crashes: counted,
+        })
     }
 
     /// Records results of runs that were already considered lost. If a replacement run was started
@@ -169,7 +180,7 @@
                 self.stopping.extend(unlisted);
                 continue;
             }
-            mark_done(step, gang, usize::from(task.index));
+            mark_done(step, gang, task.index);
             plan.decisions.push(Decision::Ended {
                 task,
                 run,
@@ -185,7 +196,7 @@
     let index = usize::from(end.task.index);
     let cause = &end.cause;
     if matches!(cause, EndCause::Reported(EndReason::Done, _)) {
-        mark_done(step, gang, index);
+        mark_done(step, gang, end.task.index);
         return;
     }
     if matches!(cause, EndCause::Reported(EndReason::Failed, _)) {
@@ -218,13 +229,14 @@
 }
 
 /// Marks a task as done, or all members of its gang, because they end together.
-fn mark_done(step: &mut Step, gang: bool, index: usize) {
-    for (number, task) in step.tasks.iter_mut().enumerate() {
+fn mark_done(step: &mut Step, gang: bool, index: u16) {
+    for (number, task) in (0..).zip(&mut step.tasks) {
         if gang || number == index {
             task.state = State::Done;
             task.saved = "".into();
         }
     }
+    crashes::clear(step, gang, index);
 }
 
 /// Counts a failed run. A failed run of a gang counts once, on the first member.
@@ -259,5 +271,6 @@
         EndCause::GangEnded => "ended with its gang, agent silent",
         EndCause::WorkerGone => "worker is gone",
         EndCause::AgentSilent => "agent silent for longer than any lease",
+        EndCause::WorkerCrashed(_) => "worker crashed",
     }
 }
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -183,7 +183,8 @@
             | EndCause::LeaseExpired
             | EndCause::GangEnded
             | EndCause::WorkerGone
-            | EndCause::AgentSilent => {}
+            | EndCause::AgentSilent
+            | EndCause::WorkerCrashed(_) => {}
         }
     }
 
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -5,8 +5,9 @@
 //! that and some rack could hold it.
 
 use super::cluster::{Cluster, Node, Occupant};
+use super::crashes::Neighbours;
 use super::order::{self, Urgency};
-use super::{Decision, OperatorView, Planner, Round};
+use super::{Decision, OperatorView, Planner, Round, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -35,6 +36,8 @@
     pub fast_only: bool,
     /// Whether suspect workers are excluded.
     pub trusted_only: bool,
+    /// Which tasks may run beside them.
+    pub neighbours: Neighbours,
     /// Workers that are excluded because the job failed there or because they are left empty.
     pub excluded: BTreeSet<Incarnation>,
 }
@@ -60,41 +63,48 @@
             };
             for step_number in ready_steps(job_state, round.draft.progress(urgency.job, job_state))
             {
-                let Some(blocked) = self.place_step(round, &urgency, job_state, step_number) else {
-                    continue;
-                };
-                if urgency.worthless {
-                    continue;
-                }
-                if urgency.priority == 0 {
-                    self.secure_capacity(round, urgency, job_state, &blocked);
-                } else if reservations < MAX_RESERVATIONS && self.reserve(round, &blocked) {
-                    reservations += 1;
+                for neighbours in [Neighbours::Any, Neighbours::OwnJob] {
+                    let blocked =
+                        self.place_step(round, &urgency, job_state, step_number, neighbours);
+                    let Some(blocked) = blocked else {
+                        continue;
+                    };
+                    if urgency.worthless && neighbours == Neighbours::Any {
+                        continue;
+                    }
+                    if urgency.priority == 0 {
+                        self.secure_capacity(round, urgency, job_state, &blocked);
+                    } else if reservations < MAX_RESERVATIONS && self.reserve(round, &blocked) {
+                        reservations += 1;
+                    }
                 }
             }
         }
     }
 
-    /// Places the waiting tasks of a step as far as capacity allows. Returns the tasks that still
-    /// wait, unless they wait because the step leaves headroom to urgent jobs.
+    /// Places the waiting tasks of a step that may have these neighbours, as far as capacity allows.
+    /// Returns the tasks that still wait, unless they wait because the step leaves headroom to urgent jobs.
     fn place_step<'e>(
         &mut self,
         round: &mut Round,
         urgency: &Urgency,
         job_state: &'e JobState,
         step_number: u16,
+        neighbours: Neighbours,
     ) -> Option<PendingStep<'e>> {
         let job = job_state.job.id;
         let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
+        let gang = job_state.job.steps[usize::from(step_number)].gang;
         let mut pending = PendingStep {
             job,
             pool: &job_state.job.queue.pool,
             step_number,
             step: &job_state.job.steps[usize::from(step_number)],
-            waiting: waiting_tasks(state),
+            waiting: waiting_tasks(state, gang, neighbours),
             urgent: job_state.job.queue.priority == 0,
             fast_only: false,
             trusted_only: false,
+            neighbours,
             excluded: BTreeSet::new(),
         };
         let run = next_run(pending.step.gang, state);
@@ -102,7 +112,8 @@
         if pending.waiting.is_empty() {
             return None;
         }
-        pending.excluded = self.failures.excluded(&pending, round.cluster);
+        let crashed_on = crashes::crashed_on(state, &pending.waiting, round.cluster);
+        pending.excluded = self.failures.excluded(&pending, round.cluster, crashed_on);
         let held_back = self.exclude_headroom(round, urgency, job_state, &mut pending);
         if pending.step.gang {
             for (index, node) in best_gang_placements(&mut pending, round.cluster) {
@@ -116,8 +127,8 @@
                 self.place_task(round, &pending, index, run(index), node);
             }
         }
-        pending.waiting =
-            waiting_tasks(&round.draft.progress(job, job_state).steps[usize::from(step_number)]);
+        let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
+        pending.waiting = waiting_tasks(state, gang, neighbours);
         pending.leave_out_active(round.cluster);
         (!pending.waiting.is_empty() && !held_back).then_some(pending)
     }
@@ -138,6 +149,7 @@
             demand: pending.step.demand,
         };
         node.occupy(occupant, pending.step.estimate);
+        pending.isolate(node);
         let incarnation = node.incarnation.clone();
         let step = &mut round.draft.edit(pending.job).steps[usize::from(pending.step_number)];
         let state = &mut step.tasks[usize::from(index)];
@@ -178,7 +190,30 @@
         let is_excluded = (self.fast_only && node.is_slow())
             || (self.trusted_only && node.suspect)
             || self.excluded.contains(&node.incarnation);
-        node.serves(self.pool, self.step.label.as_ref()) && !is_excluded
+        node.serves(self.pool, self.step.label.as_ref()) && node.admits(self.job) && !is_excluded
+    }
+
+    /// Returns whether the tasks start only where no other job's task runs.
+    pub fn is_isolated(&self) -> bool {
+        self.neighbours == Neighbours::OwnJob
+    }
+
+    /// Returns whether the tasks may start beside what runs on a worker once the runs selected by `ends` have ended.
+    pub fn joins_after(&self, node: &Node, ends: impl Fn(&Occupant) -> bool) -> bool {
+        !self.is_isolated()
+            || (!node.has_unplaced_others(self.job) && node.others(self.job).all(ends))
+    }
+
+    /// Returns whether the tasks may start beside what runs on a worker.
+    pub fn joins(&self, node: &Node) -> bool {
+        self.joins_after(node, |_| false)
+    }
+
+    /// Keeps other jobs off a worker that the tasks get, if they must be isolated.
+    pub fn isolate(&self, node: &mut Node) {
+        if self.is_isolated() {
+            node.isolated_for = Some(self.job);
+        }
     }
 
     /// Returns the capacity that a worker has for a task of the step.
@@ -226,12 +261,13 @@
         .collect()
 }
 
-/// Returns the indices of the waiting tasks of a step.
-fn waiting_tasks(state: &progress::Step) -> Vec<u16> {
+/// Returns the indices of the waiting tasks of a step that may have these neighbours.
+fn waiting_tasks(state: &progress::Step, gang: bool, neighbours: Neighbours) -> Vec<u16> {
     (0..)
         .zip(&state.tasks)
         .filter(|(_, task)| task.state == State::Waiting)
         .map(|(index, _)| index)
+        .filter(|index| crashes::neighbours(state, gang, *index) == neighbours)
         .collect()
 }
 
@@ -253,7 +289,8 @@
 fn best_node(pending: &PendingStep, cluster: &Cluster) -> Option<usize> {
     (0..)
         .zip(&cluster.nodes)
-        .filter(|(_, node)| pending.allows(node) && pending.copies(node, &pending.free(node)) > 0)
+        .filter(|(_, node)| pending.allows(node) && pending.joins(node))
+        .filter(|(_, node)| pending.copies(node, &pending.free(node)) > 0)
         .min_by(|(_, a), (_, b)| {
             let key = |node: &Node| {
                 let wrong_speed = node.is_slow() == pending.urgent;
@@ -310,7 +347,10 @@
 fn gang_placements(pending: &PendingStep, cluster: &Cluster) -> Vec<Placement> {
     candidate_groups(pending, cluster)
         .into_iter()
-        .map(|nodes| place_within(pending, cluster, &nodes, |node| pending.free(node)))
+        .map(|mut nodes| {
+            nodes.retain(|node_index| pending.joins(&cluster.nodes[*node_index]));
+            place_within(pending, cluster, &nodes, |node| pending.free(node))
+        })
         .filter(|placements| !placements.is_empty())
         .min_by(|a, b| unused_share(cluster, a).total_cmp(&unused_share(cluster, b)))
         .unwrap_or_default()
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -82,7 +82,8 @@
         for (node_index, tasks) in needed {
             let demand = pending.step.demand.saturating_mul(tasks);
             let node = &cluster.nodes[node_index];
-            let victims = self.victims(node, &demand, &losses).unwrap_or_default();
+            let victims = self.victims(pending, node, &demand, &losses);
+            let victims = victims.unwrap_or_default();
             for (task, run) in victims {
                 preempts_any |= self.stopping.insert((task, run));
                 round.plan.decisions.push(Decision::Preempted {
@@ -121,11 +122,13 @@
         pending: &PendingStep,
         wait: Duration,
     ) -> Option<Vec<Placement>> {
-        let free_after_wait =
-            |node: &Node| node.free_after(|occupant| self.time_left(now, draft, occupant) <= wait);
+        let ends = |occupant: &Occupant| self.time_left(now, draft, occupant) <= wait;
         place::candidate_groups(pending, cluster)
             .into_iter()
-            .map(|nodes| place::place_within(pending, cluster, &nodes, free_after_wait))
+            .map(|mut nodes| {
+                nodes.retain(|node_index| pending.joins_after(&cluster.nodes[*node_index], ends));
+                place::place_within(pending, cluster, &nodes, |node| node.free_after(ends))
+            })
             .find(|placements| !placements.is_empty())
     }
 
@@ -224,7 +227,7 @@
                         return None;
                     }
                     let demand = pending.step.demand.saturating_mul(tasks + 1);
-                    let victims = self.victims(node, &demand, losses)?;
+                    let victims = self.victims(pending, node, &demand, losses)?;
                     let new_cost: f64 = victims.iter().map(|key| losses[key]).sum();
                     Some((*node_index, tasks + 1, new_cost, new_cost - cost))
                 })
@@ -247,7 +250,16 @@
 
     /// Returns the runs with the least loss to stop on a worker so that a demand fits, or `None` if
     /// it cannot fit.
-    fn victims(&self, node: &Node, demand: &Demand, losses: &Losses) -> Option<Vec<(Task, Run)>> {
+    fn victims(
+        &self,
+        pending: &PendingStep,
+        node: &Node,
+        demand: &Demand,
+        losses: &Losses,
+    ) -> Option<Vec<(Task, Run)>> {
+        if pending.is_isolated() {
+            return self.all_others(pending, node, demand, losses);
+        }
         let mut free = node.free_after(|occupant| self.is_stopping(occupant));
         let mut candidates: Vec<(&Occupant, f64)> = node
             .occupants
@@ -278,6 +290,25 @@
         }
         Some(needed.into_iter().collect())
     }
+
+    /// Returns the runs of all other jobs on a worker, or `None` if some of them may not be stopped or the demand does
+    /// not fit without them.
+    fn all_others(
+        &self,
+        pending: &PendingStep,
+        node: &Node,
+        demand: &Demand,
+        losses: &Losses,
+    ) -> Option<Vec<(Task, Run)>> {
+        let key = |occupant: &Occupant| (occupant.task, occupant.run);
+        let ends =
+            |occupant: &Occupant| self.is_stopping(occupant) || losses.contains_key(&key(occupant));
+        let fits = demand.fits(&node.free_after(ends));
+        let others = node
+            .others(pending.job)
+            .filter(|occupant| !self.is_stopping(occupant));
+        (fits && pending.joins_after(node, ends)).then(|| others.map(key).collect())
+    }
 }
 
 /// Returns the placements whose cost is within the limit per task.
@@ -310,5 +341,6 @@
     for (_, node_index) in placements {
         let node = &mut cluster.nodes[*node_index];
         node.commit(&pending.step.demand, pending.step.estimate);
+        pending.isolate(node);
     }
 }
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -7,6 +7,7 @@
 //! first reported later replaced it.
 
 use super::ReportSummary;
+use super::crashes::PROMPT_AGE;
 use crate::bounds::{Bounds, DECIDER_LEASE};
 use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
 use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Worker};
@@ -35,6 +36,17 @@
     WorkerGone,
     /// The agent was silent for longer than any lease lasts.
     AgentSilent,
+    /// The worker crashed while the run was active, or may have been.
+    WorkerCrashed(CrashEvidence),
+}
+
+/// What a crash of a worker shows about a run that it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct CrashEvidence {
+    /// Whether no other job's task was active.
+    pub alone: bool,
+    /// Whether the run had begun shortly before.
+    pub prompt: bool,
 }
 
 #[derive(Debug)]
@@ -216,7 +228,13 @@
         // The agent's next process may not have known this decider yet and may have been answered by an earlier one.
         let silent_since = latest.received_at.max(self.silence_counted_from);
         let silent = now > silent_since + self.max_silence;
-        cause.or(silent.then_some(EndCause::AgentSilent))
+        match cause {
+            Some(EndCause::WorkerGone | EndCause::LeaseExpired) => {
+                let crash = crash_evidence(&latest.report, incarnation, task, run);
+                crash.map(EndCause::WorkerCrashed).or(cause)
+            }
+            _ => cause.or(silent.then_some(EndCause::AgentSilent)),
+        }
     }
 
     /// Returns how a run ended on an incarnation of a worker that its agent does not list any more.
@@ -275,6 +293,24 @@
     }
 }
 
+/// Returns what the crash of an incarnation shows about a run; `None` if it did not crash, or not under the run.
+fn crash_evidence(
+    report: &Report,
+    incarnation: &Incarnation,
+    task: Task,
+    run: Run,
+) -> Option<CrashEvidence> {
+    let mut crashes = report.crashed.iter();
+    let crash = crashes.find(|crash| crash.incarnation == *incarnation)?;
+    let mut runs = crash.runs.iter();
+    let crashed_run =
+        runs.find(|crashed_run| (crashed_run.task, crashed_run.run) == (task, run))?;
+    Some(CrashEvidence {
+        alone: crash.runs.iter().all(|other| other.task.job == task.job),
+        prompt: Duration::from_millis(crashed_run.age_ms) <= PROMPT_AGE,
+    })
+}
+
 /// Returns how a run ended according to a report, if the report shows its end.
 fn reported_end(worker: &Worker, task: Task, run: Run) -> Option<EndCause> {
     let matches_run = |end: &&Ended| end.task == task && end.run == run;
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -34,10 +34,12 @@
         for (node_index, tasks) in tasks_by_node {
             let node = &mut cluster.nodes[node_index];
             let free = node.free_after(|occupant| self.time_left(now, draft, occupant) <= start);
-            node.reservation = Some(Reservation {
-                start,
-                spare: free.saturating_sub(&pending.step.demand.saturating_mul(tasks)),
-            });
+            let spare = if pending.is_isolated() {
+                Demand::default()
+            } else {
+                free.saturating_sub(&pending.step.demand.saturating_mul(tasks))
+            };
+            node.reservation = Some(Reservation { start, spare });
         }
         true
     }
@@ -79,15 +81,19 @@
         node: &Node,
         pending: &PendingStep,
     ) -> Vec<Duration> {
+        let time_left = |occupant: &Occupant| self.time_left(now, draft, occupant);
         let mut ends: Vec<(Duration, Demand)> = node
             .occupants
             .iter()
-            .map(|occupant| (self.time_left(now, draft, occupant), occupant.demand))
+            .map(|occupant| (time_left(occupant), occupant.demand))
             .collect();
         ends.sort_unstable_by_key(|(end, _)| *end);
         let mut wait_times = Vec::new();
         let mut free = node.free;
         let mut push_wait_times = |free: &Demand, wait: Duration| {
+            if !pending.joins_after(node, |occupant| time_left(occupant) <= wait) {
+                return;
+            }
             let copies = pending
                 .copies(node, &free.saturating_sub(&node.committed))
                 .min(pending.waiting.len() as u64);
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -10,9 +10,10 @@
 //! assert!(!progress.started() && !progress.done());
 //! ```
 
-use crate::id::{Incarnation, Run};
+use crate::id::{Host, Incarnation, Run};
 use crate::job;
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// How a job ended.
@@ -83,6 +84,20 @@
     }
 }
 
+/// Crashes of the workers that ran a task.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Crashes {
+    /// Number of runs that ended with a crash of their worker.
+    pub count: u32,
+    /// How many of them ran on a worker that ran no other job's task then.
+    pub alone: u32,
+    /// How many of these had begun shortly before the crash.
+    pub prompt: u32,
+    /// Hosts of the workers.
+    pub hosts: BTreeSet<Host>,
+}
+
 /// Progress of a step.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -90,6 +105,9 @@
     pub tasks: Vec<Task>,
     /// Last run of the gang that was counted as failed; a run counts once, no matter how many members fail.
     pub failed_run: Run,
+    /// Crashes by the index of the task. No entry for a task that is done.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub crashes: BTreeMap<u16, Crashes>,
 }
 
 impl Step {
@@ -124,6 +142,7 @@
             .map(|step| Step {
                 tasks: vec![Task::default(); usize::from(step.tasks)],
                 failed_run: 0,
+                crashes: BTreeMap::new(),
             })
             .collect();
         Self {
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -80,7 +80,7 @@
 /// Maximum epoch of a claim. Epochs that follow it stay far below the largest number, so that entries can replace any
 /// decider; claims reach it after 2^32 changes of the decider.
 pub const MAX_EPOCH: Epoch = 1 << 52;
-/// Maximum number of a run and of a task's failures, so that the next one is valid.
+/// Maximum number of a run, of a task's failures and of the crashes under it, so that the next one is valid.
 const MAX_RUN: Run = Run::MAX / 2;
 
 const SUBMITTED_PREFIX: &str = "job/";
@@ -186,7 +186,8 @@
     }
     let numbers = steps.iter().flat_map(|step| {
         let tasks = step.tasks.iter().flat_map(|task| [task.run, task.failures]);
-        tasks.chain([step.failed_run])
+        let crashes = step.crashes.values().map(|crashes| crashes.count);
+        tasks.chain(crashes).chain([step.failed_run])
     });
     match numbers.max() {
         Some(highest) if highest > MAX_RUN => {
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -8,8 +8,8 @@
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::{Ledger, Status};
 use godwitstep_batch::message::{
-    Directive, EndReason, Ended, Reachability, Refusal, Refused, Report, Running, Worker,
-    WorkerInfo,
+    Crash, CrashedRun, Directive, EndReason, Ended, Reachability, Refusal, Refused, Report,
+    Running, Worker, WorkerInfo,
 };
 use godwitstep_batch::planner::{Decision, OperatorView, Planner};
 use godwitstep_batch::policy::{Policy, Queue, Workspace};
@@ -42,6 +42,8 @@
     pub makes_progress: bool,
     /// Run time of tasks here as a multiple of that on a worker of normal speed.
     pub slowdown: f64,
+    /// Crashes that the agent reports.
+    pub crashed: Vec<Crash>,
     next_end: u64,
     sequence: u64,
 }
@@ -172,6 +174,7 @@
             executes_orders: true,
             makes_progress: true,
             slowdown: 1.0,
+            crashed: Vec::new(),
             next_end: 1,
             sequence: 0,
         };
@@ -414,6 +417,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             epoch,
+            crashed: self.crashed.clone(),
             ..Report::default()
         }
     }
@@ -438,6 +442,29 @@
         true
     }
 
+    /// Replaces the worker, which crashes, by one with another name. The agent reports that the runs had this age.
+    pub fn crash_worker(&mut self, age: Duration) {
+        let age_ms = u64::try_from(age.as_millis()).expect("the age is short");
+        let runs = self.worker.running.iter().map(|listed_run| CrashedRun {
+            task: listed_run.task,
+            run: listed_run.run,
+            age_ms,
+        });
+        let crash = Crash {
+            incarnation: self.worker.info.incarnation.clone(),
+            runs: runs.collect(),
+        };
+        self.crashed.push(crash);
+        self.rename_worker();
+    }
+
+    /// Replaces the worker by one with another name that runs nothing.
+    pub fn rename_worker(&mut self) {
+        let incarnation = &mut self.worker.info.incarnation;
+        incarnation.worker = format!("{}+", incarnation.worker).into();
+        self.restart_worker();
+    }
+
     /// Replaces the worker by a new incarnation that runs nothing.
     pub fn restart_worker(&mut self) {
         self.worker.info.incarnation.started_ms += 1;
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -502,6 +502,18 @@
                 other.map(|worker| worker.map_or_else(|| "none".to_owned(), ToString::to_string));
             tracing::info!(%task, run, worker = %incarnation, how, epoch, report = sequence, report_ms, report_epoch, reported, "run ended");
         }
+        Decision::Crashed {
+            task,
+            run,
+            incarnation,
+            alone,
+            prompt,
+            crashes,
+            given_up,
+        } => {
+            metrics::counter!("godwitstep_worker_crashes_total").increment(1);
+            tracing::info!(%task, run, worker = %incarnation, alone, prompt, crashes = crashes.count, crashes_alone = crashes.alone, crashes_prompt = crashes.prompt, hosts = crashes.hosts.len(), given_up, epoch, "worker crashed under a run");
+        }
         Decision::Preempted { task, run, by } => {
             metrics::counter!("godwitstep_preemptions_total").increment(1);
             tracing::info!(%task, run, by = format_args!("{by:016x}"), epoch, "preempted");
