--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -24,6 +24,7 @@
 
 mod call;
 mod candidate;
+mod crash;
 mod order;
 mod replacement;
 mod room;
@@ -37,7 +38,7 @@
 
 use crate::bounds::{AGENT_LEASE, Bounds, START_ORDER_TTL};
 use crate::id::{Epoch, Host, Incarnation, Run, Task, Token};
-use crate::message::{Directive, Refused, Report, Running, Worker, WorkerInfo};
+use crate::message::{Crash, Directive, Refused, Report, Running, Worker, WorkerInfo};
 use crate::token::Fence;
 use call::{Pending, Resolution};
 use candidate::Candidates;
@@ -98,6 +99,8 @@
     candidate_probed: bool,
     /// When the last worker deregistered or was replaced by one with another name, and its incarnation.
     deregistered: Option<(Duration, Incarnation)>,
+    /// Workers that crashed lately, and since when that is known.
+    crashes: Vec<(Duration, Crash)>,
     pending: BTreeMap<RunKey, Pending>,
     /// Runs whose call was answered and whose state is determined by the next poll.
     resolving: BTreeMap<RunKey, Resolution>,
@@ -127,6 +130,7 @@
             last_probe: None,
             candidate_probed: false,
             deregistered: None,
+            crashes: Vec::new(),
             pending: BTreeMap::new(),
             resolving: BTreeMap::new(),
             refused: Vec::new(),
@@ -232,7 +236,7 @@
         else {
             return false;
         };
-        session.answered(requested);
+        session.answered(now, requested);
         let truncated = lists.truncated;
         let incomplete = lists.incomplete;
         let max_stop_time = self.bounds.max_stop_time;
@@ -305,7 +309,9 @@
         {
             self.void_through = self.sequence;
             self.pending.retain(|_, pending| !pending.starts_run());
+            self.note_crash(now);
         }
+        let crashed = self.reported_crashes(now);
         Report {
             host: self.host.clone(),
             incarnation: self.incarnation,
@@ -319,6 +325,7 @@
                 .deregistered
                 .as_ref()
                 .map(|(_, incarnation)| incarnation.clone()),
+            crashed,
             wait,
             ..Report::default()
         }
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -53,6 +53,8 @@
     pub occupants: Vec<Occupant>,
     /// Tasks of the other runs that a report lists here. They occupy capacity until they end.
     pub unplaced: Vec<Task>,
+    /// Job that keeps all others off the worker, because workers have crashed under a task of it.
+    pub isolated_for: Option<JobId>,
 }
 
 /// Capacity that is reserved from a time on.
@@ -134,6 +136,22 @@
             .count() as u64
     }
 
+    /// Returns whether a job may place tasks here although another one may keep the worker to itself.
+    pub fn admits(&self, job: JobId) -> bool {
+        self.isolated_for.is_none_or(|isolated| isolated == job)
+    }
+
+    /// Returns the runs of other jobs than this one.
+    pub fn others(&self, job: JobId) -> impl Iterator<Item = &Occupant> {
+        let occupants = self.occupants.iter();
+        occupants.filter(move |occupant| occupant.task.job != job)
+    }
+
+    /// Returns whether a task of another job than this one runs here and is not placed here.
+    pub fn has_unplaced_others(&self, job: JobId) -> bool {
+        self.unplaced.iter().any(|task| task.job != job)
+    }
+
     /// Returns whether nothing occupies capacity here.
     pub fn is_empty(&self) -> bool {
         self.occupants.is_empty() && self.free == self.capacity && !self.has_excess()
@@ -194,6 +212,7 @@
         cluster.count_placed(draft);
         cluster.count_listed(now, reports, draft);
         cluster.exclude_slow(health, draft);
+        cluster.isolate_suspects(now, health, draft);
         cluster
     }
 
@@ -319,5 +338,6 @@
         schedulable,
         occupants: Vec::new(),
         unplaced: Vec::new(),
+        isolated_for: None,
     }
 }
