test(review): show that one large job stops all decisions

RULES LOST is broken by a job of 4,000 small tasks, which the product accepts. The record of its state exceeds the store's max_record_bytes, and the decider repeats the refused append for ever.

--- /dev/null
+++ b/review/standin/src/runner.rs
@@ -0,0 +1,313 @@
+//! Stand-in for a runner, as PROTOCOL.md describes it.
+
+use crate::log::{conflict_response, empty_response, json_response};
+use godwitstep::http::{self, Limits, Shutdown};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime};
+
+/// `heartbeat_ms` of the settings.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// `max_hold_ms` of the settings.
+const MAX_HOLD_MS: u64 = 6_000;
+/// Time that a stop takes; `stop_grace_ms` allows 400 ms.
+const STOP_TIME: Duration = Duration::from_millis(100);
+/// Number of ends that an answer lists.
+const MAX_LISTED_ENDS: usize = 500;
+
+/// A run of a task.
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub task: String,
+    pub attempt: u64,
+    pub started: Instant,
+    completes_at: Instant,
+    /// When and how the run ended or will end after a stop.
+    pub ended: Option<(Instant, &'static str)>,
+    /// Number of the end once it is listed; 0 before.
+    number: u64,
+}
+
+impl Run {
+    /// Returns whether the run was at work at a time.
+    pub fn active_at(&self, time: Instant) -> bool {
+        self.started <= time && self.ended.is_none_or(|(end, _)| end > time)
+    }
+}
+
+struct State {
+    name: String,
+    born: u64,
+    started: Instant,
+    sequence: u64,
+    highest_token: u64,
+    /// End of the lease on the runner's clock. Unit: milliseconds.
+    lease_end: u64,
+    /// Highest end that the system has taken note of.
+    cursor: u64,
+    next_number: u64,
+    runs: Vec<Run>,
+    /// Highest attempt of each task that was stopped or has ended here.
+    over: HashMap<String, u64>,
+}
+
+/// Runner on a thread of this process. It does what it is told and guards nothing.
+#[derive(Clone)]
+pub struct Runner {
+    pub address: SocketAddr,
+    zone: String,
+    rack: String,
+    state: Arc<Mutex<State>>,
+}
+
+impl Runner {
+    /// Starts a runner at a free port of `ip` that registers at `admin`.
+    pub fn start(number: usize, ip: std::net::Ipv4Addr, admin: SocketAddr, zone: &str) -> Self {
+        let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let state = State {
+            name: format!("i-{:08x}", 0x7f3a_91c0 + number),
+            born: now.map_or(1, |now| u64::try_from(now.as_millis()).unwrap_or(1)),
+            started: Instant::now(),
+            sequence: 0,
+            highest_token: 0,
+            lease_end: 0,
+            cursor: 0,
+            next_number: 1,
+            runs: Vec::new(),
+            over: HashMap::new(),
+        };
+        let runner = Self {
+            address,
+            zone: zone.to_owned(),
+            rack: format!("r1-{}", number / 3),
+            state: Arc::new(Mutex::new(state)),
+        };
+        let handle = runner.clone();
+        std::thread::spawn(move || {
+            smol::block_on(async move {
+                let listener = smol::Async::new(listener).expect("a listener").into();
+                // Dropping the handle would shut the server down.
+                let (_shutdown, signal) = Shutdown::new();
+                let server = handle.clone();
+                let serving = http::serve(listener, Limits::default(), signal, async move |request| {
+                    server.serve(request).await
+                });
+                smol::future::or(serving, handle.send_heartbeats(admin)).await;
+            });
+        });
+        runner
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().expect("no thread panics with the lock");
+        state.advance();
+        state
+    }
+
+    pub fn name(&self) -> String {
+        self.lock().name.clone()
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    fn heartbeat(&self) -> (String, String) {
+        let mut state = self.lock();
+        state.sequence += 1;
+        let body = json!({
+            "backend": "floor", "address": self.address, "zone": self.zone, "version": "v1",
+            "capacity": 8, "state": "ready", "cold_remaining_ms": 0,
+            "free_resources": {"cpu": 64_000, "mem_mb": 262_144, "gpus": 8},
+            "labels": ["a", self.rack], "clock_ms": state.clock(), "sequence": state.sequence,
+            "born": state.born,
+        });
+        (state.name.clone(), body.to_string())
+    }
+
+    async fn send_heartbeats(&self, admin: SocketAddr) {
+        let client = http::Client::new(admin);
+        loop {
+            let (name, body) = self.heartbeat();
+            let request = Request::put(format!("/instances/{name}")).body(body.into());
+            let request = request.expect("the request is well-formed");
+            // Fails while the agent is not up yet.
+            let acknowledged = client.exchange(request, Duration::from_secs(1)).await.is_ok();
+            let pause = if acknowledged { HEARTBEAT_INTERVAL } else { Duration::from_millis(200) };
+            smol::Timer::after(pause).await;
+        }
+    }
+
+    async fn serve(&self, request: Request<Incoming>) -> Response<http::Body> {
+        let path = request.uri().path().to_owned();
+        let expected = request.headers().get("x-expect-instance").cloned();
+        let body = http::read(request.into_body(), 1 << 20, Duration::from_secs(2)).await;
+        let Ok(Ok(body)) = body.map(|body| serde_json::from_slice::<Value>(&body)) else {
+            return empty_response(StatusCode::BAD_REQUEST);
+        };
+        if expected.is_some_and(|id| id.as_bytes() != self.name().as_bytes()) {
+            return empty_response(StatusCode::MISDIRECTED_REQUEST);
+        }
+        match path.as_str() {
+            "/run-start" => self.lock().start(&body),
+            "/run-stop" => self.lock().stop(&body),
+            "/hold" => self.hold(&body).await,
+            _ => empty_response(StatusCode::NOT_FOUND),
+        }
+    }
+
+    async fn hold(&self, body: &Value) -> Response<http::Body> {
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0).min(2_000));
+        let deadline = Instant::now() + wait;
+        let ends = {
+            let mut state = self.lock();
+            if state.fenced(body) {
+                return state.conflict("fence");
+            }
+            state.extend_lease(body["deadline_ms"].as_u64().unwrap_or(0));
+            state.cursor = state.cursor.max(body["ack_cursor"].as_u64().unwrap_or(0));
+            state.next_number
+        };
+        loop {
+            {
+                let state = self.lock();
+                if state.next_number != ends || Instant::now() >= deadline {
+                    return state.lists();
+                }
+            }
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+impl State {
+    fn clock(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn extend_lease(&mut self, deadline: u64) {
+        self.lease_end = self.lease_end.max(deadline.min(self.clock() + MAX_HOLD_MS));
+    }
+
+    /// Ends the runs that are complete, stopped or without a lease.
+    fn advance(&mut self) {
+        let now = Instant::now();
+        let lease_end = self.started + Duration::from_millis(self.lease_end);
+        for run in self.runs.iter_mut().filter(|run| run.number == 0) {
+            if run.ended.is_none() {
+                if run.completes_at <= now.min(lease_end) {
+                    run.ended = Some((run.completes_at, "done"));
+                } else if lease_end < now {
+                    run.ended = Some((lease_end, "lapsed"));
+                }
+            }
+            if run.ended.is_some_and(|(end, _)| end <= now) {
+                run.number = self.next_number;
+                self.next_number += 1;
+                let over = self.over.entry(run.task.clone()).or_default();
+                *over = (*over).max(run.attempt);
+            }
+        }
+    }
+
+    /// Applies the token of a call. Returns whether a higher one has been seen.
+    fn fenced(&mut self, body: &Value) -> bool {
+        let token = body["fencing_token"].as_u64().unwrap_or(0);
+        let fenced = token < self.highest_token;
+        self.highest_token = self.highest_token.max(token);
+        fenced
+    }
+
+    fn conflict(&self, reason: &str) -> Response<http::Body> {
+        conflict_response(&json!({"clock_ms": self.clock(), "reason": reason}).to_string())
+    }
+
+    fn done(&self) -> Response<http::Body> {
+        json_response(&json!({"clock_ms": self.clock()}).to_string())
+    }
+
+    fn start(&mut self, body: &Value) -> Response<http::Body> {
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        let deadline = body["deadline_ms"].as_u64().unwrap_or(0);
+        if self.fenced(body) {
+            return self.conflict("fence");
+        }
+        if self.over.get(&task).is_some_and(|over| *over >= attempt) {
+            self.extend_lease(deadline);
+            return self.conflict("old");
+        }
+        let same = |run: &Run| run.task == task && run.attempt == attempt;
+        if self.runs.iter().any(same) {
+            self.extend_lease(deadline);
+            return self.done();
+        }
+        if deadline < self.clock() {
+            return self.conflict("late");
+        }
+        self.extend_lease(deadline);
+        let now = Instant::now();
+        let time = work_time(body["spec"].as_str().unwrap_or_default());
+        self.runs.push(Run {
+            task,
+            attempt,
+            started: now,
+            completes_at: now + time,
+            ended: None,
+            number: 0,
+        });
+        self.done()
+    }
+
+    fn stop(&mut self, body: &Value) -> Response<http::Body> {
+        if self.fenced(body) {
+            return self.conflict("fence");
+        }
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        let end = Instant::now() + STOP_TIME;
+        for run in &mut self.runs {
+            if run.task == task && run.attempt <= attempt && run.ended.is_none() {
+                run.ended = Some((end, "stopped"));
+            }
+        }
+        let over = self.over.entry(task).or_default();
+        *over = (*over).max(attempt);
+        self.done()
+    }
+
+    fn lists(&self) -> Response<http::Body> {
+        let running: Vec<Value> = self
+            .runs
+            .iter()
+            .filter(|run| run.number == 0)
+            .map(|run| json!([run.task, run.attempt, "", 100, 0]))
+            .collect();
+        let mut ends: Vec<&Run> = self.runs.iter().filter(|run| run.number > self.cursor).collect();
+        ends.sort_by_key(|run| run.number);
+        let finished: Vec<Value> = ends
+            .iter()
+            .take(MAX_LISTED_ENDS)
+            .map(|run| {
+                let how = run.ended.map_or("", |(_, how)| how);
+                json!([run.number, run.task, run.attempt, how, ""])
+            })
+            .collect();
+        let body = json!({
+            "clock_ms": self.clock(), "born": self.born, "running": running, "finished": finished,
+        });
+        json_response(&body.to_string())
+    }
+}
+
+/// Returns the work of a task, which its specification names in milliseconds before a semicolon.
+fn work_time(spec: &str) -> Duration {
+    let millis = spec.split(';').next().and_then(|text| text.parse().ok());
+    Duration::from_millis(millis.unwrap_or(1_000))
+}
