test(review): show a failed run of a gang that is not counted

RULES BUDGET is broken when the agent of a failing member is frozen for 3.5 s: the member's end is inferred from the other members', and its late end 'failed' is taken note of but not counted.

--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -1,7 +1,9 @@
 //! The cases' orders of events and the checks of their rules.
 
 use crate::Verdict;
-use crate::deployment::{CALLER_TIMEOUT, CANCEL, CONTACT, Deployment, FINISH, STOP_GRACE, wait_until};
+use crate::deployment::{
+    CALLER_TIMEOUT, CANCEL, CONTACT, Deployment, FINISH, OTHER_API_KEY, STOP_GRACE, wait_until,
+};
 use std::path::Path;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -206,3 +208,92 @@
     }
     if broken.is_empty() { Verdict::Held } else { Verdict::Broken }
 }
+
+/// `attempts` of the queue.
+const ATTEMPTS: usize = 4;
+/// Time from the start of a hopeless gang to the failure of its first member.
+const FAILS_AFTER_MS: u64 = 4_000;
+/// Time from the start of the gang to the freeze, and its length, as in the site's list of troubles.
+const FREEZE_AFTER: Duration = Duration::from_millis(3_000);
+const FREEZE_TIME: Duration = Duration::from_millis(3_500);
+
+/// A hopeless gang, one run of which fails while the agent of the failing member is frozen.
+pub fn uncounted_failure(folder: &Path, root: &Path, trouble: bool) -> Verdict {
+    let Some(deployment) = Deployment::start(folder, root, 3, 6) else {
+        return Verdict::NotRun;
+    };
+    let id = "00000000000000f1";
+    let body = serde_json::json!({"spec": format!("gang 2 0 {FAILS_AFTER_MS}"), "phases": [
+        {"task_count": 2, "cpu": 26_000, "mem_mb": 140_000, "gpus": 8, "estimated_ms": 6_800, "gang": true},
+    ]});
+    if !submit(&deployment, &format!("/pattern-nest/{id}"), &body.to_string()) {
+        return Verdict::NotRun;
+    }
+    if !wait_until(Duration::from_secs(5), || deployment.runs(id).len() == 2) {
+        return Verdict::NotRun;
+    }
+    let failing = |task: &str| task.ends_with(".0");
+    let first = deployment.runs(id).into_iter().find(|(_, run)| failing(&run.task));
+    let Some((runner, run)) = first else {
+        return Verdict::NotRun;
+    };
+    std::thread::sleep((run.started + FREEZE_AFTER).saturating_duration_since(Instant::now()));
+    if trouble {
+        deployment.freeze_agent(runner, FREEZE_TIME);
+    }
+    let ended = || {
+        let answer = deployment.call(0, "GET", &format!("/pattern-nest/{id}"), "", CALLER_TIMEOUT);
+        answer.is_some_and(|(_, body)| body.contains("failed"))
+    };
+    let end = Instant::now() + Duration::from_secs(50);
+    while !ended() && Instant::now() < end {
+        std::thread::sleep(Duration::from_secs(2));
+    }
+    // The last end has to be taken note of.
+    std::thread::sleep(Duration::from_secs(3));
+    deployment.record_runs(id);
+    let mut runs: Vec<_> = deployment.runs(id).into_iter().map(|(_, run)| run).filter(|run| failing(&run.task)).collect();
+    runs.sort_by_key(|run| run.started);
+    let starts_over_budget = runs.iter().filter(|run| {
+        let failed = runs.iter().filter(|other| {
+            other.noted && other.ended.is_some_and(|(at, how)| how == "failed" && at <= run.started)
+        });
+        failed.count() >= ATTEMPTS
+    });
+    let starts_over_budget = starts_over_budget.count();
+    let noted = runs.iter().filter(|run| run.noted).count();
+    deployment.record.line(&format!(
+        "starts of the failing task: {}, ends taken note of: {noted}, starts after {ATTEMPTS} runs had ended failed: {starts_over_budget}",
+        runs.len()
+    ));
+    if starts_over_budget == 0 { Verdict::Held } else { Verdict::Broken }
+}
+
+/// Two tenants whose clients choose the same ID for jobs in queues of their own; one of them cancels its job.
+pub fn shared_id(folder: &Path, root: &Path, trouble: bool) -> Verdict {
+    let Some(deployment) = Deployment::start(folder, root, 3, 3) else {
+        return Verdict::NotRun;
+    };
+    let north = "/seam-check/0000000000000001";
+    let south = "/pattern-nest/0000000000000001";
+    if !submit(&deployment, north, &job("20000;", 1, 1_000, 512, 20_000)) {
+        return Verdict::NotRun;
+    }
+    if !wait_until(Duration::from_secs(3), || !deployment.runs("0000000000000001").is_empty()) {
+        return Verdict::NotRun;
+    }
+    let call = |method: &str, body: &str| deployment.call_as(OTHER_API_KEY, 1, method, south, body, CALLER_TIMEOUT);
+    call("POST", &job("3000;", 2, 2_000, 1_024, 3_000));
+    std::thread::sleep(Duration::from_secs(2));
+    call("GET", "");
+    if trouble {
+        call("DELETE", "");
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    let state = deployment.call(0, "GET", north, "", CALLER_TIMEOUT);
+    deployment.record_runs("0000000000000001");
+    let canceled = state.is_some_and(|(_, body)| body.contains("canceled"));
+    let text = if canceled { "canceled without cause" } else { "not canceled" };
+    deployment.record.line(&format!("the job of key-north is shown as {text}"));
+    if canceled { Verdict::Broken } else { Verdict::Held }
+}
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -1,7 +1,8 @@
 //! A small deployment: entries and agents as separate processes, with stand-ins for the platform.
 
 use crate::log::LogService;
-use crate::runner::{Run, Runner};
+use crate::runner::{Gangs, Run, Runner};
+use rustix::process::{Pid, Signal, kill_process};
 use godwitstep::http;
 use hyper::{Request, StatusCode};
 use serde_json::json;
@@ -13,6 +14,8 @@
 use std::time::{Duration, Instant};
 
 pub const API_KEY: &str = "key-north";
+/// Key of another tenant.
+pub const OTHER_API_KEY: &str = "key-south";
 /// Bounds of the site `pcmww-godwit`.
 pub const FINISH: Duration = Duration::from_secs(14);
 pub const CANCEL: Duration = Duration::from_secs(3);
@@ -57,6 +60,7 @@
     pub record: Record,
     callers: Vec<SocketAddr>,
     ready: Vec<SocketAddr>,
+    /// Entries, then agents.
     processes: Vec<Child>,
     directory: PathBuf,
 }
@@ -87,7 +91,8 @@
             "routes": [route("seam-check", 0, 250), route("pattern-nest", 1, 1_000)],
             "backends": [{"name": "floor", "admission_check": false}],
             "limits": {"max_body_bytes": 262_144},
-            "tenants": [{"name": "north", "api_keys": [API_KEY], "guaranteed": {"gpus": 8}}],
+            "tenants": [{"name": "north", "api_keys": [API_KEY], "guaranteed": {"gpus": 8}},
+                {"name": "south", "api_keys": [OTHER_API_KEY], "guaranteed": {"gpus": 8}}],
         });
         deployment.log.append_operator_record("config", &config.to_string());
         let [_, high, low, _] = (std::process::id() << 8).to_be_bytes();
@@ -108,10 +113,11 @@
             deployment.ready.push(SocketAddr::from((ip, 28_523)));
             deployment.spawn(root, "entry", number, &settings)?;
         }
+        let gangs = Gangs::default();
         for number in 0..agents {
             let (ip, zone) = (ip(entries + number), ZONES[number % 3]);
             let admin = SocketAddr::from((ip, 28_526));
-            let runner = Runner::start(number, ip, admin, zone);
+            let runner = Runner::start(number, ip, admin, zone, gangs.clone());
             let settings = json!({
                 "host": format!("side-{zone}-{}", number / 3 + 1), "domain": zone, "log": deployment.log.address,
                 "agents": format!("{ip}:27000"), "metrics": format!("{ip}:29464"), "registrations": admin,
@@ -152,7 +158,20 @@
 
     /// Sends a caller's request to an entry and records it. Returns the status and body; `None` without an answer.
     pub fn call(&self, entry: usize, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(StatusCode, String)> {
-        let headers = [("host", "jobs.example"), ("x-api-key", API_KEY), ("x-deadline-ms", "3000")];
+        self.call_as(API_KEY, entry, method, path, body, timeout)
+    }
+
+    /// Sends a request of the caller with a key.
+    pub fn call_as(
+        &self,
+        key: &str,
+        entry: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        timeout: Duration,
+    ) -> Option<(StatusCode, String)> {
+        let headers = [("host", "jobs.example"), ("x-api-key", key), ("x-deadline-ms", "3000")];
         let sent = Instant::now();
         let answer = exchange(self.callers[entry], method, path, &headers, body, timeout);
         let text = match &answer {
@@ -160,10 +179,22 @@
             None => "no answer".to_owned(),
         };
         let millis = sent.elapsed().as_millis();
-        self.record.line(&format!("{method} {path} ({} bytes) at entry {entry}: {text} after {millis} ms", body.len()));
+        self.record.line(&format!("{key}: {method} {path} ({} bytes) at entry {entry}: {text} after {millis} ms", body.len()));
         answer
     }
 
+    /// Freezes the machine of an agent for a time; its runner goes on.
+    pub fn freeze_agent(&self, number: usize, time: Duration) {
+        let process = &self.processes[self.callers.len() + number];
+        let pid = Pid::from_child(process);
+        self.record.line(&format!("agent {number} freezes for {} ms", time.as_millis()));
+        // Fails only if the process has exited.
+        let _ = kill_process(pid, Signal::STOP);
+        std::thread::sleep(time);
+        let _ = kill_process(pid, Signal::CONT);
+        self.record.line(&format!("agent {number} goes on"));
+    }
+
     /// Returns all runs whose task belongs to a job, with the index of their runner.
     pub fn runs(&self, job: &str) -> Vec<(usize, Run)> {
         let runners = self.runners.iter().enumerate();
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -31,6 +31,8 @@
         "large-record" => cases::large_record(&folder, &root, trouble),
         "large-directive" => cases::large_directive(&folder, &root, trouble),
         "cancel-in-doubt" => cases::cancel_in_doubt(&folder, &root, trouble),
+        "uncounted-failure" => cases::uncounted_failure(&folder, &root, trouble),
+        "shared-id" => cases::shared_id(&folder, &root, trouble),
         _ => Verdict::NotRun,
     };
     match verdict {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -5,7 +5,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
@@ -16,6 +16,8 @@
 const MAX_HOLD_MS: u64 = 6_000;
 /// Time that a stop takes; `stop_grace_ms` allows 400 ms.
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// `gang_timeout_ms` of the settings.
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Number of ends that an answer lists.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -30,8 +32,38 @@
     pub ended: Option<(Instant, &'static str)>,
     /// Number of the end once it is listed; 0 before.
     number: u64,
+    /// Whether the system has taken note of the end while the lease went on.
+    pub noted: bool,
+    /// Whether the lease lapsed between the end and the note of it.
+    excused: bool,
+    gang: Option<Plan>,
 }
 
+/// What the specification of a gang's tasks says: the number of members, and which one fails after how long.
+#[derive(Debug, Clone, Copy)]
+struct Plan {
+    members: usize,
+    failing: usize,
+    fails_after: Duration,
+}
+
+/// One run of a gang.
+#[derive(Debug, Default)]
+struct Gang {
+    present: BTreeSet<usize>,
+    /// When the last member started.
+    complete_at: Option<Instant>,
+    /// When the first member ended.
+    broken_at: Option<Instant>,
+}
+
+/// Runs of gangs by job, step and attempt. Runners know of each other's.
+pub type Gangs = Arc<Mutex<HashMap<(String, u64), GangState>>>;
+
+/// State of a gang's run that the runners share.
+#[derive(Debug, Default)]
+pub struct GangState(Gang);
+
 impl Run {
     /// Returns whether the run was at work at a time.
     pub fn active_at(&self, time: Instant) -> bool {
@@ -53,6 +85,7 @@
     runs: Vec<Run>,
     /// Highest attempt of each task that was stopped or has ended here.
     over: HashMap<String, u64>,
+    gangs: Gangs,
 }
 
 /// Runner on a thread of this process. It does what it is told and guards nothing.
@@ -66,7 +99,7 @@
 
 impl Runner {
     /// Starts a runner at a free port of `ip` that registers at `admin`.
-    pub fn start(number: usize, ip: std::net::Ipv4Addr, admin: SocketAddr, zone: &str) -> Self {
+    pub fn start(number: usize, ip: std::net::Ipv4Addr, admin: SocketAddr, zone: &str, gangs: Gangs) -> Self {
         let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
@@ -81,6 +114,7 @@
             next_number: 1,
             runs: Vec::new(),
             over: HashMap::new(),
+            gangs,
         };
         let runner = Self {
             address,
@@ -171,7 +205,7 @@
                 return state.conflict("fence");
             }
             state.extend_lease(body["deadline_ms"].as_u64().unwrap_or(0));
-            state.cursor = state.cursor.max(body["ack_cursor"].as_u64().unwrap_or(0));
+            state.acknowledge(body["ack_cursor"].as_u64().unwrap_or(0));
             state.next_number
         };
         loop {
@@ -191,6 +225,13 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn acknowledge(&mut self, cursor: u64) {
+        self.cursor = self.cursor.max(cursor);
+        for run in &mut self.runs {
+            run.noted |= run.number > 0 && run.number <= self.cursor && !run.excused;
+        }
+    }
+
     fn extend_lease(&mut self, deadline: u64) {
         self.lease_end = self.lease_end.max(deadline.min(self.clock() + MAX_HOLD_MS));
     }
@@ -199,20 +240,32 @@
     fn advance(&mut self) {
         let now = Instant::now();
         let lease_end = self.started + Duration::from_millis(self.lease_end);
-        for run in self.runs.iter_mut().filter(|run| run.number == 0) {
+        let mut gangs = self.gangs.lock().expect("no thread panics with the lock");
+        for run in &mut self.runs {
+            run.excused |= lease_end < now && !run.noted;
+            if run.number > 0 {
+                continue;
+            }
             if run.ended.is_none() {
-                if run.completes_at <= now.min(lease_end) {
-                    run.ended = Some((run.completes_at, "done"));
-                } else if lease_end < now {
-                    run.ended = Some((lease_end, "lapsed"));
-                }
+                let end = match run.gang {
+                    Some(plan) => gangs.entry(gang_key(run)).or_default().0.end(run, plan, now),
+                    None => (run.completes_at <= now).then_some((run.completes_at, "done")),
+                };
+                run.ended = match end {
+                    Some((at, how)) if at <= lease_end => Some((at, how)),
+                    _ => (lease_end < now).then_some((lease_end, "lapsed")),
+                };
             }
-            if run.ended.is_some_and(|(end, _)| end <= now) {
-                run.number = self.next_number;
-                self.next_number += 1;
-                let over = self.over.entry(run.task.clone()).or_default();
-                *over = (*over).max(run.attempt);
+            let Some((end, _)) = run.ended.filter(|(end, _)| *end <= now) else {
+                continue;
+            };
+            if run.gang.is_some() {
+                gangs.entry(gang_key(run)).or_default().0.broken_at.get_or_insert(end);
             }
+            run.number = self.next_number;
+            self.next_number += 1;
+            let over = self.over.entry(run.task.clone()).or_default();
+            *over = (*over).max(run.attempt);
         }
     }
 
@@ -253,15 +306,27 @@
         }
         self.extend_lease(deadline);
         let now = Instant::now();
-        let time = work_time(body["spec"].as_str().unwrap_or_default());
-        self.runs.push(Run {
+        let spec = body["spec"].as_str().unwrap_or_default();
+        let run = Run {
             task,
             attempt,
             started: now,
-            completes_at: now + time,
+            completes_at: now + work_time(spec),
             ended: None,
             number: 0,
-        });
+            noted: false,
+            excused: false,
+            gang: gang_plan(spec),
+        };
+        if let Some(plan) = run.gang {
+            let mut gangs = self.gangs.lock().expect("no thread panics with the lock");
+            let gang = &mut gangs.entry(gang_key(&run)).or_default().0;
+            gang.present.insert(index(&run.task));
+            if gang.present.len() == plan.members {
+                gang.complete_at.get_or_insert(now);
+            }
+        }
+        self.runs.push(run);
         self.done()
     }
 
@@ -311,3 +376,41 @@
     let millis = spec.split(';').next().and_then(|text| text.parse().ok());
     Duration::from_millis(millis.unwrap_or(1_000))
 }
+
+impl Gang {
+    /// Returns when and how a member has ended, if it has.
+    fn end(&self, run: &Run, plan: Plan, now: Instant) -> Option<(Instant, &'static str)> {
+        let fails_at = self.complete_at.map(|at| at + plan.fails_after);
+        if index(&run.task) == plan.failing
+            && let Some(at) = fails_at.filter(|at| *at <= now && self.broken_at.is_none_or(|broken| *at <= broken))
+        {
+            return Some((at, "failed"));
+        }
+        let broken = self.broken_at.into_iter().chain(fails_at).min().filter(|at| *at <= now);
+        let alone = (run.started + GANG_TIMEOUT <= now && self.complete_at.is_none())
+            .then_some((run.started + GANG_TIMEOUT, "alone"));
+        broken.map(|at| (at.max(run.started), "broken")).or(alone)
+    }
+}
+
+/// Returns the job, step and attempt of a run.
+fn gang_key(run: &Run) -> (String, u64) {
+    let step = run.task.rsplit_once('.').map_or("", |(step, _)| step);
+    (step.to_owned(), run.attempt)
+}
+
+/// Returns the index of a task in its step.
+fn index(task: &str) -> usize {
+    task.rsplit_once('.').and_then(|(_, index)| index.parse().ok()).unwrap_or(0)
+}
+
+/// Decodes a specification `gang MEMBERS FAILING MILLISECONDS`.
+fn gang_plan(spec: &str) -> Option<Plan> {
+    let mut words = spec.strip_prefix("gang ")?.split(' ');
+    let mut number = || words.next()?.parse::<u64>().ok();
+    Some(Plan {
+        members: usize::try_from(number()?).ok()?,
+        failing: usize::try_from(number()?).ok()?,
+        fails_after: Duration::from_millis(number()?),
+    })
+}
