--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -2,7 +2,7 @@
 
 use crate::Verdict;
 use crate::deployment::{
-    CALLER_TIMEOUT, CANCEL, CONTACT, Deployment, FINISH, OTHER_API_KEY, STOP_GRACE, wait_until,
+    CALLER_TIMEOUT, CANCEL, CONTACT, Deployment, FINISH, STOP_GRACE, wait_until,
 };
 use std::path::Path;
 use std::sync::Mutex;
@@ -37,7 +37,12 @@
     let end = Instant::now() + IDLE + Duration::from_millis(500);
     while Instant::now() < end {
         let now = Instant::now();
-        idle.retain(|(_, id)| deployment.runs(id).iter().all(|(_, run)| !run.active_at(now)));
+        idle.retain(|(_, id)| {
+            deployment
+                .runs(id)
+                .iter()
+                .all(|(_, run)| !run.active_at(now))
+        });
         std::thread::sleep(Duration::from_millis(50));
     }
     let open = |queue: &str, id: &str| {
@@ -49,10 +54,19 @@
 }
 
 /// Submits small jobs once a second, all of which fit the deployment many times over.
-fn submit_small_jobs(deployment: &Deployment, first: u64, count: u64, accepted: &mut Vec<(String, String)>) {
+fn submit_small_jobs(
+    deployment: &Deployment,
+    first: u64,
+    count: u64,
+    accepted: &mut Vec<(String, String)>,
+) {
     for number in first..first + count {
         let id = format!("{number:016x}");
-        if submit(deployment, &format!("/seam-check/{id}"), &job("1000;", 2, 1_000, 512, 1_000)) {
+        if submit(
+            deployment,
+            &format!("/seam-check/{id}"),
+            &job("1000;", 2, 1_000, 512, 1_000),
+        ) {
             accepted.push(("seam-check".to_owned(), id));
         }
         std::thread::sleep(Duration::from_secs(1));
@@ -67,18 +81,32 @@
     let mut accepted = Vec::new();
     submit_small_jobs(&deployment, 0xa1, 3, &mut accepted);
     let long = "00000000000000b1".to_owned();
-    if !submit(&deployment, &format!("/seam-check/{long}"), &job("30000;", 1, 1_000, 512, 30_000)) {
+    if !submit(
+        &deployment,
+        &format!("/seam-check/{long}"),
+        &job("30000;", 1, 1_000, 512, 30_000),
+    ) {
         return Verdict::NotRun;
     }
     accepted.push(("seam-check".to_owned(), long.clone()));
-    let started = wait_until(Duration::from_secs(3), || !deployment.runs(&long).is_empty());
+    let started = wait_until(Duration::from_secs(3), || {
+        !deployment.runs(&long).is_empty()
+    });
     if !started {
         return Verdict::NotRun;
     }
     // 80 of 704 cores; the control has a tenth of the tasks, of ten times the size.
     let large = "00000000000000c1".to_owned();
-    let (tasks, cpu, mem_mb) = if trouble { (4_000, 20, 16) } else { (400, 200, 160) };
-    if !submit(&deployment, &format!("/pattern-nest/{large}"), &job("3000;", tasks, cpu, mem_mb, 3_000)) {
+    let (tasks, cpu, mem_mb) = if trouble {
+        (4_000, 20, 16)
+    } else {
+        (400, 200, 160)
+    };
+    if !submit(
+        &deployment,
+        &format!("/pattern-nest/{large}"),
+        &job("3000;", tasks, cpu, mem_mb, 3_000),
+    ) {
         deployment.record.line("the large job was not accepted");
         return Verdict::NotRun;
     }
@@ -90,50 +118,18 @@
         deployment.record_runs(id);
     }
     let oversized = deployment.log.oversized();
-    deployment.record.line(&format!("appends beyond the store's limits: {oversized}"));
+    deployment
+        .record
+        .line(&format!("appends beyond the store's limits: {oversized}"));
     deployment.record.line(&format!(
         "jobs that were accepted, have not ended and had nothing running for 3 s, {} s after the traffic: {idle:?}",
         FINISH.as_secs()
     ));
-    if idle.is_empty() { Verdict::Held } else { Verdict::Broken }
-}
-
-/// A large job whose starts on one runner don't fit an answer to its agent.
-pub fn large_directive(folder: &Path, root: &Path, trouble: bool) -> Verdict {
-    let Some(deployment) = Deployment::start(folder, root, 3, 11) else {
-        return Verdict::NotRun;
-    };
-    let mut accepted = Vec::new();
-    submit_small_jobs(&deployment, 0xa1, 3, &mut accepted);
-    let long = "00000000000000b1".to_owned();
-    if !submit(&deployment, &format!("/seam-check/{long}"), &job("45000;", 1, 1_000, 512, 45_000)) {
-        return Verdict::NotRun;
-    }
-    if !wait_until(Duration::from_secs(3), || !deployment.runs(&long).is_empty()) {
-        return Verdict::NotRun;
-    }
-    accepted.push(("seam-check".to_owned(), long.clone()));
-    // 24 of 64 cores of one runner. The specification has the largest size that is allowed; the control's is short.
-    let spec = format!("3000;{}", "x".repeat(if trouble { 3_995 } else { 35 }));
-    let large = "00000000000000c1".to_owned();
-    if !submit(&deployment, &format!("/pattern-nest/{large}"), &job(&spec, 1_200, 20, 32, 3_000)) {
-        deployment.record.line("the large job was not accepted");
-        return Verdict::NotRun;
+    if idle.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
     }
-    accepted.push(("pattern-nest".to_owned(), large));
-    submit_small_jobs(&deployment, 0xd1, 4, &mut accepted);
-    std::thread::sleep(FINISH);
-    let idle = idle_jobs(&deployment, &accepted);
-    for (_, id) in &accepted {
-        deployment.record_runs(id);
-    }
-    let lines = deployment.count_log_lines("decider does not answer");
-    deployment.record.line(&format!("lines 'decider does not answer' in the agents' logs: {lines}"));
-    deployment.record.line(&format!(
-        "jobs that were accepted, have not ended and had nothing running for 3 s, {} s after the traffic: {idle:?}",
-        FINISH.as_secs()
-    ));
-    if idle.is_empty() { Verdict::Held } else { Verdict::Broken }
 }
 
 /// Number of clients that leave and cancel.
@@ -155,7 +151,9 @@
     submit_small_jobs(&deployment, 0xa1, 2, &mut accepted);
     if trouble {
         deployment.log.set_slowness(SLOW_FACTOR);
-        deployment.record.line(&format!("the store's answers take {SLOW_FACTOR} times as long"));
+        deployment.record.line(&format!(
+            "the store's answers take {SLOW_FACTOR} times as long"
+        ));
     }
     let begun = Instant::now();
     let cancelled: Mutex<Vec<(String, Instant, u16)>> = Mutex::default();
@@ -167,14 +165,24 @@
                 let id = format!("{:016x}", 0xe100 + number);
                 let path = format!("/seam-check/{id}");
                 let entry = usize::try_from(number).unwrap_or(0);
-                deployment.call(entry % 3, "POST", &path, &job("25000;", 1, 1_000, 512, 25_000), PATIENCE);
+                deployment.call(
+                    entry % 3,
+                    "POST",
+                    &path,
+                    &job("25000;", 1, 1_000, 512, 25_000),
+                    PATIENCE,
+                );
                 for attempt in 1..6 {
-                    let answer = deployment.call((entry + attempt) % 3, "DELETE", &path, "", CALLER_TIMEOUT);
+                    let answer =
+                        deployment.call((entry + attempt) % 3, "DELETE", &path, "", CALLER_TIMEOUT);
                     if let Some((status, _)) = answer
                         && (status.is_success() || status == 410)
                     {
                         let acknowledged = (id.clone(), Instant::now(), status.as_u16());
-                        cancelled.lock().expect("no thread panics").push(acknowledged);
+                        cancelled
+                            .lock()
+                            .expect("no thread panics")
+                            .push(acknowledged);
                         return;
                     }
                     std::thread::sleep(Duration::from_secs(1));
@@ -188,12 +196,18 @@
     let calm_since = begun + SLOW_TIME;
     // A calm stretch begins `contact_ms` after the disruption and lasts `cancel_ms` + `stop_grace_ms`.
     let gone_by = calm_since + CONTACT + CANCEL + STOP_GRACE + Duration::from_millis(500);
-    std::thread::sleep((gone_by + Duration::from_secs(2)).saturating_duration_since(Instant::now()));
+    std::thread::sleep(
+        (gone_by + Duration::from_secs(2)).saturating_duration_since(Instant::now()),
+    );
     let cancelled = cancelled.into_inner().expect("no thread panics");
     let mut broken = Vec::new();
     for (id, acknowledged, status) in &cancelled {
         let over = gone_by.max(*acknowledged + CANCEL + STOP_GRACE);
-        if deployment.runs(id).iter().any(|(_, run)| run.active_at(over)) {
+        if deployment
+            .runs(id)
+            .iter()
+            .any(|(_, run)| run.active_at(over))
+        {
             broken.push(format!("{id} ({status})"));
         }
         deployment.record_runs(id);
@@ -206,7 +220,11 @@
     if u64::try_from(cancelled.len()).unwrap_or(0) < LEAVING_CLIENTS / 2 {
         return Verdict::NotRun;
     }
-    if broken.is_empty() { Verdict::Held } else { Verdict::Broken }
+    if broken.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
 
 /// `attempts` of the queue.
@@ -226,14 +244,21 @@
     let body = serde_json::json!({"spec": format!("gang 2 0 {FAILS_AFTER_MS}"), "phases": [
         {"task_count": 2, "cpu": 26_000, "mem_mb": 140_000, "gpus": 8, "estimated_ms": 6_800, "gang": true},
     ]});
-    if !submit(&deployment, &format!("/pattern-nest/{id}"), &body.to_string()) {
+    if !submit(
+        &deployment,
+        &format!("/pattern-nest/{id}"),
+        &body.to_string(),
+    ) {
         return Verdict::NotRun;
     }
     if !wait_until(Duration::from_secs(5), || deployment.runs(id).len() == 2) {
         return Verdict::NotRun;
     }
     let failing = |task: &str| task.ends_with(".0");
-    let first = deployment.runs(id).into_iter().find(|(_, run)| failing(&run.task));
+    let first = deployment
+        .runs(id)
+        .into_iter()
+        .find(|(_, run)| failing(&run.task));
     let Some((runner, run)) = first else {
         return Verdict::NotRun;
     };
@@ -252,11 +277,19 @@
     // The last end has to be taken note of.
     std::thread::sleep(Duration::from_secs(3));
     deployment.record_runs(id);
-    let mut runs: Vec<_> = deployment.runs(id).into_iter().map(|(_, run)| run).filter(|run| failing(&run.task)).collect();
+    let mut runs: Vec<_> = deployment
+        .runs(id)
+        .into_iter()
+        .map(|(_, run)| run)
+        .filter(|run| failing(&run.task))
+        .collect();
     runs.sort_by_key(|run| run.started);
     let starts_over_budget = runs.iter().filter(|run| {
         let failed = runs.iter().filter(|other| {
-            other.noted && other.ended.is_some_and(|(at, how)| how == "failed" && at <= run.started)
+            other.noted
+                && other
+                    .ended
+                    .is_some_and(|(at, how)| how == "failed" && at <= run.started)
         });
         failed.count() >= ATTEMPTS
     });
@@ -266,34 +299,162 @@
         "starts of the failing task: {}, ends taken note of: {noted}, starts after {ATTEMPTS} runs had ended failed: {starts_over_budget}",
         runs.len()
     ));
-    if starts_over_budget == 0 { Verdict::Held } else { Verdict::Broken }
+    if starts_over_budget == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
 }
 
-/// Two tenants whose clients choose the same ID for jobs in queues of their own; one of them cancels its job.
-pub fn shared_id(folder: &Path, root: &Path, trouble: bool) -> Verdict {
-    let Some(deployment) = Deployment::start(folder, root, 3, 3) else {
+/// Length of `srv_grey`, as in the site's list of troubles.
+const GREY_TIME: Duration = Duration::from_millis(6_500);
+/// `visible_ms` and 2 s: age from which a job that has not begun counts as pending.
+const PENDING_AGE: Duration = Duration::from_secs(5);
+/// Number of jobs that wait.
+const WAITING_JOBS: u64 = 6;
+
+/// Jobs that wait on a full floor after the only runner with room has refused them.
+pub fn pending_count(folder: &Path, root: &Path, trouble: bool) -> Verdict {
+    let Some(deployment) = Deployment::start(folder, root, 3, 11) else {
         return Verdict::NotRun;
     };
-    let north = "/seam-check/0000000000000001";
-    let south = "/pattern-nest/0000000000000001";
-    if !submit(&deployment, north, &job("20000;", 1, 1_000, 512, 20_000)) {
+    for number in 0..10 {
+        let path = format!("/pattern-nest/{:016x}", 0xb0 + number);
+        if !submit(&deployment, &path, &job("60000;", 1, 64_000, 512, 60_000)) {
+            return Verdict::NotRun;
+        }
+    }
+    let free = || {
+        let idle = |runner: &crate::runner::Runner| runner.runs().is_empty();
+        let idle: Vec<usize> = (0..11)
+            .filter(|number| idle(&deployment.runners[*number]))
+            .collect();
+        <[usize; 1]>::try_from(idle).ok()
+    };
+    if !wait_until(Duration::from_secs(8), || free().is_some()) {
         return Verdict::NotRun;
     }
-    if !wait_until(Duration::from_secs(3), || !deployment.runs("0000000000000001").is_empty()) {
+    let Some([last]) = free() else {
         return Verdict::NotRun;
+    };
+    if trouble {
+        deployment.runners[last].set_unhealthy(true);
+        deployment.record.line(&format!(
+            "runner {last}, the only one with room, refuses all starts with 503"
+        ));
+    } else {
+        let path = "/pattern-nest/00000000000000ba";
+        if !submit(&deployment, path, &job("60000;", 1, 64_000, 512, 60_000)) {
+            return Verdict::NotRun;
+        }
+        deployment.record.line(&format!(
+            "runner {last}, the only one with room, is filled too"
+        ));
+    }
+    let begun = Instant::now();
+    let ids: Vec<String> = (0..WAITING_JOBS)
+        .map(|number| format!("{:016x}", 0xd0 + number))
+        .collect();
+    for id in &ids {
+        if !submit(
+            &deployment,
+            &format!("/pattern-nest/{id}"),
+            &job("1000;", 1, 1_000, 512, 1_000),
+        ) {
+            return Verdict::NotRun;
+        }
+    }
+    let accepted = Instant::now();
+    std::thread::sleep(PENDING_AGE + Duration::from_millis(300));
+    let mut wrong = 0;
+    while accepted.elapsed() < PENDING_AGE + Duration::from_secs(5) {
+        if begun.elapsed() >= GREY_TIME {
+            deployment.runners[last].set_unhealthy(false);
+        }
+        for entry in 0..3 {
+            let answer = deployment.call(entry, "GET", "/pattern-nest/", "", CALLER_TIMEOUT);
+            // Counted after the answer, so that a job that begins meanwhile counts as begun.
+            let waiting = ids
+                .iter()
+                .filter(|id| deployment.runs(id).is_empty())
+                .count();
+            let count = answer.and_then(|(_, body)| {
+                serde_json::from_str::<serde_json::Value>(&body).ok()?["pending"].as_u64()
+            });
+            if let Some(count) = count
+                && 2 * count < waiting as u64
+            {
+                wrong += 1;
+                deployment.record.line(&format!(
+                    "{count} given as pending, {waiting} accepted 5 s ago have not begun"
+                ));
+            }
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    for id in &ids {
+        deployment.record_runs(id);
     }
-    let call = |method: &str, body: &str| deployment.call_as(OTHER_API_KEY, 1, method, south, body, CALLER_TIMEOUT);
-    call("POST", &job("3000;", 2, 2_000, 1_024, 3_000));
+    deployment
+        .record
+        .line(&format!("answers with less than half of the jobs: {wrong}"));
+    if wrong == 0 {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
+
+/// A job whose runner crashes once, on a floor where every runner has some small task.
+pub fn starved_suspect(folder: &Path, root: &Path, trouble: bool) -> Verdict {
+    let Some(deployment) = Deployment::start(folder, root, 3, 11) else {
+        return Verdict::NotRun;
+    };
+    // One core of 64 on each runner.
+    let spread = serde_json::json!({"spec": "70000;", "phases": [
+        {"task_count": 11, "cpu": 1_000, "mem_mb": 512, "estimated_ms": 70_000, "anti_affinity": 1},
+    ]});
+    let (spread_id, victim) = ("00000000000000b1", "00000000000000c1");
+    let path = format!("/pattern-nest/{spread_id}");
+    if !submit(&deployment, &path, &spread.to_string())
+        || !wait_until(Duration::from_secs(8), || {
+            deployment.runs(spread_id).len() == 11
+        })
+    {
+        return Verdict::NotRun;
+    }
+    let path = format!("/pattern-nest/{victim}");
+    if !submit(&deployment, &path, &job("40000;", 1, 1_000, 512, 40_000))
+        || !wait_until(Duration::from_secs(8), || {
+            !deployment.runs(victim).is_empty()
+        })
+    {
+        return Verdict::NotRun;
+    }
+    let accepted = [
+        ("pattern-nest".to_owned(), spread_id.to_owned()),
+        ("pattern-nest".to_owned(), victim.to_owned()),
+    ];
     std::thread::sleep(Duration::from_secs(2));
-    call("GET", "");
     if trouble {
-        call("DELETE", "");
+        let runner = deployment.runs(victim)[0].0;
+        deployment
+            .record
+            .line(&format!("runner {runner} crashes and is back after 2 s"));
+        deployment.runners[runner].crash();
+    }
+    std::thread::sleep(FINISH);
+    let idle = idle_jobs(&deployment, &accepted);
+    for (_, id) in &accepted {
+        deployment.record_runs(id);
+    }
+    deployment.record.line(&format!(
+        "jobs that were accepted, have not ended and had nothing running for 3 s, {} s after the crash: {idle:?}",
+        FINISH.as_secs()
+    ));
+    if idle.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
     }
-    std::thread::sleep(Duration::from_secs(2));
-    let state = deployment.call(0, "GET", north, "", CALLER_TIMEOUT);
-    deployment.record_runs("0000000000000001");
-    let canceled = state.is_some_and(|(_, body)| body.contains("canceled"));
-    let text = if canceled { "canceled without cause" } else { "not canceled" };
-    deployment.record.line(&format!("the job of key-north is shown as {text}"));
-    if canceled { Verdict::Broken } else { Verdict::Held }
 }
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -2,9 +2,9 @@
 
 use crate::log::LogService;
 use crate::runner::{Gangs, Run, Runner};
-use rustix::process::{Pid, Signal, kill_process};
 use godwitstep::http;
 use hyper::{Request, StatusCode};
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 use std::fmt::Write as _;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -14,8 +14,6 @@
 use std::time::{Duration, Instant};
 
 pub const API_KEY: &str = "key-north";
-/// Key of another tenant.
-pub const OTHER_API_KEY: &str = "key-south";
 /// Bounds of the site `pcmww-godwit`.
 pub const FINISH: Duration = Duration::from_secs(14);
 pub const CANCEL: Duration = Duration::from_secs(3);
@@ -68,7 +66,8 @@
 impl Deployment {
     /// Starts a deployment and waits until all entries are ready and the runners are known.
     pub fn start(case: &Path, root: &Path, entries: usize, agents: usize) -> Option<Self> {
-        let directory = std::env::temp_dir().join(format!("godwitstep-review-{}", std::process::id()));
+        let directory =
+            std::env::temp_dir().join(format!("godwitstep-review-{}", std::process::id()));
         std::fs::create_dir_all(&directory).ok()?;
         let mut deployment = Self {
             log: LogService::start(),
@@ -91,17 +90,27 @@
             "routes": [route("seam-check", 0, 250), route("pattern-nest", 1, 1_000)],
             "backends": [{"name": "floor", "admission_check": false}],
             "limits": {"max_body_bytes": 262_144},
-            "tenants": [{"name": "north", "api_keys": [API_KEY], "guaranteed": {"gpus": 8}},
-                {"name": "south", "api_keys": [OTHER_API_KEY], "guaranteed": {"gpus": 8}}],
+            "tenants": [{"name": "north", "api_keys": [API_KEY], "guaranteed": {"gpus": 8}}],
         });
-        deployment.log.append_operator_record("config", &config.to_string());
+        deployment
+            .log
+            .append_operator_record("config", &config.to_string());
         let [_, high, low, _] = (std::process::id() << 8).to_be_bytes();
-        let ip = |host: usize| Ipv4Addr::new(127, 64 | (high & 63), low, u8::try_from(host + 10).unwrap_or(9));
+        let ip = |host: usize| {
+            Ipv4Addr::new(
+                127,
+                64 | (high & 63),
+                low,
+                u8::try_from(host + 10).unwrap_or(9),
+            )
+        };
         let bounds = json!({
             "hold_ms": 6_000, "stop_ms": 400, "gang_ms": 3_000, "revoke_ms": 5_000, "reclaim_ms": 2_900,
             "grace_s": 6, "status_s": 120, "spread": 3, "checkpoint_s": 2,
         });
-        let seeds: Vec<String> = (0..entries).map(|entry| format!("{}:8526", ip(entry))).collect();
+        let seeds: Vec<String> = (0..entries)
+            .map(|entry| format!("{}:8526", ip(entry)))
+            .collect();
         for number in 0..entries {
             let (ip, zone) = (ip(number), ZONES[number % 3]);
             let settings = json!({
@@ -128,18 +137,29 @@
         }
         let ready = wait_until(Duration::from_secs(10), || {
             let ready = |address: &SocketAddr| {
-                exchange(*address, "GET", "/ready", &[], "", CALLER_TIMEOUT).is_some_and(|(status, _)| status == 200)
+                exchange(*address, "GET", "/ready", &[], "", CALLER_TIMEOUT)
+                    .is_some_and(|(status, _)| status == 200)
             };
             deployment.ready.iter().all(ready)
         });
         // Traffic starts 10 s after the machines do.
-        std::thread::sleep(Duration::from_secs(10).saturating_sub(deployment.record.begun.elapsed()));
+        std::thread::sleep(
+            Duration::from_secs(10).saturating_sub(deployment.record.begun.elapsed()),
+        );
         let state = if ready { "ready" } else { "not ready" };
-        deployment.record.line(&format!("{entries} entries and {agents} agents started; the entries are {state}"));
+        deployment.record.line(&format!(
+            "{entries} entries and {agents} agents started; the entries are {state}"
+        ));
         ready.then_some(deployment)
     }
 
-    fn spawn(&mut self, root: &Path, role: &str, number: usize, settings: &serde_json::Value) -> Option<()> {
+    fn spawn(
+        &mut self,
+        root: &Path,
+        role: &str,
+        number: usize,
+        settings: &serde_json::Value,
+    ) -> Option<()> {
         let path = self.directory.join(format!("{role}-{number}.json"));
         std::fs::write(&path, settings.to_string()).ok()?;
         let output = std::fs::File::create(path.with_extension("log")).ok()?;
@@ -157,21 +177,19 @@
     }
 
     /// Sends a caller's request to an entry and records it. Returns the status and body; `None` without an answer.
-    pub fn call(&self, entry: usize, method: &str, path: &str, body: &str, timeout: Duration) -> Option<(StatusCode, String)> {
-        self.call_as(API_KEY, entry, method, path, body, timeout)
-    }
-
-    /// Sends a request of the caller with a key.
-    pub fn call_as(
+    pub fn call(
         &self,
-        key: &str,
         entry: usize,
         method: &str,
         path: &str,
         body: &str,
         timeout: Duration,
     ) -> Option<(StatusCode, String)> {
-        let headers = [("host", "jobs.example"), ("x-api-key", key), ("x-deadline-ms", "3000")];
+        let headers = [
+            ("host", "jobs.example"),
+            ("x-api-key", API_KEY),
+            ("x-deadline-ms", "3000"),
+        ];
         let sent = Instant::now();
         let answer = exchange(self.callers[entry], method, path, &headers, body, timeout);
         let text = match &answer {
@@ -179,7 +197,10 @@
             None => "no answer".to_owned(),
         };
         let millis = sent.elapsed().as_millis();
-        self.record.line(&format!("{key}: {method} {path} ({} bytes) at entry {entry}: {text} after {millis} ms", body.len()));
+        self.record.line(&format!(
+            "{method} {path} ({} bytes) at entry {entry}: {text} after {millis} ms",
+            body.len()
+        ));
         answer
     }
 
@@ -187,7 +208,10 @@
     pub fn freeze_agent(&self, number: usize, time: Duration) {
         let process = &self.processes[self.callers.len() + number];
         let pid = Pid::from_child(process);
-        self.record.line(&format!("agent {number} freezes for {} ms", time.as_millis()));
+        self.record.line(&format!(
+            "agent {number} freezes for {} ms",
+            time.as_millis()
+        ));
         // Fails only if the process has exited.
         let _ = kill_process(pid, Signal::STOP);
         std::thread::sleep(time);
@@ -198,7 +222,8 @@
     /// Returns all runs whose task belongs to a job, with the index of their runner.
     pub fn runs(&self, job: &str) -> Vec<(usize, Run)> {
         let runners = self.runners.iter().enumerate();
-        let runs = runners.flat_map(|(number, runner)| runner.runs().into_iter().map(move |run| (number, run)));
+        let runs = runners
+            .flat_map(|(number, runner)| runner.runs().into_iter().map(move |run| (number, run)));
         runs.filter(|(_, run)| run.task.starts_with(job)).collect()
     }
 
@@ -211,18 +236,12 @@
                 format!("{how} at {:.3}", self.record.seconds(end))
             });
             let started = self.record.seconds(run.started);
-            self.record.line(&format!("  {} run {} on runner {runner} from {started:.3}: {ended}", run.task, run.attempt));
+            self.record.line(&format!(
+                "  {} run {} on runner {runner} from {started:.3}: {ended}",
+                run.task, run.attempt
+            ));
         }
     }
-
-    /// Returns the lines of the processes' logs that contain a text, by process.
-    pub fn count_log_lines(&self, text: &str) -> usize {
-        let files = std::fs::read_dir(&self.directory).into_iter().flatten().flatten();
-        let logs = files.filter(|file| file.path().extension().is_some_and(|extension| extension == "log"));
-        logs.filter_map(|file| std::fs::read_to_string(file.path()).ok())
-            .map(|log| log.lines().filter(|line| line.contains(text)).count())
-            .sum()
-    }
 }
 
 impl Drop for Deployment {
--- a/review/standin/src/log.rs
+++ b/review/standin/src/log.rs
@@ -141,7 +141,8 @@
     fn append(&self, query: &HashMap<String, String>, body: &Bytes) -> Option<Reply> {
         let mut state = self.lock();
         let records = split_records(body)?;
-        let too_long = |(key, value): &(Vec<u8>, Bytes)| 1 + key.len() + value.len() > MAX_RECORD_BYTES;
+        let too_long =
+            |(key, value): &(Vec<u8>, Bytes)| 1 + key.len() + value.len() > MAX_RECORD_BYTES;
         if body.len() > MAX_CALL_BYTES || records.iter().any(too_long) {
             state.oversized += 1;
             return None;
@@ -182,8 +183,12 @@
     async fn read(&self, query: &HashMap<String, String>) -> Option<Reply> {
         let topic = query.get("topic")?;
         let from: usize = query.get("from")?.parse().ok()?;
-        let wait: u64 = query.get("wait_ms").map_or(Some(0), |wait| wait.parse().ok())?;
-        let max_kb: usize = query.get("max_kb").map_or(Some(1_024), |size| size.parse().ok())?;
+        let wait: u64 = query
+            .get("wait_ms")
+            .map_or(Some(0), |wait| wait.parse().ok())?;
+        let max_kb: usize = query
+            .get("max_kb")
+            .map_or(Some(1_024), |size| size.parse().ok())?;
         let deadline = Instant::now() + Duration::from_millis(wait);
         loop {
             if let Some(reply) = self.page(topic, from, max_kb * 1024, Instant::now() >= deadline) {
@@ -238,7 +243,9 @@
             };
             size += value.len();
             let value = STANDARD.encode(value);
-            items.push(format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"));
+            items.push(format!(
+                "{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
+            ));
         }
         Some(json_response(&format!(
             "{{\"items\":[{}],\"has_more\":{},\"end_offset\":{}}}",
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -29,10 +29,10 @@
     let (folder, root) = (PathBuf::from(folder), PathBuf::from(root));
     let verdict = match name.as_str() {
         "large-record" => cases::large_record(&folder, &root, trouble),
-        "large-directive" => cases::large_directive(&folder, &root, trouble),
         "cancel-in-doubt" => cases::cancel_in_doubt(&folder, &root, trouble),
         "uncounted-failure" => cases::uncounted_failure(&folder, &root, trouble),
-        "shared-id" => cases::shared_id(&folder, &root, trouble),
+        "pending-count" => cases::pending_count(&folder, &root, trouble),
+        "starved-suspect" => cases::starved_suspect(&folder, &root, trouble),
         _ => Verdict::NotRun,
     };
     match verdict {
--- a/review/standin/src/runner.rs
+++ b/review/standin/src/runner.rs
@@ -16,6 +16,8 @@
 const MAX_HOLD_MS: u64 = 6_000;
 /// Time that a stop takes; `stop_grace_ms` allows 400 ms.
 const STOP_TIME: Duration = Duration::from_millis(100);
+/// Time from a crash to the next incarnation.
+const CRASH_TIME: Duration = Duration::from_secs(2);
 /// `gang_timeout_ms` of the settings.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 /// Number of ends that an answer lists.
@@ -83,9 +85,16 @@
     cursor: u64,
     next_number: u64,
     runs: Vec<Run>,
+    /// Runs of earlier incarnations.
+    earlier: Vec<Run>,
+    /// Number of restarts.
+    lives: usize,
+    crashed: bool,
     /// Highest attempt of each task that was stopped or has ended here.
     over: HashMap<String, u64>,
     gangs: Gangs,
+    /// Whether the runner refuses all starts.
+    unhealthy: bool,
 }
 
 /// Runner on a thread of this process. It does what it is told and guards nothing.
@@ -99,13 +108,18 @@
 
 impl Runner {
     /// Starts a runner at a free port of `ip` that registers at `admin`.
-    pub fn start(number: usize, ip: std::net::Ipv4Addr, admin: SocketAddr, zone: &str, gangs: Gangs) -> Self {
+    pub fn start(
+        number: usize,
+        ip: std::net::Ipv4Addr,
+        admin: SocketAddr,
+        zone: &str,
+        gangs: Gangs,
+    ) -> Self {
         let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
-        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         let state = State {
             name: format!("i-{:08x}", 0x7f3a_91c0 + number),
-            born: now.map_or(1, |now| u64::try_from(now.as_millis()).unwrap_or(1)),
+            born: unix_millis(),
             started: Instant::now(),
             sequence: 0,
             highest_token: 0,
@@ -113,8 +127,12 @@
             cursor: 0,
             next_number: 1,
             runs: Vec::new(),
+            earlier: Vec::new(),
+            lives: 0,
+            crashed: false,
             over: HashMap::new(),
             gangs,
+            unhealthy: false,
         };
         let runner = Self {
             address,
@@ -124,20 +142,61 @@
         };
         let handle = runner.clone();
         std::thread::spawn(move || {
-            smol::block_on(async move {
-                let listener = smol::Async::new(listener).expect("a listener").into();
-                // Dropping the handle would shut the server down.
-                let (_shutdown, signal) = Shutdown::new();
-                let server = handle.clone();
-                let serving = http::serve(listener, Limits::default(), signal, async move |request| {
-                    server.serve(request).await
-                });
-                smol::future::or(serving, handle.send_heartbeats(admin)).await;
-            });
+            let mut listener = listener;
+            loop {
+                // Ends with a crash, which closes all connections.
+                smol::block_on(handle.work(listener, admin));
+                std::thread::sleep(CRASH_TIME);
+                handle.restart(number);
+                listener = std::net::TcpListener::bind(address).expect("the port is free");
+            }
         });
         runner
     }
 
+    /// Serves calls and sends heartbeats until the runner crashes.
+    async fn work(&self, listener: std::net::TcpListener, admin: SocketAddr) {
+        let listener = smol::Async::new(listener).expect("a listener").into();
+        // Dropping the handle would shut the server down.
+        let (_shutdown, signal) = Shutdown::new();
+        let server = self.clone();
+        let serving = http::serve(listener, Limits::default(), signal, async move |request| {
+            server.serve(request).await
+        });
+        let working = smol::future::or(serving, self.send_heartbeats(admin));
+        let crash = async {
+            while !self.lock().crashed {
+                smol::Timer::after(Duration::from_millis(5)).await;
+            }
+        };
+        smol::future::or(working, crash).await;
+    }
+
+    /// Ends all runs at once; the runner is back as another incarnation after [`CRASH_TIME`].
+    pub fn crash(&self) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        for run in state.runs.iter_mut().filter(|run| run.ended.is_none()) {
+            run.ended = Some((now, "crashed"));
+        }
+        // Nothing of before is listed any more.
+        let earlier = std::mem::take(&mut state.runs);
+        state.earlier.extend(earlier);
+        state.crashed = true;
+    }
+
+    fn restart(&self, number: usize) {
+        let mut state = self.lock();
+        state.lives += 1;
+        state.name = format!("i-{:08x}", 0x7f3a_91c0 + number + (state.lives << 16));
+        state.born = unix_millis();
+        state.started = Instant::now();
+        (state.sequence, state.highest_token, state.lease_end) = (0, 0, 0);
+        (state.cursor, state.next_number) = (0, 1);
+        state.over.clear();
+        state.crashed = false;
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         let mut state = self.state.lock().expect("no thread panics with the lock");
         state.advance();
@@ -148,8 +207,15 @@
         self.lock().name.clone()
     }
 
+    /// Sets whether the runner refuses all starts with 503 (`srv_grey`).
+    pub fn set_unhealthy(&self, unhealthy: bool) {
+        self.lock().unhealthy = unhealthy;
+    }
+
+    /// Returns the runs of all incarnations.
     pub fn runs(&self) -> Vec<Run> {
-        self.lock().runs.clone()
+        let state = self.lock();
+        state.earlier.iter().chain(&state.runs).cloned().collect()
     }
 
     fn heartbeat(&self) -> (String, String) {
@@ -172,8 +238,15 @@
             let request = Request::put(format!("/instances/{name}")).body(body.into());
             let request = request.expect("the request is well-formed");
             // Fails while the agent is not up yet.
-            let acknowledged = client.exchange(request, Duration::from_secs(1)).await.is_ok();
-            let pause = if acknowledged { HEARTBEAT_INTERVAL } else { Duration::from_millis(200) };
+            let acknowledged = client
+                .exchange(request, Duration::from_secs(1))
+                .await
+                .is_ok();
+            let pause = if acknowledged {
+                HEARTBEAT_INTERVAL
+            } else {
+                Duration::from_millis(200)
+            };
             smol::Timer::after(pause).await;
         }
     }
@@ -189,6 +262,9 @@
             return empty_response(StatusCode::MISDIRECTED_REQUEST);
         }
         match path.as_str() {
+            "/run-start" if self.lock().unhealthy => {
+                empty_response(StatusCode::SERVICE_UNAVAILABLE)
+            }
             "/run-start" => self.lock().start(&body),
             "/run-stop" => self.lock().stop(&body),
             "/hold" => self.hold(&body).await,
@@ -248,7 +324,11 @@
             }
             if run.ended.is_none() {
                 let end = match run.gang {
-                    Some(plan) => gangs.entry(gang_key(run)).or_default().0.end(run, plan, now),
+                    Some(plan) => gangs
+                        .entry(gang_key(run))
+                        .or_default()
+                        .0
+                        .end(run, plan, now),
                     None => (run.completes_at <= now).then_some((run.completes_at, "done")),
                 };
                 run.ended = match end {
@@ -260,7 +340,12 @@
                 continue;
             };
             if run.gang.is_some() {
-                gangs.entry(gang_key(run)).or_default().0.broken_at.get_or_insert(end);
+                gangs
+                    .entry(gang_key(run))
+                    .or_default()
+                    .0
+                    .broken_at
+                    .get_or_insert(end);
             }
             run.number = self.next_number;
             self.next_number += 1;
@@ -354,7 +439,11 @@
             .filter(|run| run.number == 0)
             .map(|run| json!([run.task, run.attempt, "", 100, 0]))
             .collect();
-        let mut ends: Vec<&Run> = self.runs.iter().filter(|run| run.number > self.cursor).collect();
+        let mut ends: Vec<&Run> = self
+            .runs
+            .iter()
+            .filter(|run| run.number > self.cursor)
+            .collect();
         ends.sort_by_key(|run| run.number);
         let finished: Vec<Value> = ends
             .iter()
@@ -382,11 +471,17 @@
     fn end(&self, run: &Run, plan: Plan, now: Instant) -> Option<(Instant, &'static str)> {
         let fails_at = self.complete_at.map(|at| at + plan.fails_after);
         if index(&run.task) == plan.failing
-            && let Some(at) = fails_at.filter(|at| *at <= now && self.broken_at.is_none_or(|broken| *at <= broken))
+            && let Some(at) = fails_at
+                .filter(|at| *at <= now && self.broken_at.is_none_or(|broken| *at <= broken))
         {
             return Some((at, "failed"));
         }
-        let broken = self.broken_at.into_iter().chain(fails_at).min().filter(|at| *at <= now);
+        let broken = self
+            .broken_at
+            .into_iter()
+            .chain(fails_at)
+            .min()
+            .filter(|at| *at <= now);
         let alone = (run.started + GANG_TIMEOUT <= now && self.complete_at.is_none())
             .then_some((run.started + GANG_TIMEOUT, "alone"));
         broken.map(|at| (at.max(run.started), "broken")).or(alone)
@@ -401,7 +496,9 @@
 
 /// Returns the index of a task in its step.
 fn index(task: &str) -> usize {
-    task.rsplit_once('.').and_then(|(_, index)| index.parse().ok()).unwrap_or(0)
+    task.rsplit_once('.')
+        .and_then(|(_, index)| index.parse().ok())
+        .unwrap_or(0)
 }
 
 /// Decodes a specification `gang MEMBERS FAILING MILLISECONDS`.
@@ -414,3 +511,9 @@
         fails_after: Duration::from_millis(number()?),
     })
 }
+
+/// Returns the time of day in Unix milliseconds.
+fn unix_millis() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    now.map_or(1, |now| u64::try_from(now.as_millis()).unwrap_or(1))
+}
