test(review): show that jobs whose start was refused are not counted as pending

RULES MIXED is broken when a runner refuses starts with 503 while the others are full: the entries give 0 jobs as pending. It takes the place of the case on shared IDs, which stands in.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,7 +3,7 @@
 set -uo pipefail
 folder=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$folder/../.." && pwd)
-"$root/target/review/release/godwitstep-review" shared-id "$folder" "$root"
+"$root/target/review/release/godwitstep-review" pending-count "$folder" "$root"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
