--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -458,3 +458,46 @@
         Verdict::Broken
     }
 }
+
+/// A large gang that waits reserves the whole floor.
+pub fn reserved_floor(folder: &Path, root: &Path, trouble: bool) -> Verdict {
+    let Some(deployment) = Deployment::start(folder, root, 3, 11) else {
+        return Verdict::NotRun;
+    };
+    let (long, large, small) = ("00000000000000b1", "00000000000000c1", "00000000000000d1");
+    let path = format!("/pattern-nest/{long}");
+    if !submit(&deployment, &path, &job("60000;", 1, 64_000, 512, 60_000))
+        || !wait_until(Duration::from_secs(8), || !deployment.runs(long).is_empty())
+    {
+        return Verdict::NotRun;
+    }
+    if trouble {
+        let gang = serde_json::json!({"spec": "gang 11 99 60000", "phases": [
+            {"task_count": 11, "cpu": 64_000, "mem_mb": 140_000, "gpus": 8, "estimated_ms": 40_000, "gang": true},
+        ]});
+        if !submit(
+            &deployment,
+            &format!("/pattern-nest/{large}"),
+            &gang.to_string(),
+        ) {
+            return Verdict::NotRun;
+        }
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let path = format!("/pattern-nest/{small}");
+    if !submit(&deployment, &path, &job("70000;", 1, 1_000, 512, 70_000)) {
+        return Verdict::NotRun;
+    }
+    let accepted = [("pattern-nest".to_owned(), small.to_owned())];
+    std::thread::sleep(FINISH);
+    let idle = idle_jobs(&deployment, &accepted);
+    for id in [long, large, small] {
+        deployment.record_runs(id);
+    }
+    deployment.record.line(&format!("idle: {idle:?}"));
+    if idle.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
