test(review): end all processes of a case that is interrupted

A driver that was ended from outside left its 6 processes behind; the scripts now end them by their ids.

--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -172,6 +172,7 @@
             .stderr(Stdio::null())
             .spawn()
             .ok()?;
+        record_process(child.id());
         self.processes.push(child);
         Some(())
     }
@@ -251,12 +252,27 @@
             let _ = process.kill();
             let _ = process.wait();
         }
+        if let Some(path) = std::env::var_os("REVIEW_PROCESSES") {
+            // All have ended, so there is nothing left for the script to end.
+            let _ = std::fs::write(path, "");
+        }
         if std::env::var_os("KEEP").is_none() {
             let _ = std::fs::remove_dir_all(&self.directory);
         }
     }
 }
 
+/// Adds a process to the list by which the script ends those that an interrupted driver leaves.
+fn record_process(id: u32) {
+    let Some(path) = std::env::var_os("REVIEW_PROCESSES") else {
+        return;
+    };
+    let list = std::fs::OpenOptions::new().append(true).open(path);
+    let written = list
+        .and_then(|mut list| std::io::Write::write_all(&mut list, format!("{id}\n").as_bytes()));
+    written.expect("the list of processes can be written");
+}
+
 /// Sends a request on a new connection. Returns the status and the body; `None` without a complete response in time.
 fn exchange(
     address: SocketAddr,
