fix(batch): store and send states, rounds and orders of any size

Cause: nothing related the size of a message to the limits of its receiver. The state of a job is one record of about 70 bytes for each placed task, and all records of a round were one append. The store's 400 counted as a refusal that passes, so the append was repeated every 100 ms with all other decisions in it.

Change: a state beyond the limit on a record is stored in fragments by one append and applied as a whole. A round is stored by several appends, each of whole states. An append that is never accepted (400, 413) is an outcome of its own: its parts are appended one by one and the part at fault is left out. The same for callers' records, so that one does not have its batch refused. The limits are settings.

--- a/crates/godwitstep-batch/src/agent/crash.rs
+++ b/crates/godwitstep-batch/src/agent/crash.rs
@@ -23,6 +23,8 @@
 const RETENTION: Duration = Duration::from_secs(30);
 /// Maximum number of crashes that are reported.
 const MAX_CRASHES: usize = 8;
+/// Maximum number of runs of all crashes but the last that are reported. Limits the size of reports.
+const MAX_CRASHED_RUNS: usize = 8_192;
 
 /// What an agent knows of a worker that has stopped answering.
 #[derive(Debug, Clone, Default)]
@@ -101,7 +103,10 @@
         if self.crashes.iter().any(known) {
             return;
         }
-        if self.crashes.len() == MAX_CRASHES {
+        let runs = |crashes: &[(Duration, Crash)]| -> usize {
+            crashes.iter().map(|(_, crash)| crash.runs.len()).sum()
+        };
+        while self.crashes.len() >= MAX_CRASHES || runs(&self.crashes) > MAX_CRASHED_RUNS {
             self.crashes.remove(0);
         }
         self.crashes.push((now, crash));
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -266,9 +266,7 @@
 
     /// Returns whether a run is listed as active.
     pub fn lists_active(&self, key: &RunKey) -> bool {
-        self.running
-            .iter()
-            .any(|listed_run| (listed_run.task, listed_run.run) == *key)
+        self.listed_since.contains_key(key)
     }
 
     /// Returns whether a run is listed as ended.
--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -21,6 +21,8 @@
 pub const MAX_TASKS: u64 = 4_000;
 /// Maximum number of steps in a job.
 pub const MAX_STEPS: usize = 64;
+/// Maximum length of the names of labels and racks, which no worker exceeds. Unit: bytes.
+pub const MAX_NAME_LENGTH: usize = 256;
 
 /// Maximum accepted estimate of a task's run time. Durations derived from it are several times as long.
 pub const MAX_ESTIMATE: Duration = Duration::from_secs(365 * 24 * 60 * 60);
@@ -111,6 +113,12 @@
         /// Index of the step.
         step: usize,
     },
+    /// The name of a label or rack is longer than [`MAX_NAME_LENGTH`].
+    #[error("step {step} names a label or rack of over {MAX_NAME_LENGTH} bytes")]
+    Name {
+        /// Index of the step.
+        step: usize,
+    },
     /// A step depends on itself or on a later step.
     #[error("step {step} depends on a step that is not an earlier one")]
     Dependency {
@@ -137,6 +145,10 @@
         if step.estimate > MAX_ESTIMATE {
             return Err(StepsError::Estimate { step: index });
         }
+        let mut names = step.label.iter().chain(&step.data_rack);
+        if names.any(|name| name.len() > MAX_NAME_LENGTH) {
+            return Err(StepsError::Name { step: index });
+        }
         if step
             .depends_on
             .iter()
--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -143,6 +143,8 @@
                     self.entries.insert(host, (offset, announcement));
                 }
             }
+            // Part of a record that is applied as a whole.
+            Record::Fragment(_) => {}
         }
     }
 
--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -4,7 +4,8 @@
 //! workers; an agent on each worker's host executes these decisions. This crate contains the logic of all three
 //! roles. The current time is passed in as an argument, and no function blocks.
 //!
-//! * [`ledger`] holds the authoritative state, derived from the log's [`record`]s.
+//! * [`ledger`] holds the authoritative state, derived from the log's [`record`]s, of which a long one is stored in
+//!   [`fragment`]s.
 //! * [`claim`] elects the decider; [`access`] authorizes callers.
 //! * [`planner`] decides where tasks run.
 //! * [`agent`] renews one worker's lease and executes orders.
@@ -18,6 +19,7 @@
 pub mod bounds;
 pub mod claim;
 pub mod demand;
+pub mod fragment;
 pub mod id;
 pub mod job;
 pub mod ledger;
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -17,6 +17,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Maximum number of runs on a worker, however small they are. Limits the size of what the worker, its agent and the
+/// decider tell each other: 8,192 runs with checkpoints of 256 bytes take 3 MB in a report, of the 4 MB that fit.
+const MAX_RUNS: usize = 8_192;
+
 /// A run that occupies capacity on a worker.
 #[derive(Debug)]
 pub(super) struct Occupant {
@@ -127,6 +131,11 @@
         }
     }
 
+    /// Returns how many more runs the worker may have.
+    pub fn unused_runs(&self) -> u64 {
+        MAX_RUNS.saturating_sub(self.occupants.len() + self.unplaced.len()) as u64
+    }
+
     /// Returns how many runs of a step are placed or listed here.
     pub fn count_runs(&self, job: JobId, step: u16) -> u64 {
         let placed = self.occupants.iter().map(|occupant| &occupant.task);
@@ -241,14 +250,16 @@
                 // The lists are those of its last answer; nothing runs there any more.
                 continue;
             }
+            let Some(node) = self.node_mut(&worker.info.incarnation) else {
+                continue;
+            };
+            let counted: HashSet<(Task, Run)> = node
+                .occupants
+                .iter()
+                .map(|occupant| (occupant.task, occupant.run))
+                .collect();
             for listed_run in &worker.running {
-                let Some(node) = self.node_mut(&worker.info.incarnation) else {
-                    continue;
-                };
-                let already_counted = node.occupants.iter().any(|occupant| {
-                    occupant.task == listed_run.task && occupant.run == listed_run.run
-                });
-                if already_counted {
+                if counted.contains(&(listed_run.task, listed_run.run)) {
                     continue;
                 }
                 node.unplaced.push(listed_run.task);
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -11,6 +11,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Maximum number of starts in a directive. The agent gets further ones once it has reported that these have begun.
+const MAX_STARTS: usize = 256;
+/// Maximum size of the specifications and checkpoints in a directive, if it holds more than one start: a fraction of what
+/// agents accept, which a slow link transmits within the timeout of an exchange. Unit: bytes.
+const MAX_START_BYTES: usize = 256 * 1024;
+
 /// A run that the ledger places on a worker.
 #[derive(Debug, Clone)]
 pub(super) struct Assignment {
@@ -134,9 +140,11 @@
             view.permits_starts() && worker.reachability != Reachability::LeaseExpired;
         let accepts_no_runs =
             worker.info.draining || view.domains_out.contains(&worker.info.domain);
-        let withdrawn = self.withdrawn(worker, ledger, current());
-        for assignment in current().filter(|assignment| !end_reported(worker, assignment)) {
-            let listed = lists(worker, assignment);
+        let reported = ReportedRuns::new(worker);
+        let withdrawn = self.withdrawn(worker, &reported, ledger, current());
+        let mut start_bytes = 0;
+        for assignment in current().filter(|assignment| !reported.has_end(assignment)) {
+            let listed = reported.lists(assignment);
             let no_room = withdrawn.contains(&(assignment.task, assignment.run));
             let cancelled = ledger
                 .job(assignment.task.job)
@@ -150,6 +158,11 @@
             {
                 directive.stop.push((assignment.task, assignment.run));
             } else if !listed && accepts_starts && withdrawn.is_empty() {
+                start_bytes += assignment.spec.len() + assignment.saved.len();
+                let starts = directive.start.len();
+                if starts >= MAX_STARTS || (starts > 0 && start_bytes > MAX_START_BYTES) {
+                    continue;
+                }
                 directive.start.push(Start {
                     task: assignment.task,
                     run: assignment.run,
@@ -164,15 +177,16 @@
             assignment.incarnation != worker.info.incarnation
                 && assignment.incarnation.worker == worker.info.incarnation.worker
         });
-        for assignment in earlier.filter(|assignment| !end_reported(worker, assignment)) {
+        for assignment in earlier.filter(|assignment| !reported.has_end(assignment)) {
             directive.stop.push((assignment.task, assignment.run));
         }
+        let assigned: HashSet<(Task, Run)> = assignments
+            .iter()
+            .map(|assignment| (assignment.task, assignment.run))
+            .collect();
         for listed_run in &worker.running {
             let key = (listed_run.task, listed_run.run);
-            let is_assigned = assignments
-                .iter()
-                .any(|assignment| (assignment.task, assignment.run) == key);
-            if !is_assigned && !is_done(ledger, listed_run.task) {
+            if !assigned.contains(&key) && !is_done(ledger, listed_run.task) {
                 directive.stop.push(key);
             }
         }
@@ -184,26 +198,26 @@
     fn withdrawn<'a>(
         &self,
         worker: &Worker,
+        reported: &ReportedRuns,
         ledger: &Ledger,
         assignments: impl Iterator<Item = &'a Assignment>,
     ) -> HashSet<(Task, Run)> {
         let not_begun: Vec<&Assignment> = assignments
             .filter(|assignment| {
                 let ended = self.ended.contains(&(assignment.task, assignment.run));
-                !ended && !lists(worker, assignment) && !end_reported(worker, assignment)
+                !ended && !reported.lists(assignment) && !reported.has_end(assignment)
             })
             .collect();
         let running = worker.running.iter().filter_map(|listed_run| {
             let job = &ledger.job(listed_run.task.job)?.job;
             Some(&job.steps.get(usize::from(listed_run.task.step))?.demand)
         });
-        let running = Demand::sum(running);
-        let demand = |runs: &[&Assignment]| {
-            let demand = Demand::sum(runs.iter().map(|assignment| &assignment.demand));
-            running.saturating_add(&demand)
-        };
-        let fits = |count: &usize| demand(&not_begun[..*count]).fits(&worker.info.capacity);
-        let kept = (0..=not_begun.len()).rev().find(fits).unwrap_or_default();
+        let mut demand = Demand::sum(running);
+        let fitting = not_begun.iter().take_while(|assignment| {
+            demand = demand.saturating_add(&assignment.demand);
+            demand.fits(&worker.info.capacity)
+        });
+        let kept = fitting.count();
         not_begun[kept..]
             .iter()
             .map(|assignment| (assignment.task, assignment.run))
@@ -211,25 +225,34 @@
     }
 }
 
-/// Returns whether the worker's report lists a run as active.
-fn lists(worker: &Worker, assignment: &Assignment) -> bool {
-    worker
-        .running
-        .iter()
-        .any(|listed_run| listed_run.task == assignment.task && listed_run.run == assignment.run)
+/// The runs in the report of a worker.
+struct ReportedRuns {
+    listed: HashSet<(Task, Run)>,
+    /// Runs of which the end or the refusal is reported.
+    over: HashSet<(Task, Run)>,
 }
 
-/// Returns whether the worker's report already shows the end or refusal of a run.
-fn end_reported(worker: &Worker, assignment: &Assignment) -> bool {
-    let ended = worker
-        .ended
-        .iter()
-        .any(|end| end.task == assignment.task && end.run == assignment.run);
-    let refused = worker
-        .refused
-        .iter()
-        .any(|refused| refused.task == assignment.task && refused.run == assignment.run);
-    ended || refused
+impl ReportedRuns {
+    fn new(worker: &Worker) -> Self {
+        let running = worker.running.iter();
+        let ended = worker.ended.iter().map(|end| (end.task, end.run));
+        let refused = worker.refused.iter();
+        let refused = refused.map(|refused| (refused.task, refused.run));
+        Self {
+            listed: running.map(|run| (run.task, run.run)).collect(),
+            over: ended.chain(refused).collect(),
+        }
+    }
+
+    /// Returns whether a run is listed as active.
+    fn lists(&self, assignment: &Assignment) -> bool {
+        self.listed.contains(&(assignment.task, assignment.run))
+    }
+
+    /// Returns whether the end or the refusal of a run is reported.
+    fn has_end(&self, assignment: &Assignment) -> bool {
+        self.over.contains(&(assignment.task, assignment.run))
+    }
 }
 
 /// Returns whether a task is done. The remaining members of a completed gang end by themselves and
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -223,7 +223,7 @@
 
     /// Returns how many more tasks of the step fit on a worker.
     pub fn copies(&self, node: &Node, free: &crate::Demand) -> u64 {
-        let copies = self.step.demand.copies_in(free);
+        let copies = self.step.demand.copies_in(free).min(node.unused_runs());
         if self.step.per_worker == 0 {
             return copies;
         }
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use crate::address;
+use crate::fragment::Fragment;
 use crate::id::{Epoch, Host, JobId, Run};
 use crate::job::{self, Job, MAX_STEPS, MAX_TASKS};
 use crate::progress::Progress;
@@ -45,6 +46,8 @@
     Claimed(Claim),
     /// A process serves as an entry.
     Announced(Announcement),
+    /// Part of a record of a job's state that exceeds the log's limit. Fenced by the decider's epoch.
+    Fragment(Fragment),
 }
 
 /// Claim of the decider role by an entry.
@@ -99,6 +102,7 @@
             Self::Progressed { job, .. } | Self::Dropped { job } => progress_key(*job),
             Self::Claimed(_) => CLAIM_KEY.to_owned(),
             Self::Announced(announcement) => announcement_key(&announcement.host),
+            Self::Fragment(fragment) => fragment.item_key(),
         }
     }
 
@@ -125,10 +129,7 @@
     /// records, so everything that the planner relies on is checked here.
     pub fn decode(key: &str, value: &[u8]) -> Result<Option<Self>, Error> {
         if value.is_empty() {
-            let job = key
-                .strip_prefix(PROGRESS_PREFIX)
-                .and_then(crate::id::parse_job_id);
-            return Ok(job.map(|job| Self::Dropped { job }));
+            return Ok(parse_progress_key(key).map(|job| Self::Dropped { job }));
         }
         let error = |reason: String| Error {
             key: key.to_owned(),
@@ -148,6 +149,7 @@
         match self {
             Self::Submitted(job) => validate_job(job),
             Self::Progressed { progress, .. } => validate_progress(progress),
+            Self::Fragment(fragment) => fragment.validate(),
             Self::Claimed(claim) if claim.epoch > MAX_EPOCH => {
                 Err(format!("epoch {} is out of range", claim.epoch))
             }
@@ -209,6 +211,12 @@
     format!("{PROGRESS_PREFIX}{job:016x}")
 }
 
+/// Returns the job of the key of a job's state.
+pub(crate) fn parse_progress_key(key: &str) -> Option<JobId> {
+    key.strip_prefix(PROGRESS_PREFIX)
+        .and_then(crate::id::parse_job_id)
+}
+
 /// Returns the key of the record that announces an entry.
 #[must_use]
 pub fn announcement_key(host: &str) -> String {
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -16,6 +16,7 @@
 use godwitstep_batch::progress::Outcome;
 use godwitstep_batch::record::Record;
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Simulated time between two scheduling rounds.
@@ -61,6 +62,8 @@
     pub directives: BTreeMap<String, Directive>,
     /// True run time of each job's tasks where it differs from the estimate.
     pub run_times: BTreeMap<JobId, Duration>,
+    /// Specification of the jobs that are submitted from now on.
+    pub spec: Arc<str>,
     work_done: BTreeMap<(Task, Run), Duration>,
     offset: u64,
 }
@@ -135,6 +138,7 @@
             decisions: Vec::new(),
             directives: BTreeMap::new(),
             run_times: BTreeMap::new(),
+            spec: "spec".into(),
             work_done: BTreeMap::new(),
             offset: 0,
         };
@@ -192,7 +196,7 @@
             id,
             workspace: Some(workspace.into()),
             queue,
-            spec: "spec".into(),
+            spec: self.spec.clone(),
             steps,
             accepted: 0,
         };
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -1,5 +1,6 @@
 //! An entry: serves callers, follows the log, and schedules jobs while it holds the decider role.
 
+mod append;
 mod decide;
 mod handover;
 mod probe;
@@ -22,6 +23,7 @@
 use godwitstep_batch::access::{self, Grant, Refusal, View};
 use godwitstep_batch::bounds::Bounds;
 use godwitstep_batch::claim::FailureDetector;
+use godwitstep_batch::fragment::Assembler;
 use godwitstep_batch::id::{Domain, Epoch, Offset};
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::planner::Planner;
@@ -50,6 +52,8 @@
 /// State of an entry, built from the log.
 struct State {
     ledger: Ledger,
+    /// Fragments of records that have not been read completely.
+    assembler: Assembler,
     operator: OperatorState,
     /// Keys of the newest records, while these are being reloaded.
     reloaded_keys: Option<BTreeSet<String>>,
@@ -159,6 +163,7 @@
             read_operator_record,
             state: RefCell::new(State {
                 ledger: Ledger::default(),
+                assembler: Assembler::default(),
                 operator: OperatorState::default(),
                 reloaded_keys: None,
                 reloads: 0,
@@ -258,8 +263,13 @@
                 if let Some(keys) = &mut state.reloaded_keys {
                     keys.insert(item.key.clone());
                 }
-                match Record::decode(&item.key, &item.value) {
-                    Ok(Some(record)) => {
+                let decoded = Record::decode(&item.key, &item.value);
+                let assembled = decoded.and_then(|record| match record {
+                    Some(record) => state.assembler.add(offset, record),
+                    None => Ok(None),
+                });
+                match assembled {
+                    Ok(Some((offset, record))) => {
                         let from_decider = matches!(
                             record,
                             Record::Claimed(_) | Record::Progressed { .. } | Record::Dropped { .. }
@@ -286,7 +296,10 @@
                 drop(state);
                 self.changes.notify();
             }
-            Event::ReloadStarted => state.reloaded_keys = Some(BTreeSet::new()),
+            Event::ReloadStarted => {
+                state.reloaded_keys = Some(BTreeSet::new());
+                state.assembler.reset();
+            }
             Event::ReloadFinished { end, incomplete } => {
                 let listed = state.reloaded_keys.take().unwrap_or_default();
                 if !incomplete {
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -1,10 +1,9 @@
 //! The decider role of an entry: claiming it, scheduling in rounds, and stepping down.
 //!
-//! A round plans on the ledger and appends its records under the decider's epoch; the next round begins
+//! A round plans on the ledger and [appends](super::append) its records under the decider's epoch; the next round begins
 //! once they are applied to the ledger. Each decision therefore takes everything recorded before it into
 //! account, and the log rejects the records of a decider that has been replaced.
 
-use super::relay::{Outcome, RelayBatch};
 use super::{Decider, Entry, handover, probe};
 use crate::batch::log::{AppendError, Fence, Item, Log, ReadError, Stream};
 use crate::batch::wall_millis;
@@ -13,9 +12,8 @@
 use godwitstep_batch::id::{Epoch, Offset};
 use godwitstep_batch::planner::{Decision, OperatorView, Planner};
 use godwitstep_batch::policy::Policy;
-use godwitstep_batch::record::{Claim, Record, cancelled_key, submitted_key};
+use godwitstep_batch::record::{Claim, Record};
 use smol::Timer;
-use smol::future::FutureExt;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,15 +26,11 @@
 /// receive new jobs. Above the age at which it starts no more tasks, so that a short failure of its reads does not move
 /// the role.
 const MAX_VIEW_AGE: Duration = Duration::from_secs(5);
-/// Duration of an append from which on it is logged: until then agents get orders from before its decisions.
-const SLOW_APPEND: Duration = Duration::from_millis(100);
-/// Delay before a failed append is retried.
-const APPEND_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay before a failed claim is retried: the log may be busy with the claims of other entries.
 const CLAIM_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Why an entry stepped down as decider.
-enum StepDownReason {
+pub(super) enum StepDownReason {
     /// Another entry holds the claim.
     Fenced,
     /// The log could not be read for too long, or rejected the sequence number of an append.
@@ -245,17 +239,8 @@
                 return StepDownReason::LogUnavailable;
             }
             let records = self.plan_round();
-            let handing_over = async {
-                let tenure = self.clock.now().saturating_sub(started_at);
-                self.hand_over(epoch, tenure).await;
-                Err(StepDownReason::HandedOver)
-            };
             let relayed = self.relay_queue.next_batch();
-            if let Err(cause) = self
-                .append_round(epoch, records, relayed)
-                .or(handing_over)
-                .await
-            {
+            if let Err(cause) = self.append_round(epoch, started_at, records, relayed).await {
                 return cause;
             }
             self.update_directives();
@@ -304,119 +289,6 @@
         records
     }
 
-    /// Appends relayed records of callers followed by the decider's own, and applies them to the ledger.
-    async fn append_round(
-        &self,
-        epoch: Epoch,
-        records: Vec<Record>,
-        mut relayed: RelayBatch,
-    ) -> Result<(), StepDownReason> {
-        if records.is_empty() && relayed.is_empty() {
-            return Ok(());
-        }
-        let mut batch: Vec<Item> = relayed.items().cloned().collect();
-        let callers = batch.len();
-        batch.extend(records.iter().flat_map(with_deletions));
-        let planned = batch.len() - callers;
-        let sequence = self.next_sequence();
-        let started_at = self.clock.now();
-        let mut failing = false;
-        // When the first attempt was sent that was not answered. The log may answer a repeated append as the first time
-        // even after another entry has claimed the role, so the answer renews the claim from then only.
-        let mut unanswered_since: Option<Duration> = None;
-        loop {
-            let sent = self.clock.now();
-            let fence = Fence { epoch, sequence };
-            match self.log.append(&batch, Some(fence)).await {
-                Ok(end) => {
-                    if let Some(decider) = &mut self.state.borrow_mut().decider {
-                        decider.renewed_at = unanswered_since.unwrap_or(sent);
-                        decider.last_append_refused = false;
-                    }
-                    let elapsed = self.clock.now().saturating_sub(started_at);
-                    metrics::histogram!("godwitstep_decision_append_seconds").record(elapsed);
-                    if planned > 0 && elapsed > SLOW_APPEND {
-                        tracing::info!(
-                            epoch,
-                            sequence,
-                            records = planned,
-                            took_ms = elapsed.as_millis(),
-                            "decisions recorded late"
-                        );
-                    }
-                    self.apply_relayed(end.saturating_sub(batch.len() as u64), &relayed);
-                    self.apply_planned(end, planned, records);
-                    return Ok(());
-                }
-                Err(AppendError::Fenced) => return Err(StepDownReason::Fenced),
-                Err(AppendError::Sequence(reason)) => {
-                    tracing::warn!(epoch, sequence, reason, "the log expects another append");
-                    return Err(StepDownReason::LogUnavailable);
-                }
-                Err(error) => {
-                    if !failing {
-                        tracing::warn!(epoch, sequence, %error, "appending decisions to the log failed; retrying");
-                    }
-                    failing = true;
-                    metrics::counter!("godwitstep_log_append_failures_total").increment(1);
-                    if matches!(error, AppendError::Refused(_)) && unanswered_since.is_none() {
-                        // Nothing is stored, so the entries may append the callers' records themselves.
-                        self.reject_relayed(&std::mem::take(&mut relayed));
-                        batch.drain(..batch.len() - planned);
-                        if batch.is_empty() {
-                            self.reuse_sequence(sequence);
-                            return Ok(());
-                        }
-                    } else {
-                        unanswered_since.get_or_insert(sent);
-                    }
-                    Timer::after(APPEND_RETRY_DELAY).await;
-                }
-            }
-            if self.state.borrow().ledger.epoch() > epoch {
-                return Err(StepDownReason::Fenced);
-            }
-        }
-    }
-
-    /// Rejects callers' records that the log refused, along with all queued ones, and accepts none until the
-    /// log stores an append again.
-    fn reject_relayed(&self, relayed: &RelayBatch) {
-        if let Some(decider) = &mut self.state.borrow_mut().decider {
-            decider.last_append_refused = true;
-        }
-        relayed.report(Outcome::NotTaken);
-        self.relay_queue.reject_all();
-    }
-
-    /// Applies the decider's records right after the append, before they are read back. Records that other
-    /// processes wrote before them may still be unread; these are only new jobs and cancellations, and no
-    /// decision depends on applying those first.
-    fn apply_planned(&self, end: Offset, items: usize, records: Vec<Record>) {
-        let first = end.saturating_sub(items as u64);
-        let mut state = self.state.borrow_mut();
-        for (offset, record) in (first..).zip(records) {
-            state.ledger.apply(offset, record);
-        }
-    }
-
-    /// Returns the sequence number of the next append and increments it.
-    fn next_sequence(&self) -> u64 {
-        let mut state = self.state.borrow_mut();
-        let Some(decider) = &mut state.decider else {
-            return 0;
-        };
-        decider.sequence += 1;
-        decider.sequence - 1
-    }
-
-    /// Reuses the sequence number of an append that the log refused.
-    fn reuse_sequence(&self, sequence: u64) {
-        if let Some(decider) = &mut self.state.borrow_mut().decider {
-            decider.sequence = sequence;
-        }
-    }
-
     /// Ends the decider role. Releases the claim unless another entry has replaced this one or was named successor.
     async fn step_down(&self, epoch: Epoch, cause: StepDownReason) {
         let decider = self.state.borrow_mut().decider.take();
@@ -456,19 +328,6 @@
     }
 }
 
-/// Returns the items of a record. A dropped job also deletes its submission and cancellation.
-fn with_deletions(record: &Record) -> Vec<Item> {
-    let mut items = vec![to_item(record)];
-    if let Record::Dropped { job } = record {
-        let deletions = [submitted_key(*job), cancelled_key(*job)].map(|key| Item {
-            key,
-            value: bytes::Bytes::new(),
-        });
-        items.extend(deletions);
-    }
-    items
-}
-
 /// Logs a decision and updates its metrics.
 fn log_decision(decision: &Decision, epoch: Epoch, view: &OperatorView) {
     let version = view.policy.version;
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -291,7 +291,10 @@
                 let state = self.state.borrow();
                 state.ledger.entries().any(|known| known == entry)
             }
-            Record::Progressed { .. } | Record::Dropped { .. } | Record::Claimed(_) => false,
+            Record::Progressed { .. }
+            | Record::Dropped { .. }
+            | Record::Claimed(_)
+            | Record::Fragment(_) => false,
         }
     }
 
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -36,6 +36,8 @@
     Unknown,
     /// The request was not stored and will not be.
     Refused,
+    /// The job is too large to be stored.
+    TooLarge,
     /// It is not known in time whether the request is stored. The caller may send the same request again.
     InDoubt,
 }
@@ -55,11 +57,15 @@
             );
             return Verdict::Refused;
         }
-        let verdict = self.store(Record::Submitted(job), time_limit, || {
-            self.status(id).is_some()
-        });
-        let verdict = verdict.await;
-        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, queue = %summary.queue, priority = summary.priority, workspace = %summary.workspace, steps = summary.steps, tasks = summary.tasks, gang = summary.gang, one_rack = summary.one_rack, saves = summary.checkpointable, cpu = summary.largest_task.cpu, accelerators = summary.largest_task.accelerators, chain_ms = summary.critical_path.as_millis(), objective_ms = summary.objective.as_millis(), "submission answered");
+        let record = Record::Submitted(job);
+        let size = 1 + record.key().len() + record.encode().len();
+        let verdict = if size > self.settings.sizes.record_bytes {
+            Verdict::TooLarge
+        } else {
+            let visible = || self.status(id).is_some();
+            self.store(record, time_limit, visible).await
+        };
+        tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, size, queue = %summary.queue, priority = summary.priority, workspace = %summary.workspace, steps = summary.steps, tasks = summary.tasks, gang = summary.gang, one_rack = summary.one_rack, saves = summary.checkpointable, cpu = summary.largest_task.cpu, accelerators = summary.largest_task.accelerators, chain_ms = summary.critical_path.as_millis(), objective_ms = summary.objective.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => verdict_label(verdict))
             .increment(1);
         verdict
@@ -121,6 +127,7 @@
             match self.writer.write(&record).or(timeout).await {
                 Ok(()) => return Verdict::Stored,
                 Err(Error::Refused) => {}
+                Err(Error::Invalid) => return Verdict::TooLarge,
                 Err(Error::Unknown) => in_doubt = true,
             }
             if visible() {
@@ -205,6 +212,7 @@
         Verdict::Stored => "stored",
         Verdict::Unknown => "unknown",
         Verdict::Refused => "refused",
+        Verdict::TooLarge => "too_large",
         Verdict::InDoubt => "in_doubt",
     }
 }
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -1,5 +1,6 @@
 //! Queue of callers' records for the log. Records are stored one batch at a time; a batch holds the records that
-//! arrived while the previous one was being stored, up to 64.
+//! arrived while the previous one was being stored, up to 64 or 256 KiB. If the log does not accept a batch, its records
+//! are stored one by one, so that one of them does not hold up the others.
 
 use crate::batch::change_notifier::ChangeNotifier;
 use crate::batch::log::{AppendError, Item};
@@ -10,6 +11,8 @@
 
 /// Maximum number of records in one batch.
 const MAX_BATCH_RECORDS: usize = 64;
+/// Maximum size of a batch of several records, half of what the decider appends for other entries at a time. Unit: bytes.
+const MAX_BATCH_BYTES: usize = 256 * 1024;
 /// Time after a failed append for which the log counts as still failing.
 const FAILURE_EXPIRY: Duration = Duration::from_millis(300);
 /// Maximum number of records in the queue.
@@ -21,6 +24,9 @@
     /// The record was not written and will not be.
     #[error("the record was not written")]
     Refused,
+    /// The log never accepts the record.
+    #[error("the log does not accept the record")]
+    Invalid,
     /// The record may have been written, or may be written later.
     #[error("it is not known whether the record was written")]
     Unknown,
@@ -79,7 +85,13 @@
             }
             let (items, senders): (Vec<Item>, Vec<_>) = batch.into_iter().unzip();
             let result = store(&items).await;
-            for sender in senders {
+            for (item, sender) in items.iter().zip(senders) {
+                let result = match result {
+                    Err(Error::Invalid) if items.len() > 1 => {
+                        store(std::slice::from_ref(item)).await
+                    }
+                    result => result,
+                };
                 // The caller may have stopped waiting.
                 let _ = sender.try_send(result);
             }
@@ -88,7 +100,15 @@
 
     fn next_batch(&self) -> Vec<PendingRecord> {
         let mut queue = self.queue.borrow_mut();
-        let count = queue.len().min(MAX_BATCH_RECORDS);
+        let mut size = 0;
+        let within_limit = queue
+            .iter()
+            .take(MAX_BATCH_RECORDS)
+            .take_while(|(item, _)| {
+                size += item.size();
+                size <= MAX_BATCH_BYTES
+            });
+        let count = within_limit.count().max(1).min(queue.len());
         queue.drain(..count).collect()
     }
 
@@ -108,6 +128,11 @@
                 }
                 Ok(())
             }
+            Err(AppendError::Invalid(reason)) => {
+                tracing::error!(reason, "log does not accept a caller's record");
+                metrics::counter!("godwitstep_log_appends_rejected_total").increment(1);
+                Err(Error::Invalid)
+            }
             Err(error) => {
                 self.last_failure.set(now);
                 if self.failing_since.get().is_none() {
@@ -116,7 +141,7 @@
                 }
                 metrics::counter!("godwitstep_log_append_failures_total").increment(1);
                 match error {
-                    AppendError::Refused(_) => Err(Error::Refused),
+                    AppendError::Refused(_) | AppendError::Invalid(_) => Err(Error::Refused),
                     AppendError::Unanswered(_) | AppendError::Fenced | AppendError::Sequence(_) => {
                         Err(Error::Unknown)
                     }
--- a/crates/godwitstep/src/batch/log.rs
+++ b/crates/godwitstep/src/batch/log.rs
@@ -44,6 +44,14 @@
     pub value: Bytes,
 }
 
+impl Item {
+    /// Returns the size of the record in an append, with the lengths of the record and its key. Unit: bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        4 + 1 + self.key.len() + self.value.len()
+    }
+}
+
 /// Consecutive records in the order of their offsets.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Page {
@@ -82,6 +90,9 @@
     /// The log stored nothing; the same append may be retried.
     #[error("the log refused the append: {0}")]
     Refused(String),
+    /// The log stored nothing and never stores this append, for example because a record is too long.
+    #[error("the log does not accept the append: {0}")]
+    Invalid(String),
     /// The append may have taken effect, or may do so later.
     #[error("the log did not answer the append: {0}")]
     Unanswered(String),
--- a/crates/godwitstep/src/batch/settings.rs
+++ b/crates/godwitstep/src/batch/settings.rs
@@ -49,8 +49,33 @@
     /// Time limits of the deployment.
     #[serde(default)]
     pub bounds: TimeLimits,
+    /// Size limits of the log service.
+    #[serde(default)]
+    pub sizes: SizeLimits,
+}
+
+/// Size limits of the log service. Unit: bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct SizeLimits {
+    /// Maximum size of a record with its key.
+    pub record_bytes: usize,
+    /// Maximum size of all records of one append. At least [`SizeLimits::record_bytes`].
+    pub append_bytes: usize,
 }
 
+impl Default for SizeLimits {
+    fn default() -> Self {
+        Self {
+            record_bytes: 256 * 1024,
+            append_bytes: 2 * 1024 * 1024,
+        }
+    }
+}
+
+/// Minimum value of [`SizeLimits::record_bytes`]: the submission of a job has to fit.
+const MIN_RECORD_BYTES: usize = 16 * 1024;
+
 /// Time limits of the deployment as plain numbers, in the unit that each name ends with.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default)]
@@ -182,10 +207,41 @@
                 cause: error.into_inner(),
             })?;
         settings.bounds.check()?;
+        settings.sizes.check()?;
         Ok(settings)
     }
 }
 
+impl SizeLimits {
+    fn check(&self) -> Result<(), Error> {
+        let sizes = [
+            (
+                "sizes.record_bytes",
+                self.record_bytes,
+                MIN_RECORD_BYTES,
+                "at least 16384 bytes",
+            ),
+            (
+                "sizes.append_bytes",
+                self.append_bytes,
+                self.record_bytes,
+                "at least the size of a record",
+            ),
+        ];
+        for (name, value, least, required) in sizes {
+            if value < least {
+                return Err(Error::OutOfRange {
+                    name,
+                    #[allow(clippy::cast_precision_loss)] // Only shown to a person.
+                    value: value as f64,
+                    required,
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
 impl TimeLimits {
     fn check(&self) -> Result<(), Error> {
         let times = [
--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -1,6 +1,7 @@
 //! Log service in memory, with faults that a test switches on.
 
 use godwitstep::batch::log::{AppendError, Fence, Item, Log, Newest, Page, ReadError, Stream};
+use godwitstep::batch::settings::SizeLimits;
 use godwitstep_batch::id::Offset;
 use godwitstep_batch::record::Record;
 use smol::Timer;
@@ -57,6 +58,10 @@
     records: Rc<Partition>,
     operator: Rc<Partition>,
     append_mode: Rc<Cell<AppendMode>>,
+    /// Limits beyond which an append is never accepted.
+    sizes: Rc<Cell<SizeLimits>>,
+    /// Key of a record that is never accepted.
+    rejected_key: Rc<RefCell<Option<String>>>,
     /// Last fenced append and the offset after it.
     last_append: Rc<Cell<Option<(Fence, Offset)>>>,
 }
@@ -95,6 +100,40 @@
         self.append_mode.set(mode);
     }
 
+    /// Sets the limits beyond which an append is never accepted.
+    pub fn set_sizes(&self, sizes: SizeLimits) {
+        self.sizes.set(sizes);
+    }
+
+    /// Never accepts an append of a record under a key.
+    pub fn reject_key(&self, key: String) {
+        *self.rejected_key.borrow_mut() = Some(key);
+    }
+
+    /// Returns whether the log accepts an append at all.
+    fn accepts(&self, items: &[Item]) -> bool {
+        let SizeLimits {
+            record_bytes,
+            append_bytes,
+        } = self.sizes.get();
+        let rejected = self.rejected_key.borrow();
+        let total: usize = items.iter().map(Item::size).sum();
+        let valid =
+            |item: &Item| item.size() <= 4 + record_bytes && rejected.as_ref() != Some(&item.key);
+        total <= append_bytes && items.iter().all(valid)
+    }
+
+    /// Returns the keys that have a record.
+    pub fn keys(&self) -> Vec<String> {
+        let items = self.records.items.borrow();
+        let mut newest: BTreeMap<&str, bool> = BTreeMap::new();
+        for item in items.iter() {
+            newest.insert(&item.key, !item.value.is_empty());
+        }
+        newest.retain(|_, exists| *exists);
+        newest.into_keys().map(str::to_owned).collect()
+    }
+
     /// Returns the offset after the last record.
     pub fn end(&self, stream: Stream) -> Offset {
         self.partition(stream).items.borrow().len() as Offset
@@ -124,6 +163,9 @@
 impl Log for MemoryLog {
     async fn append(&self, items: &[Item], fence: Option<Fence>) -> Result<Offset, AppendError> {
         let unanswered = || AppendError::Unanswered("no response".to_owned());
+        if !self.accepts(items) {
+            return Err(AppendError::Invalid("beyond a limit".to_owned()));
+        }
         let mode = self.append_mode.get();
         let first_response = self
             .last_append
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -1,12 +1,13 @@
 //! Tests of a batch entry with a log service in memory.
 
 mod log;
+mod sizes;
 
 use bytes::Bytes;
 use godwitstep::batch::entry::{Entry, Verdict};
 use godwitstep::batch::log::{Item, Stream};
 use godwitstep::batch::operator::OperatorRecord;
-use godwitstep::batch::settings::Settings;
+use godwitstep::batch::settings::{Settings, SizeLimits};
 use godwitstep::clock::BootClock;
 use godwitstep_batch::bounds::{DECIDER_LEASE, MAX_CANCELLATION_DELAY, START_ORDER_TTL};
 use godwitstep_batch::demand::Demand;
@@ -47,9 +48,15 @@
 }
 
 fn start_entry(log: &MemoryLog) -> Rc<Entry<MemoryLog>> {
+    start_entry_with(log, SizeLimits::default())
+}
+
+/// Starts an entry of a deployment whose log has these limits.
+fn start_entry_with(log: &MemoryLog, sizes: SizeLimits) -> Rc<Entry<MemoryLog>> {
     let settings = r#"{
         "host": "host-1", "domain": "domain-1", "log": "127.0.0.1:1", "agents": "127.0.0.1:1"
     }"#;
+    log.set_sizes(sizes);
     let policy = Item {
         key: "policy".to_owned(),
         value: Bytes::from_static(b"1"),
@@ -66,7 +73,10 @@
     Entry::new(
         log.clone(),
         Rc::new(BootClock),
-        Settings::parse(settings).unwrap(),
+        Settings {
+            sizes,
+            ..Settings::parse(settings).unwrap()
+        },
         read_operator_record,
     )
 }
@@ -117,6 +127,15 @@
 /// Reports an idle worker to the entry. Returns the runs that the reply orders to start, or `None` if the entry does not
 /// answer as the decider.
 async fn report_idle_worker(entry: &Entry<MemoryLog>, sequence: u64) -> Option<Vec<Start>> {
+    let report = idle_report(sequence);
+    match entry.handle_report(report).await {
+        Reply::Directive(directive) => Some(directive.start),
+        Reply::NotDecider { .. } => None,
+    }
+}
+
+/// Returns the report of an agent whose worker is idle.
+fn idle_report(sequence: u64) -> Report {
     let info = WorkerInfo {
         incarnation: Incarnation {
             host: "host-2".into(),
@@ -130,7 +149,7 @@
         rack: None,
         draining: false,
     };
-    let report = Report {
+    Report {
         host: "host-2".into(),
         incarnation: 1,
         sequence,
@@ -142,10 +161,6 @@
             refused: Vec::new(),
         }),
         ..Report::default()
-    };
-    match entry.handle_report(report).await {
-        Reply::Directive(directive) => Some(directive.start),
-        Reply::NotDecider { .. } => None,
     }
 }
 
