fix(batch): store a cancellation before saying that no such job exists

Cause: an entry answered 410 from a read of the log and stored nothing. A submission may still be in a request, in a queue of an entry or of the decider, or in an append that the log carries out later. No read can rule that out.

Change: the cancellation is stored first, whatever the entry knows; the ledger cancels a submission that comes after it. A read then chooses between 200 and 410, within the caller's time. The decider drops cancellations without a job after the time for which it keeps ended jobs, and a reload forgets dropped ones. A relayed cancellation of an unknown job counts as visible once it is applied.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -81,14 +81,20 @@
     progress: Option<Offset>,
 }
 
+impl Offsets {
+    const fn is_empty(&self) -> bool {
+        self.submitted.is_none() && self.cancelled.is_none() && self.progress.is_none()
+    }
+}
+
 /// Jobs, claims and entries, materialized from the log.
 #[derive(Debug, Default)]
 pub struct Ledger {
     jobs: HashMap<JobId, JobState>,
     /// Index of the jobs that are not settled.
     open: BTreeSet<JobId>,
-    /// State and cancellations of jobs whose submission has not been read yet, because pages of newest records
-    /// are ordered by key instead of by offset.
+    /// State and cancellations of jobs whose submission has not been read yet: pages of newest records are ordered by key
+    /// instead of by offset, and a caller may cancel a job whose submission is not stored yet.
     unsubmitted: HashMap<JobId, (Option<Progress>, bool)>,
     /// Offsets of the newest applied records of each job.
     offsets: HashMap<JobId, Offsets>,
@@ -169,14 +175,23 @@
                 if let Some(job_state) = self.jobs.get_mut(id) {
                     job_state.cancelled = false;
                 }
+                if let Some((_, cancelled)) = self.unsubmitted.get_mut(id) {
+                    *cancelled = false;
+                }
             }
             if deleted(progress_key(*id), offsets.progress) {
                 offsets.progress = None;
                 if let Some(job_state) = self.jobs.get_mut(id) {
                     job_state.progress = Progress::new(&job_state.job.steps);
                 }
+                if let Some((progress, _)) = self.unsubmitted.get_mut(id) {
+                    *progress = None;
+                }
             }
         }
+        self.unsubmitted
+            .retain(|_, (progress, cancelled)| progress.is_some() || *cancelled);
+        self.offsets.retain(|_, offsets| !offsets.is_empty());
         for job in dropped {
             self.remove(job);
         }
@@ -258,6 +273,29 @@
         self.job(job).map(JobState::status)
     }
 
+    /// Returns whether a job has ended or is cancelled, or will be as soon as its submission is read.
+    #[must_use]
+    pub fn is_cancelled(&self, job: JobId) -> bool {
+        match self.jobs.get(&job) {
+            Some(job_state) => matches!(job_state.status(), Status::Ended(_)),
+            None => self
+                .unsubmitted
+                .get(&job)
+                .is_some_and(|(_, cancelled)| *cancelled),
+        }
+    }
+
+    /// Returns the jobs of which records but no submission have been read, in no particular order.
+    pub fn orphans(&self) -> impl Iterator<Item = JobId> {
+        self.unsubmitted.keys().copied()
+    }
+
+    /// Returns whether records but no submission of a job have been read.
+    #[must_use]
+    pub fn has_orphan(&self, job: JobId) -> bool {
+        self.unsubmitted.contains_key(&job)
+    }
+
     /// Returns all jobs in no particular order.
     #[must_use]
     pub fn jobs(&self) -> impl ExactSizeIterator<Item = (JobId, &JobState)> {
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -216,6 +216,8 @@
     accepted_at: HashMap<JobId, Duration>,
     /// When the decider first found each settled job in the ledger.
     ended_at: HashMap<JobId, Duration>,
+    /// When the decider first found records of each job without a submission.
+    orphaned_at: HashMap<JobId, Duration>,
     /// Gang runs of which some members have ended while others are still placed, and since when.
     broken_gangs: HashMap<(JobId, u16, Run), Duration>,
     /// Runs that are being stopped although their jobs continue.
@@ -251,6 +253,7 @@
             headroom: Headroom::default(),
             accepted_at: HashMap::new(),
             ended_at: HashMap::new(),
+            orphaned_at: HashMap::new(),
             broken_gangs: HashMap::new(),
             stopping: HashSet::new(),
             ended: HashSet::new(),
@@ -429,7 +432,8 @@
         }
     }
 
-    /// Drops ended jobs once their status retention is over.
+    /// Drops ended jobs once their status retention is over, and records of jobs whose submission was not stored meanwhile:
+    /// callers may cancel a job before that, or one that does not exist.
     fn drop_ended(&mut self, now: Duration, ledger: &Ledger, plan: &mut Plan) {
         let retention = self.bounds.status_retention + ENDED_JOB_RETENTION_MARGIN;
         if self.ended_at.len() + self.accepted_at.len() < ledger.jobs().len() {
@@ -452,5 +456,13 @@
                 plan.records.push(Record::Dropped { job });
             }
         }
+        self.orphaned_at.retain(|job, _| ledger.has_orphan(*job));
+        for job in ledger.orphans() {
+            self.orphaned_at.entry(job).or_insert(now);
+        }
+        let expired = self.orphaned_at.iter();
+        let expired = expired.filter(|(_, orphaned_at)| **orphaned_at + retention < now);
+        let dropped = expired.map(|(job, _)| Record::Dropped { job: *job });
+        plan.records.extend(dropped.take(MAX_DROPS_PER_ROUND));
     }
 }
--- a/crates/godwitstep-batch/tests/ledger.rs
+++ b/crates/godwitstep-batch/tests/ledger.rs
@@ -109,3 +109,28 @@
     assert_eq!(ledger.status(1), Some(Status::Queued));
     assert_eq!(ledger.open().count(), 1);
 }
+
+/// Guards against a job that runs because its cancellation was stored before its submission.
+#[test]
+fn a_cancellation_before_the_submission_holds() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Record::Cancelled { job: 7 });
+    assert!(ledger.is_cancelled(7));
+    assert_eq!(ledger.status(7), None, "nobody has submitted the job");
+    ledger.apply(2, submitted(7));
+    assert_eq!(ledger.status(7), Some(Status::Ended(Outcome::Cancelled)));
+    assert_eq!(ledger.orphans().count(), 0);
+}
+
+/// Guards against cancellations of jobs that do not exist that stay known after the log has deleted them.
+#[test]
+fn a_reload_removes_a_cancellation_without_a_job() {
+    let mut ledger = Ledger::default();
+    ledger.apply(1, Record::Cancelled { job: 7 });
+    ledger.apply(2, completed(8));
+    reload(&mut ledger, Vec::new(), 9);
+    assert!(!ledger.is_cancelled(7));
+    assert_eq!(ledger.orphans().count(), 0);
+    ledger.apply(10, submitted(7));
+    assert_eq!(ledger.status(7), Some(Status::Queued));
+}
--- a/crates/godwitstep-batch/tests/planner.rs
+++ b/crates/godwitstep-batch/tests/planner.rs
@@ -2,7 +2,7 @@
 
 mod simulation;
 
-use godwitstep_batch::bounds::MAX_START_JOBS_AGE;
+use godwitstep_batch::bounds::{Bounds, MAX_START_JOBS_AGE};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
@@ -271,3 +271,24 @@
     sim.run_for(seconds(4));
     assert!(sim.started(3));
 }
+
+/// Guards against cancellations of jobs that do not exist that stay in the log for good, and against one that is deleted
+/// while the job's submission may still be stored.
+#[test]
+fn a_cancellation_without_a_job_is_kept_as_long_as_an_ended_job() {
+    let mut sim = Simulation::new(1, 1);
+    sim.append(Record::Cancelled { job: 1 });
+    sim.append(Record::Cancelled { job: 2 });
+    sim.run_for(Bounds::default().status_retention);
+    sim.submit(1, "normal", "north", vec![step(1, 1, seconds(1))]);
+    assert_eq!(sim.status(1), Some(Status::Ended(Outcome::Cancelled)));
+    assert!(sim.ledger.is_cancelled(2));
+    sim.run_for(seconds(20));
+    assert!(!sim.ledger.is_cancelled(2));
+    assert_eq!(sim.ledger.orphans().count(), 0);
+    assert_eq!(
+        sim.status(1),
+        Some(Status::Ended(Outcome::Cancelled)),
+        "its own retention has begun with its submission"
+    );
+}
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -12,7 +12,6 @@
 use crate::http::{self, Client};
 use bytes::Bytes;
 use godwitstep_batch::id::{Epoch, Offset};
-use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::{self, Records, Value};
 use godwitstep_batch::record::Record;
 use hyper::body::Incoming;
@@ -286,7 +285,7 @@
     fn is_visible(&self, record: &Record) -> bool {
         match record {
             Record::Submitted(job) => self.status(job.id).is_some(),
-            Record::Cancelled { job } => matches!(self.status(*job), Some(Status::Ended(_))),
+            Record::Cancelled { job } => self.state.borrow().ledger.is_cancelled(*job),
             Record::Announced(entry) => {
                 let state = self.state.borrow();
                 state.ledger.entries().any(|known| known == entry)
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -71,26 +71,38 @@
         verdict
     }
 
-    /// Stores the cancellation of a job within `time_limit`. Callers take the answer that the job does not exist for
-    /// its end, so this answer rests on a read of the log that was sent after the request arrived.
+    /// Stores the cancellation of a job within `time_limit`, whether the job is known or not: another entry or the log may
+    /// hold its submission, which is then cancelled when it is stored. Callers take the answer that the job does not exist
+    /// for its end, so this answer rests on a read of the log that was sent after the cancellation was stored.
     pub async fn cancel(&self, id: JobId, time_limit: Duration) -> Verdict {
-        match self.status(id) {
-            Some(Status::Ended(_)) => return Verdict::Stored,
-            Some(Status::Queued | Status::Running) => {}
-            None => match self.is_submitted(id).await {
-                Some(true) => {}
-                Some(false) => return Verdict::Unknown,
-                None => return Verdict::Refused,
-            },
-        }
-        let visible = || matches!(self.status(id), Some(Status::Ended(_)));
-        let verdict = self
-            .store(Record::Cancelled { job: id }, time_limit, visible)
-            .await;
+        let deadline = self.clock.now() + time_limit;
+        let cancelled = || self.state.borrow().ledger.is_cancelled(id);
+        let verdict = if cancelled() {
+            Verdict::Stored
+        } else {
+            self.store(Record::Cancelled { job: id }, time_limit, cancelled)
+                .await
+        };
+        let remaining = deadline.saturating_sub(self.clock.now());
+        let unknown = verdict == Verdict::Stored && !self.may_exist(id, remaining).await;
+        let verdict = if unknown { Verdict::Unknown } else { verdict };
         tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, "cancellation answered");
         verdict
     }
 
+    /// Returns whether a job is known, or can't be ruled out within `time_limit`.
+    async fn may_exist(&self, id: JobId, time_limit: Duration) -> bool {
+        if self.status(id).is_some() {
+            return true;
+        }
+        let submitted = async { self.is_submitted(id).await != Some(false) };
+        let timeout = async {
+            Timer::after(time_limit).await;
+            true
+        };
+        submitted.or(timeout).await
+    }
+
     /// Returns whether the part of the log that the ledger does not include yet holds the submission of a job. Returns
     /// `None` if it could not be read up to its end.
     async fn is_submitted(&self, id: JobId) -> Option<bool> {
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -248,6 +248,46 @@
     });
 }
 
+/// Guards against a job that runs although its cancellation was answered: its submission was still on its way to the log.
+#[test]
+fn a_submission_that_is_stored_after_its_cancellation_does_not_run() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    run(&entry, async {
+        wait_until("the entry decides", || entry.is_decider()).await;
+        assert_eq!(entry.cancel(1, TIMEOUT).await, Verdict::Unknown);
+        assert_eq!(
+            entry.status(1),
+            None,
+            "a job that nobody submitted is not shown"
+        );
+        // Another entry still held the submission.
+        log.push_record(&Record::Submitted(job(1)));
+        let cancelled = || entry.status(1) == Some(Status::Ended(Outcome::Cancelled));
+        wait_until("the job is cancelled", cancelled).await;
+        for sequence in 1..20 {
+            let started = report_idle_worker(&entry, sequence).await;
+            assert_eq!(started.unwrap_or_default(), []);
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Guards against a cancellation that gets no response in time because the log can't be read after it is stored.
+#[test]
+fn a_stored_cancellation_is_answered_while_the_log_cannot_be_read() {
+    let log = MemoryLog::default();
+    let entry = start_entry(&log);
+    run(&entry, async {
+        wait_until("the entry decides", || entry.is_decider()).await;
+        log.set_unreadable(Stream::Records, true);
+        let time_limit = Duration::from_millis(400);
+        let asked = Instant::now();
+        assert_eq!(entry.cancel(1, time_limit).await, Verdict::Stored);
+        assert!(asked.elapsed() < time_limit + Duration::from_millis(200));
+    });
+}
+
 /// Guards against a decider that answers agents after its lease because a repeated append was answered.
 #[test]
 fn a_repeated_append_extends_the_lease_from_its_first_sending() {
