fix(batch): count a job as pending until a worker has listed a run of it

Cause: the ledger did not know whether a run had begun. The count of pending jobs and the state `running` followed from the first placement, which the worker may refuse or never receive.

Evidence: the decider's log has each of the jobs placed and then "refused by an unhealthy worker".

Change: a job's state says whether a run has begun. The decider sets it when a report lists a run or its end, in a round that records something else or alone after a second, as callers may get a number that is two seconds old. All entries and new deciders read it. An entry whose view of the jobs is older than two seconds answers 503 in place of a number.

--- a/crates/godwitstep-batch/src/access.rs
+++ b/crates/godwitstep-batch/src/access.rs
@@ -17,6 +17,9 @@
 
 /// Maximum age of an entry's view of the jobs at which it answers that a job does not exist.
 pub const MAX_JOBS_AGE: Duration = Duration::from_millis(1_500);
+/// Maximum age of an entry's view of the jobs at which it says how many wait: callers take the number to be at most this
+/// old.
+pub const MAX_COUNT_AGE: Duration = Duration::from_secs(2);
 /// Age of its views below which an entry is ready for new callers.
 pub const READY_VIEW_AGE: Duration = Duration::from_millis(1_600);
 
--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -28,9 +28,9 @@
 /// Status of a job as reported to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Status {
-    /// No task has been placed yet.
+    /// No task has begun yet.
     Queued,
-    /// At least one task has been placed.
+    /// At least one task has begun.
     Running,
     /// The job has ended.
     Ended(Outcome),
@@ -54,7 +54,7 @@
         match self.progress.outcome {
             Some(outcome) => Status::Ended(outcome),
             None if self.cancelled => Status::Ended(Outcome::Cancelled),
-            None if self.progress.started() => Status::Running,
+            None if self.progress.begun => Status::Running,
             None => Status::Queued,
         }
     }
@@ -309,7 +309,7 @@
             .filter_map(|id| Some((*id, self.jobs.get(id)?)))
     }
 
-    /// Returns the number of jobs of a queue of which no task has been placed yet.
+    /// Returns the number of jobs of a queue of which no task has begun yet.
     #[must_use]
     pub fn pending(&self, queue: &str) -> usize {
         self.open()
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -21,6 +21,7 @@
 //! ```
 
 mod avoid;
+mod begun;
 mod cluster;
 mod crashes;
 mod directive;
@@ -214,6 +215,8 @@
     /// When each open job was accepted, on the decider's clock. For a job accepted before the
     /// decider took over this is an estimate.
     accepted_at: HashMap<JobId, Duration>,
+    /// When a run of each job whose state does not say so yet was found to have begun.
+    begun_at: HashMap<JobId, Duration>,
     /// When the decider first found each settled job in the ledger.
     ended_at: HashMap<JobId, Duration>,
     /// When the decider first found records of each job without a submission.
@@ -252,6 +255,7 @@
             failures: FailedWorkers::default(),
             headroom: Headroom::default(),
             accepted_at: HashMap::new(),
+            begun_at: HashMap::new(),
             ended_at: HashMap::new(),
             orphaned_at: HashMap::new(),
             broken_gangs: HashMap::new(),
@@ -309,6 +313,7 @@
         }
         self.stop_stalled(now, &draft, &mut plan);
         self.stop_on_draining_workers(now, &draft, &mut plan);
+        self.record_begun(now, &mut draft);
         plan.decisions.extend(self.health.take_quarantines());
         plan.records.extend(draft.into_records());
         self.drop_ended(now, ledger, &mut plan);
--- a/crates/godwitstep-batch/src/planner/draft.rs
+++ b/crates/godwitstep-batch/src/planner/draft.rs
@@ -42,6 +42,11 @@
         })
     }
 
+    /// Returns whether this round has changed the state of some job.
+    pub fn has_changes(&self) -> bool {
+        !self.changed.is_empty()
+    }
+
     /// Returns whether a run is placed on an incarnation of a worker, including the changes of this round.
     pub fn places(&self, incarnation: &Incarnation, task: Task, run: Run) -> bool {
         self.ledger.job(task.job).is_some_and(|job_state| {
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -123,7 +123,10 @@
             // A lost run resumes from the checkpoint in its last report.
             _ => self.health.saved(end.task, end.run),
         };
+        let begun = matches!(end.cause, EndCause::Reported(..))
+            || self.health.was_listed(end.task, end.run);
         let progress = draft.edit(end.task.job);
+        progress.begun |= begun;
         let step = progress.steps.get_mut(usize::from(end.task.step))?;
         update_step(step, gang, end, &saved);
         let EndCause::WorkerCrashed(evidence) = end.cause else {
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -131,6 +131,10 @@
     pub outcome: Option<Outcome>,
     /// Steps in the order of their indexes; empty for an ended job without placed tasks.
     pub steps: Vec<Step>,
+    /// Whether a run of a task is known to have begun. A run that is only placed may still be refused by its worker, or
+    /// never reach it. Set up to a second late; not set by deciders of earlier versions.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub begun: bool,
 }
 
 impl Progress {
@@ -146,8 +150,8 @@
             })
             .collect();
         Self {
-            outcome: None,
             steps,
+            ..Self::default()
         }
     }
 
@@ -164,7 +168,7 @@
                 .eq(task_counts)
     }
 
-    /// Returns whether any task has ever been placed.
+    /// Returns whether any task has ever been placed. No run may have [begun](Self::begun) yet.
     #[must_use]
     pub fn started(&self) -> bool {
         self.steps
--- a/crates/godwitstep-batch/tests/capacity.rs
+++ b/crates/godwitstep-batch/tests/capacity.rs
@@ -295,6 +295,7 @@
         assert!(running(&mut sim, host) <= 1, "over the room");
     }
     assert_eq!(sim.hosts_running(1).len(), 2, "both run");
+    sim.run_for(seconds(1));
     assert_eq!(sim.status(1), Some(Status::Running));
 }
 
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -3,7 +3,7 @@
 use super::Entry;
 use super::writer::Error;
 use crate::batch::log::{Log, ReadError, Stream};
-use godwitstep_batch::access::MAX_JOBS_AGE;
+use godwitstep_batch::access::{MAX_COUNT_AGE, MAX_JOBS_AGE};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{JobId, Offset};
 use godwitstep_batch::job::Job;
@@ -176,10 +176,12 @@
         self.with_view(|view| view.jobs_age < MAX_JOBS_AGE)
     }
 
-    /// Returns the number of jobs in a queue of which no task has been placed yet.
+    /// Returns the number of jobs in a queue of which no task has begun yet, or `None` if the entry's view of the jobs is too
+    /// old to tell.
     #[must_use]
-    pub fn pending(&self, queue: &str) -> usize {
-        self.state.borrow().ledger.pending(queue)
+    pub fn pending(&self, queue: &str) -> Option<usize> {
+        let current = self.with_view(|view| view.jobs_age < MAX_COUNT_AGE);
+        current.then(|| self.state.borrow().ledger.pending(queue))
     }
 }
 
