fix(batch): end the wait of a suspect for a worker of its own

Cause: a task under which a worker has crashed started only where no other job's task is placed or listed, however long that took. It also avoided the hosts of its crashes as long as any other host could run it if it were empty.

Evidence: the other job's task crashed on the same runner at the same time and started again on that very runner, where it was alone. So the ends of the runs were known, and the hosts that are avoided did not decide. What kept the first one back was a task of another job on each of the ten other runners.

Change: a suspect waits 1.5 s for each crash under it, then starts beside other jobs' tasks, where the fewest of them are suspects too, and on hosts that it avoids if no other has room. Other jobs are still kept off its worker for its first 2 s, and it is given up as before. The wait of a job for workers other than those that failed it quickly ends too, while half of the pool is idle and there is room for it twice over.

The four new tests of crashes.rs fail without the end of the wait, and the one of avoid.rs without it for avoided workers.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -38,6 +38,7 @@
 mod reserve;
 mod speed;
 mod stall;
+mod waits;
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
@@ -57,6 +58,7 @@
 use reports::AgentReports;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
+use waits::Waits;
 
 /// Operator-provided state as the decider knows it, and the ages of its views of the log.
 #[derive(Debug, Clone, Copy)]
@@ -229,6 +231,7 @@
     /// must not be ordered any more.
     ended: HashSet<(Task, Run)>,
     late: LateRuns,
+    waits: Waits,
     /// Workers whose capacity is being freed for a gang, by job.
     earmarks: HashMap<JobId, Earmark>,
     /// Runs that the ledger places on each host.
@@ -262,6 +265,7 @@
             stopping: HashSet::new(),
             ended: HashSet::new(),
             late: LateRuns::default(),
+            waits: Waits::default(),
             earmarks: HashMap::new(),
             assignments: BTreeMap::new(),
         }
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -59,6 +59,8 @@
     pub unplaced: Vec<Task>,
     /// Job that keeps all others off the worker, because workers have crashed under a task of it.
     pub isolated_for: Option<JobId>,
+    /// Jobs of the placed tasks under which workers have crashed, one for each task.
+    pub suspect_jobs: Vec<JobId>,
 }
 
 /// Capacity that is reserved from a time on.
@@ -350,5 +352,6 @@
         occupants: Vec::new(),
         unplaced: Vec::new(),
         isolated_for: None,
+        suspect_jobs: Vec::new(),
     }
 }
--- a/crates/godwitstep-batch/src/planner/crashes.rs
+++ b/crates/godwitstep-batch/src/planner/crashes.rs
@@ -5,6 +5,11 @@
 //! for a while no other job's task is placed beside it, so its next crash shows whether it is the cause. It also avoids
 //! the hosts on which it was, as a host may be the cause.
 //!
+//! Most suspects are not the cause, so none waits for such a worker without end. After a [time](super::waits) that grows
+//! with its crashes, a suspect starts beside other jobs' tasks on any host, where the fewest of them are suspects too, so that the cause does
+//! not meet the same tasks again. It still does not join another job's suspect that has just started, and no other job's
+//! task is placed beside it for a while.
+//!
 //! The counts are in the job's record, so a new decider goes on from them. A task that is beside the cause once is
 //! isolated, completes and is cleared.
 
@@ -12,7 +17,7 @@
 use super::draft::Draft;
 use super::health::Health;
 use super::reports::CrashEvidence;
-use crate::id::{Host, Incarnation, JobId, Task};
+use crate::id::{Host, Incarnation, Task};
 use crate::progress::{Crashes, Progress, Step};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -27,6 +32,14 @@
 /// Time after which other jobs' tasks may join the run of a suspect.
 const ISOLATION_TIME: Duration = Duration::from_secs(2);
 
+/// Returns the number of crashes under a task, or of the gang's member with the most.
+pub(super) fn crash_count(step: &Step, gang: bool, index: u16) -> u32 {
+    let counted = step.crashes.iter();
+    let counted = counted.filter(|(counted, _)| gang || **counted == index);
+    let counts = counted.map(|(_, crashes)| crashes.count);
+    counts.max().unwrap_or_default()
+}
+
 /// Which tasks may run on a worker beside those of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Neighbours {
@@ -34,6 +47,8 @@
     Any,
     /// Tasks of the same job, because the step's tasks are suspects.
     OwnJob,
+    /// Tasks of all jobs, although the step's tasks are suspects: they have waited long enough.
+    Unavoidable,
 }
 
 /// Returns whether some task or gang of a job has crashed so many workers that it isn't started again.
@@ -63,7 +78,7 @@
     step.crashes.retain(|counted, _| !gang && *counted != index);
 }
 
-/// Returns which tasks may run beside a task.
+/// Returns which tasks may run beside a task that has not waited.
 pub(super) fn neighbours(step: &Step, gang: bool, index: u16) -> Neighbours {
     let suspect = if gang {
         !step.crashes.is_empty()
@@ -87,26 +102,24 @@
 }
 
 impl Cluster {
-    /// Keeps other jobs off the workers on which suspects have started lately.
+    /// Marks the workers that run suspects, and keeps other jobs off those on which suspects have started lately.
     pub(super) fn isolate_suspects(&mut self, now: Duration, health: &Health, draft: &Draft) {
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
                 let gang = job_state.job.steps[usize::from(step)].gang;
                 let state = &progress.steps[usize::from(step)];
-                let task = Task { job, step, index };
-                let elapsed = health.elapsed(now, task, placed.run);
-                if neighbours(state, gang, index) == Neighbours::OwnJob
-                    && elapsed.is_none_or(|elapsed| elapsed < ISOLATION_TIME)
-                {
-                    self.isolate(incarnation, job);
+                if neighbours(state, gang, index) == Neighbours::Any {
+                    continue;
+                }
+                let Some(node) = self.node_mut(incarnation) else {
+                    continue;
+                };
+                node.suspect_jobs.push(job);
+                let elapsed = health.elapsed(now, Task { job, step, index }, placed.run);
+                if elapsed.is_none_or(|elapsed| elapsed < ISOLATION_TIME) {
+                    node.isolated_for = Some(job);
                 }
             }
         }
     }
-
-    fn isolate(&mut self, incarnation: &Incarnation, job: JobId) {
-        if let Some(node) = self.node_mut(incarnation) {
-            node.isolated_for = Some(job);
-        }
-    }
 }
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -32,7 +32,7 @@
 /// [`BUSY_SHARE`] of the pool is in use. Accepted work must not wait longer next to idle workers.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(2);
 /// Share of a pool in use from which it does not count as idle.
-const BUSY_SHARE: f64 = 0.5;
+pub(super) const BUSY_SHARE: f64 = 0.5;
 
 /// Workers that are left empty, by pool.
 pub(super) type HeadroomWorkers = HashMap<Pool, BTreeSet<Incarnation>>;
@@ -218,7 +218,7 @@
 }
 
 /// Returns the used share of a pool's schedulable workers in the least used resource.
-fn used_share(cluster: &Cluster, pool: &str) -> f64 {
+pub(super) fn used_share(cluster: &Cluster, pool: &str) -> f64 {
     let capacity = Demand::sum(schedulable_nodes(cluster, pool).map(|node| &node.capacity));
     let free = Demand::sum(schedulable_nodes(cluster, pool).map(|node| &node.free));
     1.0 - free.share_of(&capacity)
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -114,27 +114,56 @@
         }
         let crashed_on = crashes::crashed_on(state, &pending.waiting, round.cluster);
         pending.excluded = self.failures.excluded(&pending, round.cluster, crashed_on);
+        let avoided = pending.excluded.clone();
+        let overdue = self.overdue(round.now, &pending, state, round.cluster);
         let held_back = self.exclude_headroom(round, urgency, job_state, &mut pending);
-        if pending.step.gang {
-            for (index, node) in best_gang_placements(&mut pending, round.cluster) {
-                self.place_task(round, &pending, index, run(index), node);
+        self.place_waiting(round, &mut pending, &run);
+        let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
+        pending.waiting = waiting_tasks(state, gang, neighbours);
+        pending.leave_out_active(round.cluster);
+        if pending.waiting.iter().any(|index| overdue.contains(index)) {
+            pending.waiting.retain(|index| overdue.contains(index));
+            if pending.is_suspect() {
+                pending.neighbours = Neighbours::Unavoidable;
+                self.place_waiting(round, &mut pending, &run);
+            }
+            if !pending.waiting.is_empty() {
+                pending.excluded.retain(|other| !avoided.contains(other));
+                self.place_waiting(round, &mut pending, &run);
             }
+        }
+        (!pending.waiting.is_empty() && !held_back).then_some(pending)
+    }
+
+    /// Places the waiting tasks of a step as far as capacity allows, and leaves those that still wait.
+    fn place_waiting(
+        &mut self,
+        round: &mut Round,
+        pending: &mut PendingStep,
+        run: &impl Fn(u16) -> Run,
+    ) {
+        let placed: BTreeSet<u16> = if pending.step.gang {
+            let placements = best_gang_placements(pending, round.cluster);
+            for &(index, node) in &placements {
+                self.place_task(round, pending, index, run(index), node);
+            }
+            placements.into_iter().map(|(index, _)| index).collect()
         } else {
+            let mut placed = BTreeSet::new();
             for &index in &pending.waiting {
-                let Some(node) = best_node(&pending, round.cluster) else {
+                let Some(node) = best_node(pending, round.cluster) else {
                     break;
                 };
-                self.place_task(round, &pending, index, run(index), node);
+                self.place_task(round, pending, index, run(index), node);
+                placed.insert(index);
             }
-        }
-        let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
-        pending.waiting = waiting_tasks(state, gang, neighbours);
-        pending.leave_out_active(round.cluster);
-        (!pending.waiting.is_empty() && !held_back).then_some(pending)
+            placed
+        };
+        pending.waiting.retain(|index| !placed.contains(index));
     }
 
     fn place_task(
-        &self,
+        &mut self,
         round: &mut Round,
         pending: &PendingStep,
         index: u16,
@@ -142,6 +171,7 @@
         node: usize,
     ) {
         let task = pending.task(index);
+        self.waits.end(task);
         let node = &mut round.cluster.nodes[node];
         let occupant = Occupant {
             task,
@@ -190,7 +220,17 @@
         let is_excluded = (self.fast_only && node.is_slow())
             || (self.trusted_only && node.suspect)
             || self.excluded.contains(&node.incarnation);
-        node.serves(self.pool, self.step.label.as_ref()) && node.admits(self.job) && !is_excluded
+        self.serves(node) && !is_excluded
+    }
+
+    /// Returns whether a worker could run tasks of the step, regardless of its capacity and of what the tasks avoid.
+    pub fn serves(&self, node: &Node) -> bool {
+        node.serves(self.pool, self.step.label.as_ref()) && node.admits(self.job)
+    }
+
+    /// Returns whether workers have crashed under the tasks.
+    pub fn is_suspect(&self) -> bool {
+        self.neighbours != Neighbours::Any
     }
 
     /// Returns whether the tasks start only where no other job's task runs.
@@ -204,14 +244,26 @@
             || (!node.has_unplaced_others(self.job) && node.others(self.job).all(ends))
     }
 
+    /// Returns how many tasks of other jobs a crash under these tasks would end on a worker: those that it must not end
+    /// again, and all. None if the tasks have not crashed workers.
+    fn endangered(&self, node: &Node) -> (usize, usize) {
+        if !self.is_suspect() {
+            return (0, 0);
+        }
+        let suspects = node.suspect_jobs.iter();
+        let suspects = suspects.filter(|job| **job != self.job);
+        let others = node.others(self.job).count() + node.unplaced.len();
+        (suspects.count(), others)
+    }
+
     /// Returns whether the tasks may start beside what runs on a worker.
     pub fn joins(&self, node: &Node) -> bool {
         self.joins_after(node, |_| false)
     }
 
-    /// Keeps other jobs off a worker that the tasks get, if they must be isolated.
+    /// Keeps other jobs off a worker that the tasks get, if workers have crashed under them.
     pub fn isolate(&self, node: &mut Node) {
-        if self.is_isolated() {
+        if self.is_suspect() {
             node.isolated_for = Some(self.job);
         }
     }
@@ -288,7 +340,9 @@
         .min_by(|(_, a), (_, b)| {
             let key = |node: &Node| {
                 let wrong_speed = node.is_slow() == pending.urgent;
-                (far_from_data(pending.step, node), node.suspect, wrong_speed)
+                let endangered = pending.endangered(node);
+                let far = far_from_data(pending.step, node);
+                (endangered, far, node.suspect, wrong_speed)
             };
             key(a)
                 .cmp(&key(b))
--- a/crates/godwitstep-batch/tests/avoid.rs
+++ b/crates/godwitstep-batch/tests/avoid.rs
@@ -2,6 +2,7 @@
 
 mod simulation;
 
+use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::EndReason;
 use godwitstep_batch::progress::Outcome;
@@ -73,3 +74,29 @@
     assert!(!sim.hosts_running(2).contains(&failing));
     assert!(!sim.hosts_running(3).contains(&failing));
 }
+
+/// Guards against a job that waits on an idle cluster for workers that others occupy in part for a long time, because it
+/// failed once on each of those with room.
+#[test]
+fn a_job_returns_to_workers_that_failed_it_while_the_cluster_is_idle() {
+    let mut sim = Simulation::new(6, 6);
+    sim.submit(1, "normal", "north", vec![step(2, 8, seconds(3))]);
+    sim.round();
+    let hosts: Vec<usize> = sim
+        .hosts_running(1)
+        .iter()
+        .map(|host| host_number(host))
+        .collect();
+    let long = Step {
+        per_worker: 1,
+        ..step(4, 1, seconds(600))
+    };
+    sim.submit(2, "urgent", "south", vec![long]);
+    sim.round();
+    assert_eq!(sim.hosts_running(2).len(), 4);
+    run_with_failing_hosts(&mut sim, &hosts, 1);
+    sim.run_for(seconds(2));
+    assert_eq!(sim.hosts_running(1).len(), 2);
+    sim.run_for(seconds(4));
+    assert_eq!(sim.status(1), COMPLETED);
+}
--- a/crates/godwitstep-batch/tests/crashes.rs
+++ b/crates/godwitstep-batch/tests/crashes.rs
@@ -267,6 +267,94 @@
     assert_eq!(sim.status(INNOCENT), COMPLETED);
 }
 
+/// Returns the time until a job runs somewhere, in a simulation that goes on for up to 20 s.
+fn time_to_run(sim: &mut Simulation, job: JobId) -> Duration {
+    let since = sim.now;
+    while sim.hosts_running(job).is_empty() && sim.now < since + seconds(20) {
+        sim.round();
+    }
+    sim.now.saturating_sub(since)
+}
+
+/// Keeps a task of another job on each worker for a long time.
+fn occupy_all_workers(sim: &mut Simulation, workers: u16) {
+    let tasks = Step {
+        per_worker: 1,
+        ..step(workers, 0, seconds(600))
+    };
+    sim.submit(9, "patient", "south", vec![tasks]);
+    sim.round();
+    assert_eq!(sim.hosts_running(9).len(), usize::from(workers));
+}
+
+/// Guards against a task that waits for an empty worker without end after one crash, on a cluster with room for it.
+#[test]
+fn a_suspect_joins_others_if_no_worker_becomes_empty() {
+    for steps in [step(1, 0, seconds(9)), gang(2, 0, seconds(9))] {
+        let mut sim = Simulation::new(4, 4);
+        occupy_all_workers(&mut sim, 4);
+        sim.submit(INNOCENT, "normal", "north", vec![steps]);
+        sim.run_for(seconds(2));
+        crash_workers_of(&mut sim, INNOCENT, seconds(2));
+        let wait = time_to_run(&mut sim, INNOCENT);
+        assert!(wait < seconds(3), "{wait:?}");
+        sim.run_for(seconds(12));
+        assert_eq!(sim.status(INNOCENT), COMPLETED);
+    }
+}
+
+/// Guards against waits that grow without end with the crashes under a task.
+#[test]
+fn the_wait_for_an_empty_worker_is_limited_after_each_crash() {
+    let mut sim = Simulation::new(5, 5);
+    occupy_all_workers(&mut sim, 5);
+    sim.submit(INNOCENT, "normal", "north", vec![step(1, 0, seconds(9))]);
+    for crashes in 1..4 {
+        sim.run_for(seconds(3));
+        crash_workers_of(&mut sim, INNOCENT, seconds(3));
+        let wait = time_to_run(&mut sim, INNOCENT);
+        assert!(wait < seconds(2 * crashes + 1), "{wait:?}");
+    }
+    sim.run_for(seconds(12));
+    assert_eq!(sim.status(INNOCENT), COMPLETED);
+}
+
+/// Guards against a task that waits for other hosts, which are full, while the one on which its worker crashed has room.
+#[test]
+fn a_suspect_returns_to_its_host_if_no_other_has_room() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(INNOCENT, "normal", "north", vec![step(1, 1, seconds(9))]);
+    sim.round();
+    let host = sim.hosts_running(INNOCENT)[0].clone();
+    sim.submit(9, "normal", "south", vec![step(1, 8, seconds(600))]);
+    sim.submit(10, "normal", "south", vec![step(1, 1, seconds(600))]);
+    sim.run_for(seconds(1));
+    crash_workers_of(&mut sim, INNOCENT, seconds(1));
+    let wait = time_to_run(&mut sim, INNOCENT);
+    assert!(wait < seconds(3), "{wait:?}");
+    assert_eq!(sim.hosts_running(INNOCENT), [host]);
+}
+
+/// Guards against innocent tasks that are given up because they start again beside the one that crashes their workers.
+#[test]
+fn a_deadly_task_crashes_no_task_twice_on_a_cluster_without_empty_workers() {
+    let mut sim = Simulation::new(6, 6);
+    occupy_all_workers(&mut sim, 6);
+    let neighbours = 11..13;
+    for job in neighbours.clone() {
+        sim.submit(job, "normal", "north", vec![step(1, 0, seconds(40))]);
+    }
+    sim.run_for(seconds(3));
+    sim.submit(DEADLY, "normal", "south", vec![step(1, 0, seconds(40))]);
+    assert!(run_deadly(&mut sim, seconds(30)) <= 4);
+    assert_eq!(sim.status(DEADLY), FAILED);
+    sim.run_for(seconds(60));
+    for job in neighbours {
+        assert_eq!(sim.status(job), COMPLETED);
+        assert_eq!(last_run(&sim, job), 2, "one crash each");
+    }
+}
+
 /// Guards against a worker that stands idle until a suspect can start there.
 #[test]
 fn short_tasks_run_on_a_worker_that_a_suspect_waits_for() {
