fix(batch): count no job as pending of which a task is done

A job with a done task counts as pending while none of its tasks is placed, if a decider of an earlier version recorded the end, or if the result came after its run was taken for lost: neither sets the mark that a run has begun.

Change: a done or failed task shows that a run has begun, whatever the mark says. The new test fails without it.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -54,7 +54,7 @@
         match self.progress.outcome {
             Some(outcome) => Status::Ended(outcome),
             None if self.cancelled => Status::Ended(Outcome::Cancelled),
-            None if self.progress.begun => Status::Running,
+            None if self.progress.has_begun() => Status::Running,
             None => Status::Queued,
         }
     }
--- a/crates/godwitstep-batch/src/planner/begun.rs
+++ b/crates/godwitstep-batch/src/planner/begun.rs
@@ -22,7 +22,9 @@
         let begun: HashMap<JobId, Duration> = draft
             .open()
             .filter(|(job, _, progress)| {
-                !progress.begun && progress.outcome.is_none() && self.has_begun(*job, progress)
+                !progress.has_begun()
+                    && progress.outcome.is_none()
+                    && self.is_listed(*job, progress)
             })
             .map(|(job, _, _)| (job, self.begun_at.get(&job).copied().unwrap_or(now)))
             .collect();
@@ -36,7 +38,7 @@
     }
 
     /// Returns whether a worker has listed one of a job's placed runs.
-    fn has_begun(&self, job: JobId, progress: &Progress) -> bool {
+    fn is_listed(&self, job: JobId, progress: &Progress) -> bool {
         let mut placed = progress.placed();
         placed.any(|(step, index, task, _)| {
             self.health.was_listed(Task { job, step, index }, task.run)
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -132,7 +132,7 @@
     /// Steps in the order of their indexes; empty for an ended job without placed tasks.
     pub steps: Vec<Step>,
     /// Whether a run of a task is known to have begun. A run that is only placed may still be refused by its worker, or
-    /// never reach it. Set up to a second late; not set by deciders of earlier versions.
+    /// never reach it. Set up to a second late; not set by deciders of earlier versions, see [`Progress::has_begun`].
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub begun: bool,
 }
@@ -177,6 +177,13 @@
             .any(|task| task.run > 0)
     }
 
+    /// Returns whether a run of a task is known to have begun: it is marked, or a run has completed or failed.
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        self.begun || tasks.any(|task| task.failures > 0 || task.state == State::Done)
+    }
+
     /// Returns whether all tasks of the job are done.
     #[must_use]
     pub fn done(&self) -> bool {
--- a/crates/godwitstep-batch/tests/pending.rs
+++ b/crates/godwitstep-batch/tests/pending.rs
@@ -7,6 +7,8 @@
 use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::{EndReason, Refusal, Refused};
 use godwitstep_batch::planner::Planner;
+use godwitstep_batch::progress::{Progress, State};
+use godwitstep_batch::record::Record;
 use simulation::{ROUND_INTERVAL, Simulation, seconds, step};
 
 const NEW_EPOCH: Epoch = 2 << 20;
@@ -84,3 +86,18 @@
     sim.run_for(seconds(1));
     assert_eq!(sim.ledger.pending("normal"), 0, "it has begun before");
 }
+
+/// Guards against jobs that count as pending although a task is done, because a decider of an earlier version has recorded
+/// that, or a late result.
+#[test]
+fn a_job_with_a_done_task_is_not_pending() {
+    let mut sim = Simulation::new(1, 1);
+    let steps = vec![step(2, 1, seconds(20))];
+    let mut progress = Progress::new(&steps);
+    sim.submit(1, "normal", "north", steps);
+    assert_eq!(sim.ledger.pending("normal"), 1);
+    progress.steps[0].tasks[0].run = 1;
+    progress.steps[0].tasks[0].state = State::Done;
+    sim.append(Record::Progressed { job: 1, progress });
+    assert_eq!(sim.ledger.pending("normal"), 0);
+}
