fix(batch): forget the fragments of jobs that are dropped

It forgets a job's number with the record that drops the job, which also deletes them. The test of sizes.rs fails without it.

--- a/crates/godwitstep-batch/src/fragment.rs
+++ b/crates/godwitstep-batch/src/fragment.rs
@@ -136,8 +136,12 @@
         record: Record,
     ) -> Result<Option<(Offset, Record)>, Error> {
         let Record::Fragment(fragment) = record else {
-            if !self.partial.is_empty() {
-                self.partial.remove(&record.key());
+            if !(self.partial.is_empty() && self.counts.is_empty()) {
+                let key = record.key();
+                self.partial.remove(&key);
+                if matches!(record, Record::Dropped { .. }) {
+                    self.counts.remove(&key);
+                }
             }
             return Ok(Some((offset, record)));
         };
--- a/crates/godwitstep-batch/tests/sizes.rs
+++ b/crates/godwitstep-batch/tests/sizes.rs
@@ -100,6 +100,13 @@
     assert_eq!(assembler.leftover(&key, 1), 1..count);
     assembler.deleted(&key, 1);
     assert!(assembler.leftover(&key, 1).is_empty());
+    read(
+        &mut assembler,
+        (0..).zip(fragment::encode(&long, RECORD_BYTES)),
+    );
+    let dropped = Record::Dropped { job: JOB };
+    read(&mut assembler, [(9, (dropped.key(), dropped.encode()))]);
+    assert!(assembler.leftover(&key, 1).is_empty());
 }
 
 /// Guards against a foreign record that counts as the state of a job because it is complete.
