--- a/crates/godwitstep/tests/batch_entry/sizes.rs
+++ b/crates/godwitstep/tests/batch_entry/sizes.rs
@@ -3,7 +3,7 @@
 use super::log::MemoryLog;
 use super::{TIMEOUT, idle_report, job, run, start_entry, start_entry_with, wait_until};
 use godwitstep::batch::entry::{Entry, Verdict};
-use godwitstep::batch::settings::SizeLimits;
+use godwitstep::batch::settings::{Settings, SizeLimits};
 use godwitstep_batch::id::JobId;
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::Status;
@@ -176,3 +176,21 @@
         );
     });
 }
+
+/// Guards against limits in the settings with which no job can be stored.
+#[test]
+fn limits_that_are_too_small_are_rejected() {
+    let parse = |sizes: &str| {
+        let settings = format!(
+            r#"{{"host": "host-1", "domain": "domain-1", "log": "127.0.0.1:1", "agents": "127.0.0.1:1", "sizes": {sizes}}}"#
+        );
+        Settings::parse(&settings).map(|settings| settings.sizes)
+    };
+    assert_eq!(parse("{}").unwrap(), SizeLimits::default());
+    assert!(parse(r#"{"record_bytes": 1024}"#).is_err());
+    assert!(parse(r#"{"append_bytes": 65536}"#).is_err());
+    assert_eq!(
+        parse(r#"{"record_bytes": 16384, "append_bytes": 65536}"#).unwrap(),
+        SMALL
+    );
+}
