refactor(batch): work out once per step which tasks still wait

After the first placement of a step, the planner read the waiting tasks from the draft again and left out the active ones again, although place_waiting leaves exactly those in the step. The share of the pool in use is now worked out only for tasks to which it matters, which suspects are not. The module page of crashes.rs is wrapped.

--- a/crates/godwitstep-batch/src/planner/crashes.rs
+++ b/crates/godwitstep-batch/src/planner/crashes.rs
@@ -6,9 +6,9 @@
 //! the hosts on which it was, as a host may be the cause.
 //!
 //! Most suspects are not the cause, so none waits for such a worker without end. After a [time](super::waits) that grows
-//! with its crashes, a suspect starts beside other jobs' tasks on any host, where the fewest of them are suspects too, so that the cause does
-//! not meet the same tasks again. It still does not join another job's suspect that has just started, and no other job's
-//! task is placed beside it for a while.
+//! with its crashes, a suspect starts beside other jobs' tasks on any host, where the fewest of them are suspects too, so
+//! that the cause does not meet the same tasks again. It still does not join another job's suspect that has just started,
+//! and no other job's task is placed beside it for a while.
 //!
 //! The counts are in the job's record, so a new decider goes on from them. A task that is beside the cause once is
 //! isolated, completes and is cleared.
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -118,9 +118,6 @@
         let overdue = self.overdue(round.now, &pending, state, round.cluster);
         let held_back = self.exclude_headroom(round, urgency, job_state, &mut pending);
         self.place_waiting(round, &mut pending, &run);
-        let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
-        pending.waiting = waiting_tasks(state, gang, neighbours);
-        pending.leave_out_active(round.cluster);
         if pending.waiting.iter().any(|index| overdue.contains(index)) {
             pending.waiting.retain(|index| overdue.contains(index));
             if pending.is_suspect() {
--- a/crates/godwitstep-batch/src/planner/waits.rs
+++ b/crates/godwitstep-batch/src/planner/waits.rs
@@ -56,8 +56,8 @@
         if !suspect && pending.excluded.is_empty() {
             return BTreeSet::new();
         }
-        let idle =
-            used_share(cluster, pending.pool) < BUSY_SHARE && has_room_twice(pending, cluster);
+        let may_end = suspect
+            || (used_share(cluster, pending.pool) < BUSY_SHARE && has_room_twice(pending, cluster));
         let gang = pending.step.gang;
         let mut overdue = BTreeSet::new();
         for &index in &pending.waiting {
@@ -65,7 +65,7 @@
             let is_over = self
                 .waits
                 .is_over(now, pending.task(index), MAX_WAIT * crashes);
-            if is_over && (suspect || idle) {
+            if is_over && may_end {
                 overdue.insert(index);
             }
         }
