refactor(batch): encode a caller's record once

The check of a submission's size encoded it once more than the queue of records, which encoded it for each attempt. A record becomes an item in one place now, which decide.rs and writer.rs each had written out, and its size is worked out there too.

--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -345,7 +345,7 @@
             host: self.settings.host.clone(),
             address: self.settings.agents,
         };
-        let record = Record::Announced(entry);
+        let record = Item::from(&Record::Announced(entry));
         while self.writer.write(&record).await.is_err() {
             smol::Timer::after(Duration::from_millis(500)).await;
         }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -162,7 +162,7 @@
         let record = self.claim(epoch, false);
         let fence = Fence { epoch, sequence: 0 };
         let sent = self.clock.now();
-        let end = match self.log.append(&[to_item(&record)], Some(fence)).await {
+        let end = match self.log.append(&[Item::from(&record)], Some(fence)).await {
             Ok(end) => end,
             Err(error) => {
                 tracing::warn!(epoch, %error, "appending the claim failed");
@@ -315,19 +315,12 @@
             sequence: decider.sequence,
         };
         let release = self.claim(epoch, true);
-        if let Err(error) = self.log.append(&[to_item(&release)], Some(fence)).await {
+        if let Err(error) = self.log.append(&[Item::from(&release)], Some(fence)).await {
             tracing::warn!(epoch, %error, "releasing the claim failed");
         }
     }
 }
 
-fn to_item(record: &Record) -> Item {
-    Item {
-        key: record.key(),
-        value: record.encode(),
-    }
-}
-
 /// Logs a decision and updates its metrics.
 fn log_decision(decision: &Decision, epoch: Epoch, view: &OperatorView) {
     let version = view.policy.version;
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -2,7 +2,7 @@
 
 use super::Entry;
 use super::writer::Error;
-use crate::batch::log::{Log, ReadError, Stream};
+use crate::batch::log::{Item, Log, ReadError, Stream};
 use godwitstep_batch::access::{MAX_COUNT_AGE, MAX_JOBS_AGE};
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{JobId, Offset};
@@ -57,8 +57,8 @@
             );
             return Verdict::Refused;
         }
-        let record = Record::Submitted(job);
-        let size = 1 + record.key().len() + record.encode().len();
+        let record = Item::from(&Record::Submitted(job));
+        let size = record.record_size();
         let verdict = if size > self.settings.sizes.record_bytes {
             Verdict::TooLarge
         } else {
@@ -80,8 +80,8 @@
         let verdict = if cancelled() {
             Verdict::Stored
         } else {
-            self.store(Record::Cancelled { job: id }, time_limit, cancelled)
-                .await
+            let record = Item::from(&Record::Cancelled { job: id });
+            self.store(record, time_limit, cancelled).await
         };
         let remaining = deadline.saturating_sub(self.clock.now());
         let unknown = verdict == Verdict::Stored && !self.may_exist(id, remaining).await;
@@ -123,7 +123,7 @@
     /// Stores a record within `time_limit`. `visible` returns whether the ledger already reflects it.
     async fn store(
         &self,
-        record: Record,
+        record: Item,
         time_limit: Duration,
         visible: impl Fn() -> bool,
     ) -> Verdict {
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -4,7 +4,6 @@
 
 use crate::batch::change_notifier::ChangeNotifier;
 use crate::batch::log::{AppendError, Item};
-use godwitstep_batch::record::Record;
 use smol::channel::{Sender, bounded};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -47,16 +46,12 @@
 
 impl Writer {
     /// Queues a record and waits for the outcome. Refuses it if the queue is full.
-    pub async fn write(&self, record: &Record) -> Result<(), Error> {
+    pub async fn write(&self, item: &Item) -> Result<(), Error> {
         if self.queue.borrow().len() >= MAX_QUEUED_RECORDS {
             return Err(Error::Refused);
         }
-        let item = Item {
-            key: record.key(),
-            value: record.encode(),
-        };
         let (sender, receiver) = bounded(1);
-        self.queue.borrow_mut().push((item, sender));
+        self.queue.borrow_mut().push((item.clone(), sender));
         self.arrivals.notify();
         receiver.recv().await.unwrap_or(Err(Error::Unknown))
     }
--- a/crates/godwitstep/src/batch/log.rs
+++ b/crates/godwitstep/src/batch/log.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use godwitstep_batch::id::{Epoch, Offset};
+use godwitstep_batch::record::Record;
 use std::time::Duration;
 
 /// A partition of the log.
@@ -45,10 +46,26 @@
 }
 
 impl Item {
-    /// Returns the size of the record in an append, with the lengths of the record and its key. Unit: bytes.
+    /// Returns the size of the record, to which the log's limit applies: its key with its length, and its value. Unit:
+    /// bytes.
+    #[must_use]
+    pub fn record_size(&self) -> usize {
+        1 + self.key.len() + self.value.len()
+    }
+
+    /// Returns the size of the record in an append, with its length. Unit: bytes.
     #[must_use]
     pub fn size(&self) -> usize {
-        4 + 1 + self.key.len() + self.value.len()
+        4 + self.record_size()
+    }
+}
+
+impl From<&Record> for Item {
+    fn from(record: &Record) -> Self {
+        Self {
+            key: record.key(),
+            value: record.encode(),
+        }
     }
 }
 
--- a/crates/godwitstep/tests/batch_entry/log.rs
+++ b/crates/godwitstep/tests/batch_entry/log.rs
@@ -83,11 +83,7 @@
 
     /// Appends a record of another process. Returns its offset.
     pub fn push_record(&self, record: &Record) -> Offset {
-        let item = Item {
-            key: record.key(),
-            value: record.encode(),
-        };
-        self.push(Stream::Records, item)
+        self.push(Stream::Records, record.into())
     }
 
     /// Sets whether reads of a stream get no response.
@@ -118,8 +114,9 @@
         } = self.sizes.get();
         let rejected = self.rejected_key.borrow();
         let total: usize = items.iter().map(Item::size).sum();
-        let valid =
-            |item: &Item| item.size() <= 4 + record_bytes && rejected.as_ref() != Some(&item.key);
+        let valid = |item: &Item| {
+            item.record_size() <= record_bytes && rejected.as_ref() != Some(&item.key)
+        };
         total <= append_bytes && items.iter().all(valid)
     }
 
