test(review): show a sound job given up after crashes of its runner

RULES.md, LOST: a job is shown as `failed` without cause; only ends `failed` count as attempts. One of seven runners goes down and up for 6.5 s (srv_flap); the job is shown as failed after three crashes, though no run of it ended `failed`.

--- /dev/null
+++ b/review/standin-2/src/runner.rs
@@ -0,0 +1,357 @@
+//! Stand-in for a runner. It does what PROTOCOL.md says under "Running tasks" and "Service discovery". Its runs never
+//! end `failed`.
+
+use crate::http::{self, Request, Response, Server};
+use crate::record::Record;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Interval between two heartbeats; `heartbeat_ms` of the small deployments.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time within which a heartbeat has to be acknowledged.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest lease that a runner grants; `max_hold_ms` of the small deployments.
+const MAX_LEASE_MS: u64 = 6_000;
+/// Time from a stop to the end of the run; at most `stop_grace_ms`, which is 400 ms.
+const STOP_TIME: Duration = Duration::from_millis(100);
+/// Largest number of ends that are listed at a time.
+const MAX_LISTED_ENDS: usize = 500;
+
+/// What a runner says of itself.
+#[derive(Clone)]
+pub struct Facts {
+    pub id: String,
+    pub zone: String,
+    pub rack: String,
+    /// Where it accepts calls.
+    pub address: SocketAddr,
+    /// Where its machine's agent accepts heartbeats.
+    pub admin: SocketAddr,
+}
+
+struct Run {
+    task: String,
+    attempt: u64,
+    done_at: Instant,
+    /// Number, time and kind of the end.
+    ended: Option<(u64, Instant, &'static str)>,
+}
+
+/// State of one incarnation.
+struct Life {
+    born: u64,
+    started: Instant,
+    sequence: u64,
+    token: u64,
+    lease_end: u64,
+    next_end: u64,
+    forgotten: u64,
+    runs: Vec<Run>,
+    stopped: Vec<(String, u64)>,
+}
+
+impl Life {
+    fn new(born: u64) -> Self {
+        Self {
+            born,
+            started: Instant::now(),
+            sequence: 0,
+            token: 0,
+            lease_end: 0,
+            next_end: 1,
+            forgotten: 0,
+            runs: Vec::new(),
+            stopped: Vec::new(),
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
+
+struct State {
+    life: Life,
+    server: Option<Server>,
+}
+
+/// A runner, which may crash and start again.
+#[derive(Clone)]
+pub struct Runner {
+    pub facts: Facts,
+    record: Record,
+    state: Arc<Mutex<State>>,
+}
+
+impl Runner {
+    pub fn start(facts: Facts, record: Record) -> std::io::Result<Self> {
+        let state = State { life: Life::new(now_ms()), server: None };
+        let runner = Self { facts, record, state: Arc::new(Mutex::new(state)) };
+        runner.come_up()?;
+        let ticking = runner.clone();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(5));
+                ticking.lock().advance(&ticking.record, &ticking.facts.id);
+            }
+        });
+        let beating = runner.clone();
+        std::thread::spawn(move || {
+            let mut last: Option<(u64, Instant)> = None;
+            loop {
+                std::thread::sleep(Duration::from_millis(5));
+                let Some(born) = beating.born() else { continue };
+                let due = last.is_none_or(|(known, at)| known != born || at.elapsed() >= HEARTBEAT_INTERVAL);
+                if due {
+                    last = Some((born, Instant::now()));
+                    beating.beat();
+                }
+            }
+        });
+        Ok(runner)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap()
+    }
+
+    /// Returns the start of the current incarnation; `None` while the runner is down.
+    fn born(&self) -> Option<u64> {
+        let state = self.lock();
+        state.server.is_some().then_some(state.life.born)
+    }
+
+    fn come_up(&self) -> std::io::Result<()> {
+        let runner = self.clone();
+        let server = Server::start(self.facts.address, move |request| runner.handle(&request))?;
+        self.lock().server = Some(server);
+        Ok(())
+    }
+
+    /// Ends the process of the runner: all that runs there ends, and its address refuses connections.
+    pub fn crash(&self) {
+        let server = {
+            let mut state = self.lock();
+            for run in state.life.runs.iter().filter(|run| run.ended.is_none()) {
+                self.record.write(&format!("{}: run {} {} ended by the crash", self.facts.id, run.task, run.attempt));
+            }
+            state.life.runs.clear();
+            state.server.take()
+        };
+        if let Some(mut server) = server {
+            server.stop();
+        }
+        self.record.write(&format!("{}: crashed", self.facts.id));
+    }
+
+    /// Starts a new incarnation under the same id. It knows nothing of before.
+    pub fn restart(&self) -> std::io::Result<()> {
+        {
+            let mut state = self.lock();
+            let born = now_ms().max(state.life.born + 1);
+            state.life = Life::new(born);
+        }
+        self.come_up()?;
+        self.record.write(&format!("{}: started again", self.facts.id));
+        Ok(())
+    }
+
+    /// Returns whether a run of a job is active.
+    pub fn runs(&self, job: &str) -> bool {
+        let state = self.lock();
+        let mut active = state.life.runs.iter().filter(|run| run.ended.is_none());
+        active.any(|run| run.task.starts_with(job))
+    }
+
+    fn beat(&self) {
+        let body = {
+            let mut state = self.lock();
+            state.life.sequence += 1;
+            json!({
+                "backend": "floor", "address": self.facts.address, "zone": self.facts.zone, "version": "v1",
+                "capacity": 8, "state": "ready", "cold_remaining_ms": 0,
+                "free_resources": {"cpu": 64_000, "mem_mb": 262_144, "gpus": 8},
+                "labels": ["a", self.facts.rack], "clock_ms": state.life.clock(),
+                "sequence": state.life.sequence, "born": state.life.born,
+            })
+        };
+        let path = format!("/instances/{}", self.facts.id);
+        // Nobody else would be called: the agent is the only one that serves this runner.
+        let _ = http::call(self.facts.admin, "PUT", &path, &[], &body.to_string(), HEARTBEAT_TIMEOUT);
+    }
+
+    fn handle(&self, request: &Request) -> Option<Response> {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let expected = request.headers.get("x-expect-instance");
+        if expected.is_some_and(|id| *id != self.facts.id) {
+            return Some(Response::new(421, ""));
+        }
+        match request.path.as_str() {
+            "/run-start" => Some(self.start_run(&body)),
+            "/run-stop" => Some(self.stop_run(&body)),
+            "/hold" => self.hold(&body),
+            _ => Some(Response::new(404, "")),
+        }
+    }
+
+    fn start_run(&self, body: &Value) -> Response {
+        let mut state = self.lock();
+        state.advance(&self.record, &self.facts.id);
+        let life = &mut state.life;
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        if !life.accepts(body) {
+            return life.conflict("fence");
+        }
+        if life.runs.iter().any(|run| run.task == task && run.attempt == attempt && run.ended.is_none()) {
+            return life.answer();
+        }
+        let deadline = body["deadline_ms"].as_u64().unwrap_or(0);
+        let ended = life.runs.iter().any(|run| run.task == task && run.ended.is_some() && run.attempt >= attempt);
+        let stopped = life.stopped.iter().any(|(known, last)| *known == task && *last >= attempt);
+        if deadline < life.clock() {
+            return life.conflict("late");
+        }
+        life.extend(deadline);
+        if ended || stopped {
+            return life.conflict("old");
+        }
+        let spec = body["spec"].as_str().unwrap_or_default();
+        let work = spec.strip_prefix("work=").and_then(|text| text.parse().ok()).unwrap_or(1_000);
+        let done_at = Instant::now() + Duration::from_millis(work);
+        self.record.write(&format!("{}: run {task} {attempt} began", self.facts.id));
+        life.runs.push(Run { task, attempt, done_at, ended: None });
+        life.answer()
+    }
+
+    fn stop_run(&self, body: &Value) -> Response {
+        let mut state = self.lock();
+        state.advance(&self.record, &self.facts.id);
+        let life = &mut state.life;
+        if !life.accepts(body) {
+            return life.conflict("fence");
+        }
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let attempt = body["attempt"].as_u64().unwrap_or(0);
+        let number = life.next_end;
+        let mut active = life.runs.iter_mut();
+        if let Some(run) = active.find(|run| run.task == task && run.attempt == attempt && run.ended.is_none()) {
+            run.ended = Some((number, Instant::now() + STOP_TIME, "stopped"));
+            life.next_end += 1;
+            self.record.write(&format!("{}: run {task} {attempt} is being stopped", self.facts.id));
+        }
+        life.stopped.push((task, attempt));
+        life.answer()
+    }
+
+    /// Answers a poll, when a run has ended or `wait_ms` is over. `None` if the runner crashes meanwhile.
+    fn hold(&self, body: &Value) -> Option<Response> {
+        let (born, ends) = {
+            let mut state = self.lock();
+            state.advance(&self.record, &self.facts.id);
+            let life = &mut state.life;
+            if !life.accepts(body) {
+                return Some(life.conflict("fence"));
+            }
+            if let Some(deadline) = body["deadline_ms"].as_u64() {
+                life.extend(deadline);
+            }
+            life.forgotten = life.forgotten.max(body["ack_cursor"].as_u64().unwrap_or(0));
+            (life.born, life.listed_ends())
+        };
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0).min(2_000));
+        let deadline = Instant::now() + wait;
+        loop {
+            {
+                let state = self.lock();
+                if state.server.is_none() || state.life.born != born {
+                    return None;
+                }
+                if state.life.listed_ends() != ends || Instant::now() >= deadline {
+                    return Some(state.life.lists());
+                }
+            }
+            std::thread::sleep(Duration::from_millis(3));
+        }
+    }
+}
+
+impl State {
+    /// Ends the runs that are done and, once the lease has ended, all others.
+    fn advance(&mut self, record: &Record, id: &str) {
+        if self.server.is_none() {
+            return;
+        }
+        let now = Instant::now();
+        let life = &mut self.life;
+        let lapsed = life.clock() > life.lease_end;
+        let mut next = life.next_end;
+        for run in life.runs.iter_mut().filter(|run| run.ended.is_none()) {
+            let how = if run.done_at <= now {
+                "done"
+            } else if lapsed {
+                "lapsed"
+            } else {
+                continue;
+            };
+            run.ended = Some((next, now, how));
+            next += 1;
+            record.write(&format!("{id}: run {} {} ended {how}", run.task, run.attempt));
+        }
+        life.next_end = next;
+    }
+}
+
+impl Life {
+    /// Applies the fencing token of a call. Returns false for a lower one than the highest so far.
+    fn accepts(&mut self, body: &Value) -> bool {
+        let token = body["fencing_token"].as_u64().unwrap_or(0);
+        let accepted = token >= self.token;
+        self.token = self.token.max(token);
+        accepted
+    }
+
+    fn extend(&mut self, deadline: u64) {
+        self.lease_end = self.lease_end.max(deadline.min(self.clock() + MAX_LEASE_MS));
+    }
+
+    fn answer(&self) -> Response {
+        Response::new(200, json!({"clock_ms": self.clock(), "born": self.born}).to_string())
+    }
+
+    fn conflict(&self, reason: &str) -> Response {
+        Response::new(409, json!({"clock_ms": self.clock(), "reason": reason}).to_string())
+    }
+
+    fn listed_ends(&self) -> usize {
+        let now = Instant::now();
+        let listed = |run: &&Run| run.ended.is_some_and(|(number, at, _)| at <= now && number > self.forgotten);
+        self.runs.iter().filter(listed).count()
+    }
+
+    fn lists(&self) -> Response {
+        let now = Instant::now();
+        let mut running = Vec::new();
+        let mut finished = Vec::new();
+        for run in &self.runs {
+            match run.ended {
+                Some((number, at, how)) if at <= now => {
+                    if number > self.forgotten {
+                        finished.push((number, json!([number, run.task, run.attempt, how, ""])));
+                    }
+                }
+                _ => running.push(json!([run.task, run.attempt, "", 0, 0])),
+            }
+        }
+        finished.sort_by_key(|(number, _)| *number);
+        let finished: Vec<Value> = finished.into_iter().take(MAX_LISTED_ENDS).map(|(_, row)| row).collect();
+        let body = json!({"clock_ms": self.clock(), "born": self.born, "running": running, "finished": finished});
+        Response::new(200, body.to_string())
+    }
+}
+
+fn now_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
