test(review): show a job that waits beside reserved idle runners

RULES.md, LOST: for 3 s a job has nothing running although its turn has come and most of the capacity is free. All free runners are reserved for a gang that waits for one more, so that a longer job gets none of them.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -9,6 +9,7 @@
 mod log;
 mod long;
 mod record;
+mod reservation;
 mod runner;
 
 use record::Record;
@@ -33,6 +34,7 @@
         return ExitCode::from(2);
     };
     let verdict = match case.as_str() {
+        "reservation" => reservation::run(&record, trouble),
         "long" => long::run(&record, trouble),
         "cut-gang" => cut_gang::run(&record, trouble),
         "flap" => flap::run(&record, trouble),
