--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,14 +3,15 @@
 
 mod cluster;
 mod cut_gang;
-mod flap;
 mod gang;
 mod http;
 mod log;
 mod long;
 mod record;
-mod reservation;
+mod resubmit;
 mod runner;
+mod shared_id;
+mod watchdog;
 
 use record::Record;
 use std::process::ExitCode;
@@ -33,11 +34,12 @@
         eprintln!("{path} can't be written");
         return ExitCode::from(2);
     };
+    watchdog::start();
     let verdict = match case.as_str() {
-        "reservation" => reservation::run(&record, trouble),
+        "resubmit" => resubmit::run(&record, trouble),
+        "shared-id" => shared_id::run(&record, trouble),
         "long" => long::run(&record, trouble),
         "cut-gang" => cut_gang::run(&record, trouble),
-        "flap" => flap::run(&record, trouble),
         _ => Ok(Verdict::NotRun(format!("no case {case}"))),
     };
     let (code, text) = match verdict {
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -14,7 +14,10 @@
 
 impl Record {
     pub fn create(path: &str) -> std::io::Result<Self> {
-        Ok(Self { file: Arc::new(Mutex::new(File::create(path)?)), started: Instant::now() })
+        Ok(Self {
+            file: Arc::new(Mutex::new(File::create(path)?)),
+            started: Instant::now(),
+        })
     }
 
     pub fn write(&self, line: &str) {
