fix(batch): end a gang's silent member only on evidence

Cause: gang_end_cause took a member whose agent is silent for ended 1.5 s after the end of another member. A worker that is cut off from the others does not learn of that end, so neither the time nor the end of another member shows anything about it. What ended the other member was the stall of the gang, so that the cut alone was enough.

Evidence: the decider's log of the failing run has "stopped: no progress" for both members 2.0 s after the cut, "run ended" how=stopped for the one in reach, and 1.5 s after it how="ended with its gang, agent silent" by a report 4.1 s old. Ruled out by the same lines: a lease that was counted too short (the label would be "agent silent for longer than any lease") and a late start of a run that had ended (run 1 began once, before the cut).

Now the first member of a gang to end ended for another reason than the end of another one. If the worker of each member but one says "another member has ended", the remaining one was the first, and has ended. That is kept in the job's record (broken_run), so it holds for the next decider as well. In every other case the member counts as active until its agent reports or the longest lease of a silent agent is over. A late start that ended in the next incarnation of a crashed worker is no such evidence. The gang resumes from the checkpoint that the reported ends have.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -22,6 +22,7 @@
 
 mod avoid;
 mod begun;
+mod broken;
 mod cluster;
 mod crashes;
 mod directive;
@@ -45,7 +46,7 @@
 use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
-use crate::progress::{self, Crashes, Outcome};
+use crate::progress::{Crashes, Outcome};
 use crate::record::Record;
 use avoid::FailedWorkers;
 use cluster::Cluster;
@@ -223,8 +224,6 @@
     ended_at: HashMap<JobId, Duration>,
     /// When the decider first found records of each job without a submission.
     orphaned_at: HashMap<JobId, Duration>,
-    /// Gang runs of which some members have ended while others are still placed, and since when.
-    broken_gangs: HashMap<(JobId, u16, Run), Duration>,
     /// Runs that are being stopped although their jobs continue.
     stopping: HashSet<(Task, Run)>,
     /// Runs that were found to have ended, as long as the ledger places them: the record is under way to the log. They
@@ -261,7 +260,6 @@
             begun_at: HashMap::new(),
             ended_at: HashMap::new(),
             orphaned_at: HashMap::new(),
-            broken_gangs: HashMap::new(),
             stopping: HashSet::new(),
             ended: HashSet::new(),
             late: LateRuns::default(),
@@ -299,7 +297,6 @@
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
         self.mark_complete_gangs(&draft);
-        self.track_broken_gangs(now, &draft);
         self.record_ends(now, &mut draft, &mut plan);
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
@@ -369,31 +366,6 @@
         }
     }
 
-    /// Tracks gang runs of which some members have ended while others are still placed.
-    fn track_broken_gangs(&mut self, now: Duration, draft: &Draft) {
-        let mut broken_gangs = HashMap::new();
-        for (job, job_state, progress) in draft.open() {
-            for (step, (spec, state)) in (0..).zip(job_state.job.steps.iter().zip(&progress.steps))
-            {
-                let placed = state
-                    .tasks
-                    .iter()
-                    .find(|member| member.placed_on().is_some());
-                let Some(run) = placed.map(|member| member.run).filter(|_| spec.gang) else {
-                    continue;
-                };
-                let ended =
-                    |member: &progress::Task| member.run == run && member.placed_on().is_none();
-                if state.tasks.iter().any(ended) {
-                    let key = (job, step, run);
-                    let since = self.broken_gangs.get(&key).copied().unwrap_or(now);
-                    broken_gangs.insert(key, since);
-                }
-            }
-        }
-        self.broken_gangs = broken_gangs;
-    }
-
     /// Returns how long ago a job was accepted, as far as the decider knows.
     fn age(&self, now: Duration, job: JobId) -> Duration {
         self.accepted_at
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -2,8 +2,7 @@
 
 use super::draft::Draft;
 use super::reports::EndCause;
-use super::{Decision, Plan, Planner, crashes};
-use crate::bounds::WORKER_CLOCK_DRIFT;
+use super::{Decision, Plan, Planner, broken, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Job;
 use crate::message::{EndReason, Refusal};
@@ -21,16 +20,12 @@
         .any(|task| task.failures >= attempts)
 }
 
-/// Time after the first end of a member of a gang that has run within which all other members end and every reachable
-/// agent reports so.
-const GANG_END_WINDOW: Duration = Duration::from_millis(1_500);
-
 /// A run that has ended.
-struct EndedRun {
-    task: Task,
-    run: Run,
-    incarnation: Incarnation,
-    cause: EndCause,
+pub(super) struct EndedRun {
+    pub task: Task,
+    pub run: Run,
+    pub incarnation: Incarnation,
+    pub cause: EndCause,
 }
 
 impl Planner {
@@ -52,16 +47,14 @@
 
     fn ends(&self, now: Duration, draft: &Draft) -> Vec<EndedRun> {
         let mut ends = Vec::new();
-        for (job, job_state, progress) in draft.open() {
+        for (job, _, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
                 let task = Task { job, step, index };
-                let gang = job_state.job.steps[usize::from(step)].gang;
+                let state = &progress.steps[usize::from(step)];
                 let cause = self
                     .reports
                     .end_cause(now, incarnation, task, placed.run)
-                    .or_else(|| {
-                        gang.then(|| self.gang_end_cause(now, incarnation, task, placed.run))?
-                    });
+                    .or_else(|| self.broken_end_cause(now, state, index, placed.run, incarnation));
                 if let Some(cause) = cause {
                     ends.push(EndedRun {
                         task,
@@ -75,28 +68,6 @@
         ends
     }
 
-    /// Returns the end of a gang member whose agent is silent while other members have ended. If all members were
-    /// present at some time, they end shortly after one another. Otherwise this one ends after waiting for the others.
-    fn gang_end_cause(
-        &self,
-        now: Duration,
-        incarnation: &Incarnation,
-        task: Task,
-        run: Run,
-    ) -> Option<EndCause> {
-        let broken_since = *self.broken_gangs.get(&(task.job, task.step, run))?;
-        let ends_together = now >= broken_since + GANG_END_WINDOW;
-        let longest_wait = self
-            .bounds
-            .gang_start_timeout
-            .mul_f64(1.0 + 2.0 * WORKER_CLOCK_DRIFT)
-            + self.bounds.max_stop_time;
-        // A run starts before it is first listed.
-        let ends_alone = self.health.elapsed(now, task, run)? > longest_wait;
-        (ends_together && ends_alone && self.reports.is_stale(now, &incarnation.host))
-            .then_some(EndCause::GangEnded)
-    }
-
     /// Applies an end. Returns a decision if it counts as a crash.
     fn apply_end(&mut self, now: Duration, draft: &mut Draft, end: &EndedRun) -> Option<Decision> {
         let job_state = draft.ledger().job(end.task.job)?;
@@ -120,6 +91,8 @@
         }
         let saved = match &end.cause {
             EndCause::Reported(_, saved) => saved.clone(),
+            // The ends of the other members have newer checkpoints of the gang.
+            EndCause::BrokeGang => "".into(),
             // A lost run resumes from the checkpoint in its last report.
             _ => self.health.saved(end.task, end.run),
         };
@@ -128,6 +101,9 @@
         let progress = draft.edit(end.task.job);
         progress.begun |= begun;
         let step = progress.steps.get_mut(usize::from(end.task.step))?;
+        if gang {
+            broken::record_end(step, end, self.reports.lists_worker(&end.incarnation));
+        }
         update_step(step, gang, end, &saved);
         let EndCause::WorkerCrashed(evidence) = end.cause else {
             return None;
@@ -276,7 +252,7 @@
         EndCause::Refused(Refusal::Superseded) => "superseded before it began",
         EndCause::Refused(Refusal::Withdrawn) => "withdrawn before it began",
         EndCause::LeaseExpired => "lease ended out of the agent's reach",
-        EndCause::GangEnded => "ended with its gang, agent silent",
+        EndCause::BrokeGang => "ended before its gang, agent silent",
         EndCause::WorkerGone => "worker is gone",
         EndCause::AgentSilent => "agent silent for longer than any lease",
         EndCause::WorkerCrashed(_) => "worker crashed",
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -181,7 +181,7 @@
             EndCause::Reported(..)
             | EndCause::Refused(_)
             | EndCause::LeaseExpired
-            | EndCause::GangEnded
+            | EndCause::BrokeGang
             | EndCause::WorkerGone
             | EndCause::AgentSilent
             | EndCause::WorkerCrashed(_) => {}
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -31,8 +31,8 @@
     Refused(Refusal),
     /// The worker's lease ended while its agent could not reach it.
     LeaseExpired,
-    /// Other members of its gang ended, and it has ended with them or can no longer wait for them.
-    GangEnded,
+    /// Each other member of its gang ended because another one had ended before.
+    BrokeGang,
     /// The worker deregistered or was replaced by another incarnation.
     WorkerGone,
     /// The agent was silent for longer than any lease lasts.
@@ -213,11 +213,19 @@
         })
     }
 
-    /// Returns whether a host's report is too old to show what runs there.
-    pub fn is_stale(&self, now: Duration, host: &str) -> bool {
-        self.hosts
-            .get(host)
-            .is_none_or(|latest| !Self::is_fresh(now.saturating_sub(latest.received_at)))
+    /// Returns whether the agent of a host has been silent for so long that its last report does not show what runs there.
+    pub fn is_silent(&self, now: Duration, host: &str) -> bool {
+        match self.hosts.get(host) {
+            Some(latest) => !Self::is_fresh(now.saturating_sub(latest.received_at)),
+            None => now > self.silence_counted_from,
+        }
+    }
+
+    /// Returns whether the newest report of its host names this incarnation of a worker.
+    pub fn lists_worker(&self, incarnation: &Incarnation) -> bool {
+        let report = self.get(&incarnation.host);
+        let worker = report.and_then(|report| report.worker.as_ref());
+        worker.is_some_and(|worker| worker.info.incarnation == *incarnation)
     }
 
     /// Returns whether an incarnation of a worker is draining.
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -105,12 +105,27 @@
     pub tasks: Vec<Task>,
     /// Last run of the gang that was counted as failed; a run counts once, no matter how many members fail.
     pub failed_run: Run,
+    /// Run of the gang that ended because of a member whose end is not recorded: the worker of each member that has ended
+    /// says that another one had ended before. 0 if there is none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub broken_run: Run,
     /// Crashes by the index of the task. No entry for a task that is done.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<u16, Crashes>,
 }
 
 impl Step {
+    /// Returns whether the gang's run ended because of this member: all others have ended, and only because another one
+    /// had ended before.
+    #[must_use]
+    pub fn broke_gang(&self, index: u16, run: Run) -> bool {
+        let others = (0..).zip(&self.tasks).filter(|(other, _)| *other != index);
+        self.broken_run == run
+            && others
+                .map(|(_, task)| task)
+                .all(|task| task.run == run && task.placed_on().is_none())
+    }
+
     /// Returns whether all tasks of the step are done.
     #[must_use]
     pub fn done(&self) -> bool {
@@ -124,6 +139,11 @@
     }
 }
 
+#[allow(clippy::trivially_copy_pass_by_ref)] // Signature that serde requires.
+const fn is_zero(run: &Run) -> bool {
+    *run == 0
+}
+
 /// Progress of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
@@ -145,8 +165,7 @@
             .iter()
             .map(|step| Step {
                 tasks: vec![Task::default(); usize::from(step.tasks)],
-                failed_run: 0,
-                crashes: BTreeMap::new(),
+                ..Step::default()
             })
             .collect();
         Self {
