fix(batch): count failures of a gang that show after its restart

Cause: the end of a silent member that is inferred from the others has no reason. The task was no longer placed there when the agent reported the end, so the end was acknowledged and not counted. Ends that are inferred from the longest lease don't have this fault: an end is not taken note of once the lease has lapsed.

Now the job's record keeps such ends as unexplained until a report shows how the run ended, or the lease is over, or no report has shown it for as long as a lease can last. Until then the worker's end is not acknowledged, and the gang starts again only if attempts are left even if each of these runs has failed. A late failure counts once, a late crash of the worker as any other; the job never fails for an end that is not known.

A line "end of a run explained" says how.

Tests: a_failure_that_is_reported_after_the_gang_was_started_again_counts and the_last_attempt_waits_for_ends_that_are_not_known failed before; ends_that_never_show_do_not_fail_the_job guards against the opposite and passed before. The tests of records cover the new fields.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -121,6 +121,17 @@
         /// Newest report of the run's host when the run was found to have ended; `None` if there is none.
         report: Option<ReportSummary>,
     },
+    /// An agent that was silent has shown how a run ended, or can't any more.
+    Explained {
+        /// Task concerned.
+        task: Task,
+        /// Run number of the task.
+        run: Run,
+        /// Worker incarnation concerned.
+        incarnation: Incarnation,
+        /// How the run ended, as in [`Decision::Ended`].
+        how: &'static str,
+    },
     /// A worker crashed under a run.
     Crashed {
         /// Task concerned.
@@ -224,6 +235,8 @@
     ended_at: HashMap<JobId, Duration>,
     /// When the decider first found records of each job without a submission.
     orphaned_at: HashMap<JobId, Duration>,
+    /// When this decider first found each run in the ledger whose end is not explained.
+    unexplained_since: HashMap<(Task, Run), Duration>,
     /// Runs that are being stopped although their jobs continue.
     stopping: HashSet<(Task, Run)>,
     /// Runs that were found to have ended, as long as the ledger places them: the record is under way to the log. They
@@ -260,6 +273,7 @@
             begun_at: HashMap::new(),
             ended_at: HashMap::new(),
             orphaned_at: HashMap::new(),
+            unexplained_since: HashMap::new(),
             stopping: HashSet::new(),
             ended: HashSet::new(),
             late: LateRuns::default(),
@@ -297,6 +311,7 @@
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
         self.mark_complete_gangs(&draft);
+        self.explain_ends(now, &mut draft, &mut plan);
         self.record_ends(now, &mut draft, &mut plan);
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -290,5 +290,10 @@
     let unrecorded_result = end.how == EndReason::Done
         && task.state != State::Done
         && job_state.progress.outcome.is_none();
-    !placed && !unrecorded_result
+    let incarnation = &worker.info.incarnation;
+    let steps = &job_state.progress.steps;
+    let unexplained = steps
+        .get(usize::from(end.task.step))
+        .is_some_and(|step| step.is_unexplained(end.task.index, end.run, incarnation));
+    !placed && !unrecorded_result && !unexplained
 }
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -105,19 +105,7 @@
             broken::record_end(step, end, self.reports.lists_worker(&end.incarnation));
         }
         update_step(step, gang, end, &saved);
-        let EndCause::WorkerCrashed(evidence) = end.cause else {
-            return None;
-        };
-        let counted = crashes::count(step, end.task.index, &end.incarnation.host, evidence);
-        Some(Decision::Crashed {
-            task: end.task,
-            run: end.run,
-            incarnation: end.incarnation.clone(),
-            alone: evidence.alone,
-            prompt: evidence.prompt,
-            given_up: crashes::given_up(progress),
-            crashes: counted,
-        })
+        count_crash(progress, end)
     }
 
     /// Records results of runs that were already considered lost. If a replacement run was started
@@ -173,6 +161,24 @@
     }
 }
 
+/// Counts the crash that ended a run, if it was one. Returns the decision for the log.
+pub(super) fn count_crash(progress: &mut Progress, end: &EndedRun) -> Option<Decision> {
+    let EndCause::WorkerCrashed(evidence) = end.cause else {
+        return None;
+    };
+    let step = progress.steps.get_mut(usize::from(end.task.step))?;
+    let counted = crashes::count(step, end.task.index, &end.incarnation.host, evidence);
+    Some(Decision::Crashed {
+        task: end.task,
+        run: end.run,
+        incarnation: end.incarnation.clone(),
+        alone: evidence.alone,
+        prompt: evidence.prompt,
+        given_up: crashes::given_up(progress),
+        crashes: counted,
+    })
+}
+
 fn update_step(step: &mut Step, gang: bool, end: &EndedRun, saved: &Arc<str>) {
     let index = usize::from(end.task.index);
     let cause = &end.cause;
@@ -221,6 +227,7 @@
         }
     }
     crashes::clear(step, gang, index);
+    step.unexplained.clear();
 }
 
 /// Counts a failed run. A failed run of a gang counts once, on the first member.
@@ -238,7 +245,7 @@
 }
 
 /// Returns the text for logs and for the `how` metric label.
-const fn cause_label(cause: &EndCause) -> &'static str {
+pub(super) const fn cause_label(cause: &EndCause) -> &'static str {
     match cause {
         EndCause::Reported(EndReason::Done, _) => "done",
         EndCause::Reported(EndReason::Failed, _) => "failed",
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -7,7 +7,7 @@
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
 use super::order::{self, Urgency};
-use super::{Decision, OperatorView, Planner, Round, crashes};
+use super::{Decision, OperatorView, Planner, Round, broken, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -295,6 +295,7 @@
             let ready = step.depends_on.iter().all(done);
             let is_waiting = if step.gang {
                 state.tasks.iter().all(|task| task.state == State::Waiting)
+                    && broken::has_attempts_left(&job_state.job, state)
             } else {
                 state.tasks.iter().any(|task| task.state == State::Waiting)
             };
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -98,6 +98,19 @@
     pub hosts: BTreeSet<Host>,
 }
 
+/// A run of a gang's member that is known to have ended, but not how. It may have failed, which counts once its worker
+/// lists the end.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UnexplainedEnd {
+    /// Index of the member.
+    pub index: u16,
+    /// Number of the run.
+    pub run: Run,
+    /// Incarnation of the worker that ran it.
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
+}
+
 /// Progress of a step.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -109,6 +122,9 @@
     /// says that another one had ended before. 0 if there is none.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub broken_run: Run,
+    /// Ends of the gang that are not explained: at most one for each run, and no more than the queue allows attempts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unexplained: Vec<UnexplainedEnd>,
     /// Crashes by the index of the task. No entry for a task that is done.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<u16, Crashes>,
@@ -126,6 +142,13 @@
                 .all(|task| task.run == run && task.placed_on().is_none())
     }
 
+    /// Returns whether it is not known how a run on an incarnation of a worker ended.
+    #[must_use]
+    pub fn is_unexplained(&self, index: u16, run: Run, incarnation: &Incarnation) -> bool {
+        let mut ends = self.unexplained.iter();
+        ends.any(|end| (end.index, end.run, &end.incarnation) == (index, run, incarnation))
+    }
+
     /// Returns whether all tasks of the step are done.
     #[must_use]
     pub fn done(&self) -> bool {
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -189,8 +189,9 @@
     let numbers = steps.iter().flat_map(|step| {
         let tasks = step.tasks.iter().flat_map(|task| [task.run, task.failures]);
         let crashes = step.crashes.values().map(|crashes| crashes.count);
+        let unexplained = step.unexplained.iter().map(|end| end.run);
         let gang = [step.failed_run, step.broken_run];
-        tasks.chain(crashes).chain(gang)
+        tasks.chain(crashes).chain(unexplained).chain(gang)
     });
     match numbers.max() {
         Some(highest) if highest > MAX_RUN => {
--- a/crates/godwitstep-batch/tests/broken_gangs.rs
+++ b/crates/godwitstep-batch/tests/broken_gangs.rs
@@ -3,11 +3,13 @@
 mod simulation;
 
 use godwitstep_batch::bounds::Bounds;
-use godwitstep_batch::id::Run;
+use godwitstep_batch::id::{Run, Task};
 use godwitstep_batch::job::Step;
+use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::EndReason;
 use godwitstep_batch::planner::{Decision, Planner};
-use simulation::{ROUND_INTERVAL, Simulation, gang, seconds};
+use godwitstep_batch::progress::Outcome;
+use simulation::{COMPLETED, ROUND_INTERVAL, Simulation, gang, seconds};
 use std::time::Duration;
 
 const JOB: u64 = 1;
@@ -224,6 +226,109 @@
     }
 }
 
+/// Loses the machine of a member, which has ended meanwhile, with the gang, and waits until the gang is started again.
+fn fail_behind_silence(sim: &mut Simulation) -> (String, Task, Run) {
+    let hosts = sim.hosts_running(JOB);
+    let silent = sim.hosts.get_mut(&hosts[0]).unwrap();
+    silent.reachable = false;
+    let member = silent.worker.running[0].clone();
+    end(sim, &hosts[0], EndReason::Failed);
+    for host in &hosts[1..] {
+        end(sim, host, EndReason::GangEnded);
+    }
+    (hosts[0].clone(), member.task, member.run)
+}
+
+/// Guards against a failed run that is not counted, because the gang was started again before the agent of the member that
+/// failed reported its end (review/4).
+#[test]
+fn a_failure_that_is_reported_after_the_gang_was_started_again_counts() {
+    for new_decider in [false, true] {
+        let (mut sim, _) = running_gang(2);
+        // Two of three attempts.
+        for attempt in 1..3 {
+            let (host, task, run) = fail_behind_silence(&mut sim);
+            time_to_restart(&mut sim);
+            sim.run_for(ROUND_INTERVAL * 3);
+            if new_decider {
+                replace_decider(&mut sim);
+            }
+            let silent = sim.hosts.get_mut(&host).unwrap();
+            assert!(!silent.worker.ended.is_empty());
+            silent.reachable = true;
+            sim.run_for(seconds(1));
+            let silent = sim.hosts.get_mut(&host).unwrap();
+            let listed =
+                |end: &&godwitstep_batch::message::Ended| (end.task, end.run) == (task, run);
+            assert!(
+                !silent.worker.ended.iter().any(|end| listed(&end)),
+                "not acknowledged"
+            );
+            let progress = &sim.ledger.job(JOB).unwrap().progress;
+            assert_eq!(progress.steps[0].tasks[0].failures, attempt);
+        }
+        assert_eq!(run(&sim), 3);
+        let hosts = sim.hosts_running(JOB);
+        end(&mut sim, &hosts[0], EndReason::Failed);
+        sim.run_for(seconds(1));
+        assert_eq!(sim.status(JOB), Some(Status::Ended(Outcome::Failed)));
+    }
+}
+
+/// Guards against more starts than attempts: the last attempt waits until it is known whether an earlier one has failed.
+#[test]
+fn the_last_attempt_waits_for_ends_that_are_not_known() {
+    for failed in [true, false] {
+        let (mut sim, _) = running_gang(2);
+        for _ in 0..2 {
+            fail_behind_silence(&mut sim);
+            time_to_restart(&mut sim);
+            sim.run_for(ROUND_INTERVAL * 3);
+        }
+        let (host, task, run_number) = fail_behind_silence(&mut sim);
+        sim.run_for(seconds(5));
+        assert_eq!(
+            run(&sim),
+            3,
+            "started although all attempts may have failed"
+        );
+        let silent = sim.hosts.get_mut(&host).unwrap();
+        if !failed {
+            // The end was a lapse of the lease, which is no failure.
+            for end in &mut silent.worker.ended {
+                if (end.task, end.run) == (task, run_number) {
+                    end.how = EndReason::LeaseExpired;
+                }
+            }
+        }
+        silent.reachable = true;
+        sim.run_for(seconds(1));
+        assert_eq!(run(&sim), if failed { 3 } else { 4 });
+    }
+}
+
+/// Guards against a job that fails because of ends that nobody knows, and against one that never starts again because of
+/// them.
+#[test]
+fn ends_that_never_show_do_not_fail_the_job() {
+    let (mut sim, _) = running_gang(2);
+    for _ in 0..3 {
+        let (host, ..) = fail_behind_silence(&mut sim);
+        sim.hosts.get_mut(&host).unwrap().restart_worker();
+        let time = time_to_restart(&mut sim);
+        assert!(
+            time < Bounds::default().agent_timeout() + seconds(1),
+            "{time:?}"
+        );
+        sim.run_for(seconds(1));
+    }
+    let progress = &sim.ledger.job(JOB).unwrap().progress;
+    assert_eq!(progress.outcome, None);
+    assert_eq!(progress.steps[0].tasks[0].failures, 0);
+    sim.run_for(seconds(62));
+    assert_eq!(sim.status(JOB), COMPLETED);
+}
+
 /// Guards against lost work: the gang resumes from the checkpoint that its members ended with, not from the older one in
 /// the last report of the silent agent.
 #[test]
--- a/crates/godwitstep-batch/tests/crashes.rs
+++ b/crates/godwitstep-batch/tests/crashes.rs
@@ -3,12 +3,12 @@
 mod simulation;
 
 use godwitstep_batch::bounds::Bounds;
-use godwitstep_batch::id::{JobId, Run, Task};
+use godwitstep_batch::id::{Incarnation, JobId, Run, Task};
 use godwitstep_batch::job::Step;
 use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::{CrashedRun, EndReason};
 use godwitstep_batch::planner::{Decision, Planner};
-use godwitstep_batch::progress::{self, Crashes, Outcome, Progress};
+use godwitstep_batch::progress::{self, Crashes, Outcome, Progress, UnexplainedEnd};
 use serde::{Deserialize, Serialize};
 use simulation::{COMPLETED, Simulation, gang, seconds, step};
 use std::collections::BTreeSet;
@@ -477,6 +477,16 @@
         ..Crashes::default()
     };
     progress.steps[0].crashes.insert(1, crashes);
+    progress.steps[0].broken_run = 3;
+    progress.steps[0].unexplained.push(UnexplainedEnd {
+        index: 1,
+        run: 2,
+        incarnation: Incarnation {
+            host: "host-1".into(),
+            worker: "worker-1".into(),
+            started_ms: 1,
+        },
+    });
     bytes.clear();
     ciborium::into_writer(&progress.steps[0], &mut bytes).unwrap();
     let read: EarlierStep = ciborium::from_reader(&bytes[..]).unwrap();
--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -6,7 +6,7 @@
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::message::{self, Directive, Records, Reply, Report, Tail, TailRequest};
 use godwitstep_batch::policy::Queue;
-use godwitstep_batch::progress::{Outcome, Progress, State};
+use godwitstep_batch::progress::{Outcome, Progress, State, UnexplainedEnd};
 use godwitstep_batch::record::{Announcement, Claim, Record};
 use std::time::Duration;
 
@@ -224,7 +224,7 @@
 /// Guards against a planner that ends on the number of the run after the last possible one.
 #[test]
 fn progress_with_numbers_at_the_top_of_their_range_is_rejected() {
-    let usable_with = |run, failures, failed_run| {
+    let usable_with = |run, failures, failed_run, broken_run, unexplained_run| {
         let mut progress = Progress::new(&[Step::default()]);
         progress.steps[0].tasks[0].run = run;
         progress.steps[0].tasks[0].failures = failures;
@@ -234,18 +234,26 @@
             worker: "i-0".into(),
             started_ms: 5,
         };
+        progress.steps[0].broken_run = broken_run;
+        progress.steps[0].unexplained.push(UnexplainedEnd {
+            index: 0,
+            run: unexplained_run,
+            incarnation: incarnation.clone(),
+        });
         progress.steps[0].tasks[0].state = State::Placed(incarnation);
         usable(&Record::Progressed { job: 7, progress })
     };
-    assert!(usable_with(9, 2, 7));
+    assert!(usable_with(9, 2, 7, 8, 6));
     let max = u32::MAX;
     assert_eq!(
         [
-            usable_with(max, 0, 0),
-            usable_with(1, max, 0),
-            usable_with(1, 0, max)
+            usable_with(max, 0, 0, 0, 1),
+            usable_with(1, max, 0, 0, 1),
+            usable_with(1, 0, max, 0, 1),
+            usable_with(1, 0, 0, max, 1),
+            usable_with(1, 0, 0, 0, max),
         ],
-        [false; 3]
+        [false; 5]
     );
     let tasks = Progress::new(&vec![
         Step {
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -354,6 +354,14 @@
                 other.map(|worker| worker.map_or_else(|| "none".to_owned(), ToString::to_string));
             tracing::info!(%task, run, worker = %incarnation, how, epoch, report = sequence, report_ms, report_epoch, reported, "run ended");
         }
+        Decision::Explained {
+            task,
+            run,
+            incarnation,
+            how,
+        } => {
+            tracing::info!(%task, run, worker = %incarnation, how, epoch, "end of a run explained");
+        }
         Decision::Crashed {
             task,
             run,
