fix(batch): keep a leaving worker that has restarted under its name

Its agent probed it, another incarnation answered, and the agent reported the worker as gone. The decider ended the run and placed the task elsewhere 0.4 s after its start, while the next incarnation worked on it.

Cause: for a worker that leaves, an answer of another incarnation at its address counted as the end of all that was started there. One with another name refuses calls that name this worker; one with the same name carries out late starts.

The client of the worker now tells these answers apart.

Tests: both new ones in leaving.rs failed with the former conditions.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -285,7 +285,10 @@
             self.fence.raise();
         }
         session.failed_polls += 1;
-        if matches!(contact, Contact::OtherLife) && !session.absent && self.candidates.is_empty() {
+        if matches!(contact, Contact::OtherLife | Contact::Restarted)
+            && !session.absent
+            && self.candidates.is_empty()
+        {
             // Fences off late calls at the incarnation that has answered, before its registration arrives.
             session.probe_at = Some(now);
         }
--- a/crates/godwitstep-batch/src/agent/crash.rs
+++ b/crates/godwitstep-batch/src/agent/crash.rs
@@ -89,7 +89,10 @@
             .map(|(key, _)| *key);
         let unlisted: Vec<RunKey> = begun.chain(in_doubt).collect();
         if let Some(session) = &mut self.session {
-            let absent = matches!(contact, Contact::OtherLife | Contact::Refused);
+            let absent = matches!(
+                contact,
+                Contact::OtherLife | Contact::Restarted | Contact::Refused
+            );
             session.lose(now, absent, &unlisted);
         }
     }
--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -3,8 +3,8 @@
 //! A registered incarnation takes over once the processes themselves have shown that it is the host's worker:
 //!
 //! * It has answered a poll as the incarnation that it claims to be.
-//! * The current worker is gone: the other one answers at its address, its address refuses connections or answers as
-//!   another incarnation, or its lease has expired.
+//! * The current worker is gone: the other one answers at its address, its address refuses connections or answers under
+//!   another name, or its lease has expired.
 //!
 //! A process of the agent that has no worker yet takes the first one that answers. One that lists no active run has to
 //! wait, however, while another one that has registered at another address may be alive and hold a lease that an earlier
@@ -14,7 +14,8 @@
 //! other one registered, that registration is dropped.
 //!
 //! A worker that deregisters gets no new runs, but is the host's worker until its address refuses connections or answers
-//! as another incarnation, or its lease has expired. The message may be late, and its sender goes on for some seconds if
+//! under another name, or its lease has expired. If another incarnation with its name answers, that one may run starts that
+//! were meant for this one, so it has to take over and list its runs, or no such start can run any more. The message may be late, and its sender goes on for some seconds if
 //! the acknowledgement is lost.
 
 use super::candidate::Candidate;
@@ -56,8 +57,11 @@
 pub enum Contact {
     /// It answered with its lists of runs.
     Lists(RunLists),
-    /// Another incarnation answered at its address.
+    /// A worker with another name answered at its address.
     OtherLife,
+    /// Another incarnation with its name answered at its address. That one carries out starts that arrive late, although
+    /// they were meant for this one.
+    Restarted,
     /// Its address refused the connection.
     Refused,
     /// There was no usable answer.
@@ -209,7 +213,7 @@
                 self.deregistered = Some((now, incarnation.clone()));
                 Transition::Left(incarnation.clone())
             }
-            Contact::OtherLife | Contact::Refused => {
+            Contact::OtherLife | Contact::Restarted | Contact::Refused => {
                 self.candidates.note_absence(incarnation);
                 self.candidates.retry(now, incarnation);
                 Transition::Unchanged
@@ -258,7 +262,7 @@
         // With equal names only the start in the answer tells the two apart.
         let identified = incarnation.worker != session.incarnation().worker
             || lists.started_ms == Some(incarnation.started_ms);
-        let gone = probe.address == session.address || session.absent || session.is_gone(now);
+        let gone = probe.address == session.address || session.has_left(now);
         identified && gone
     }
 
@@ -326,11 +330,15 @@
         let Some(session) = &mut self.session else {
             return Transition::Unchanged;
         };
+        if matches!(contact, Contact::Restarted) {
+            let late_starts_end = now + self.bounds.max_lease_duration() * 2;
+            session.late_starts_end.get_or_insert(late_starts_end);
+        }
         if session.leaving_since.is_none() {
             return Transition::Unchanged;
         }
         session.probe_at = Some(now);
-        if session.absent || session.is_gone(now) {
+        if session.has_left(now) {
             self.leave(now)
         } else {
             Transition::Unchanged
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -116,6 +116,9 @@
     /// Whether, since the worker's last answer, its address has refused a connection or answered as another
     /// incarnation.
     pub absent: bool,
+    /// Time until which the next incarnation with the worker's name, which has answered in its place, may run a start that
+    /// was meant for this one; `None` if none has answered.
+    pub late_starts_end: Option<Duration>,
     /// When the worker last answered any call.
     pub contact_at: Duration,
     /// What ran when the polls began to fail; `None` after an answer.
@@ -158,6 +161,7 @@
             acknowledgeable: lists.acknowledgeable,
             failed_polls: 0,
             absent: false,
+            late_starts_end: None,
             contact_at: now,
             loss: None,
             leaving_since: None,
@@ -195,6 +199,7 @@
     pub fn answered(&mut self, now: Duration, requested: Duration) {
         self.last_answered = self.last_answered.max(requested);
         self.absent = false;
+        self.late_starts_end = None;
         self.contact_at = now;
         self.loss = None;
     }
@@ -217,7 +222,13 @@
 
     /// Returns whether the worker does not answer and nothing runs there any more.
     pub fn is_gone(&self, now: Duration) -> bool {
-        self.is_unreachable() && self.has_lease_expired(now)
+        let late_starts_ended = self.late_starts_end.is_none_or(|end| now >= end);
+        self.is_unreachable() && self.has_lease_expired(now) && late_starts_ended
+    }
+
+    /// Returns whether the worker's process has ended and no next one with its name can run what was meant for it.
+    pub fn has_left(&self, now: Duration) -> bool {
+        (self.absent && self.late_starts_end.is_none()) || self.is_gone(now)
     }
 
     /// Returns whether the worker can be reached.
--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -4,7 +4,9 @@
 use godwitstep_batch::bounds::Bounds;
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::{Epoch, Incarnation, Task};
-use godwitstep_batch::message::{Directive, Report, Running, Start, Worker, WorkerInfo};
+use godwitstep_batch::message::{
+    Directive, Reachability, Report, Running, Start, Worker, WorkerInfo,
+};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -166,6 +168,51 @@
     }
 }
 
+/// Guards against two runs of one task: a worker that has deregistered and restarted under its name counted as gone with
+/// its runs, while the next incarnation worked on a start that was meant for it (soak, seed 9550).
+#[test]
+fn a_deregistered_worker_that_has_restarted_under_its_name_is_not_gone() {
+    let mut agent = leaving_agent();
+    let transition = answer_probe(&mut agent, millis(110), Contact::Restarted);
+    assert_eq!(transition, Transition::Unchanged);
+    let transition = answer_poll(&mut agent, millis(120), Contact::Restarted);
+    assert_eq!(transition, Transition::Unchanged);
+    // The next incarnation takes over and lists what it runs.
+    register(&mut agent, millis(900), 51, false);
+    let transition = answer_probe(&mut agent, millis(900), Contact::Lists(lists(51)));
+    let previous = Some(incarnation(50));
+    assert_eq!(transition, Transition::Started { previous });
+    let report = agent.report(millis(901), false);
+    assert_eq!(report.deregistered, None);
+    let worker = reported_worker(report);
+    assert_eq!(worker.info.incarnation, incarnation(51));
+    assert_eq!(worker.running.len(), 1);
+}
+
+/// Guards against the same where the next incarnation sends no heartbeats: its runs count as over only once no late start
+/// can run any more.
+#[test]
+fn a_restarted_worker_that_never_registers_is_gone_once_no_late_start_can_run() {
+    let late_starts_end = Bounds::default().max_lease_duration() * 2;
+    let mut agent = leaving_agent();
+    let mut now = millis(100);
+    loop {
+        now += millis(100);
+        assert!(now < millis(20_000), "its end shows");
+        let report = agent.report(now, false);
+        let worker = report.worker.as_ref().expect("the worker is reported");
+        let over = worker.reachability == Reachability::LeaseExpired;
+        assert!(!over || now > late_starts_end, "{now:?}");
+        agent.apply_directive(now, reply(report));
+        let transition = answer_poll(&mut agent, now, Contact::Restarted);
+        if transition != Transition::Unchanged {
+            assert_gone(&mut agent, now, &transition);
+            break;
+        }
+    }
+    assert!(now > late_starts_end, "{now:?}");
+}
+
 /// Guards against a silent worker that counts as gone before its lease has expired, or never.
 #[test]
 fn a_deregistered_worker_that_is_silent_is_gone_once_its_lease_has_expired() {
--- a/crates/godwitstep/src/batch/worker.rs
+++ b/crates/godwitstep/src/batch/worker.rs
@@ -10,8 +10,10 @@
     Lists(RunLists),
     /// The worker has received a higher fencing token.
     Fenced,
-    /// Another incarnation of the worker answered.
+    /// A worker with another name answered.
     OtherLife,
+    /// Another incarnation of the worker with the same name answered.
+    Restarted,
     /// The worker's address refused the connection.
     Refused,
     /// The worker returned no usable answer, for this reason.
@@ -23,6 +25,7 @@
         match result {
             PollResult::Lists(lists) => Self::Lists(lists),
             PollResult::OtherLife => Self::OtherLife,
+            PollResult::Restarted => Self::Restarted,
             PollResult::Refused => Self::Refused,
             PollResult::Fenced | PollResult::Unanswered(_) => Self::Unanswered,
         }
