fix(batch): send nothing to the next incarnation of a restarted worker

Polls of a worker that has restarted carry neither a lease nor an acknowledgement, and no start is sent while the worker's address refuses connections or answers as another incarnation.

On the platform a new connection is checked before any call (platform/worker.rs), so this needs a connection that outlives its process, as the stand-in's do. The state machine no longer relies on the client for it.

Tests in leaving.rs: nothing_is_started_on_a_worker_that_has_restarted and the added lines of a_deregistered_worker_that_has_restarted_under_its_name_is_not_gone failed before.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -207,14 +207,16 @@
             return None;
         }
         let session = self.session.as_mut()?;
+        // The next incarnation with the worker's name would apply what is meant for this one.
+        let restarted = session.late_starts_end.is_some();
         // The lease of a worker that may be gone is left to expire, as the last evidence that it is.
-        let renew = renew && !session.is_unreachable();
+        let renew = renew && !restarted && !session.is_unreachable();
         let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
             incarnation: session.incarnation().clone(),
             token: self.fence.token(),
-            recorded: session.acknowledged(),
+            recorded: if restarted { 0 } else { session.acknowledged() },
             deadline,
             wait: !session.has_unrecorded_ends(),
         })
--- a/crates/godwitstep-batch/src/agent/order.rs
+++ b/crates/godwitstep-batch/src/agent/order.rs
@@ -68,8 +68,9 @@
         };
         let clock = session.clock(now);
         let deadline = clock.saturating_add(millis(START_TTL));
-        // A start on a worker that does not answer could extend the lease whose end shows that nothing runs there.
-        let accepts_starts = !session.draining() && !session.is_unreachable();
+        // A start on a worker that does not answer could extend the lease whose end shows that nothing runs there, and one
+        // on a worker that has restarted could be carried out by its next incarnation.
+        let accepts_starts = !session.draining() && !session.absent && !session.is_unreachable();
         let mut calls = Vec::new();
         for (key, pending) in &mut self.pending {
             let may_fit = pending.order > session.larger_room_through;
--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -177,6 +177,9 @@
     assert_eq!(transition, Transition::Unchanged);
     let transition = answer_poll(&mut agent, millis(120), Contact::Restarted);
     assert_eq!(transition, Transition::Unchanged);
+    // What is meant for the worker must not reach the next incarnation.
+    let request = agent.lease_request(millis(130)).expect("it is polled");
+    assert_eq!((request.deadline, request.recorded), (None, 0));
     // The next incarnation takes over and lists what it runs.
     register(&mut agent, millis(900), 51, false);
     let transition = answer_probe(&mut agent, millis(900), Contact::Lists(lists(51)));
@@ -189,8 +192,23 @@
     assert_eq!(worker.running.len(), 1);
 }
 
-/// Guards against the same where the next incarnation sends no heartbeats: its runs count as over only once no late start
-/// can run any more.
+/// Guards against a start that the next incarnation of a worker carries out, sent although the worker is known to have
+/// restarted (soak, seed 9550).
+#[test]
+fn nothing_is_started_on_a_worker_that_has_restarted() {
+    let mut agent = Agent::new(Duration::ZERO, "host-1".into(), 1, Bounds::default());
+    deliver(&mut agent, Duration::ZERO);
+    register(&mut agent, Duration::ZERO, 50, false);
+    answer_probe(&mut agent, Duration::ZERO, Contact::Lists(lists(50)));
+    answer_poll(&mut agent, millis(100), Contact::Restarted);
+    deliver(&mut agent, millis(110));
+    assert_eq!(agent.due_calls(millis(110)), []);
+    answer_poll(&mut agent, millis(300), Contact::Lists(lists(50)));
+    assert_eq!(agent.due_calls(millis(300)).len(), 1);
+}
+
+/// Guards against two runs of one task where the next incarnation of a worker sends no heartbeats: its runs count as over
+/// only once no late start can run any more.
 #[test]
 fn a_restarted_worker_that_never_registers_is_gone_once_no_late_start_can_run() {
     let late_starts_end = Bounds::default().max_lease_duration() * 2;
