--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -14,9 +14,9 @@
 //! other one registered, that registration is dropped.
 //!
 //! A worker that deregisters gets no new runs, but is the host's worker until its address refuses connections or answers
-//! under another name, or its lease has expired. If another incarnation with its name answers, that one may run starts that
-//! were meant for this one, so it has to take over and list its runs, or no such start can run any more. The message may be late, and its sender goes on for some seconds if
-//! the acknowledgement is lost.
+//! under another name, or its lease has expired. The message may be late, and its sender goes on for some seconds if the
+//! acknowledgement is lost. If another incarnation with its name answers, that one may run starts that were meant for this
+//! one. It then has to take over and list its runs, or to be out of reach for as long as such a start can run.
 
 use super::candidate::Candidate;
 use super::session::{Facts, Registration, RunLists, Session};
--- a/crates/godwitstep-batch/src/planner/broken.rs
+++ b/crates/godwitstep-batch/src/planner/broken.rs
@@ -17,7 +17,7 @@
 use crate::id::{Incarnation, Run, Task};
 use crate::job::Job;
 use crate::message::EndReason;
-use crate::progress::{Progress, Step, UnexplainedEnd};
+use crate::progress::{self, Progress, Step};
 use std::time::Duration;
 
 /// Returns whether a gang may be started again even if each run whose end is not explained has failed.
@@ -40,7 +40,7 @@
         step.broken_run = 0;
     }
     if end.cause == EndCause::BrokeGang {
-        step.unexplained.push(UnexplainedEnd {
+        step.unexplained.push(progress::End {
             index: end.task.index,
             run: end.run,
             incarnation: end.incarnation.clone(),
@@ -101,7 +101,7 @@
 }
 
 /// Returns the ends that are not explained, with their tasks.
-fn unexplained_ends<'a>(draft: &'a Draft) -> impl Iterator<Item = (Task, &'a UnexplainedEnd)> {
+fn unexplained_ends<'a>(draft: &'a Draft) -> impl Iterator<Item = (Task, &'a progress::End)> {
     draft.open().flat_map(|(job, _, progress)| {
         (0..).zip(&progress.steps).flat_map(move |(step, state)| {
             state.unexplained.iter().map(move |end| {
--- a/crates/godwitstep-batch/src/progress.rs
+++ b/crates/godwitstep-batch/src/progress.rs
@@ -98,10 +98,9 @@
     pub hosts: BTreeSet<Host>,
 }
 
-/// A run of a gang's member that is known to have ended, but not how. It may have failed, which counts once its worker
-/// lists the end.
+/// End of a run of a gang's member whose cause is not known. It may be a failure, which counts once the worker lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UnexplainedEnd {
+pub struct End {
     /// Index of the member.
     pub index: u16,
     /// Number of the run.
@@ -124,7 +123,7 @@
     pub broken_run: Run,
     /// Ends of the gang that are not explained: at most one for each run, and no more than the queue allows attempts.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub unexplained: Vec<UnexplainedEnd>,
+    pub unexplained: Vec<End>,
     /// Crashes by the index of the task. No entry for a task that is done.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub crashes: BTreeMap<u16, Crashes>,
--- a/crates/godwitstep-batch/tests/crashes.rs
+++ b/crates/godwitstep-batch/tests/crashes.rs
@@ -8,7 +8,7 @@
 use godwitstep_batch::ledger::Status;
 use godwitstep_batch::message::{CrashedRun, EndReason};
 use godwitstep_batch::planner::{Decision, Planner};
-use godwitstep_batch::progress::{self, Crashes, Outcome, Progress, UnexplainedEnd};
+use godwitstep_batch::progress::{self, Crashes, Outcome, Progress};
 use serde::{Deserialize, Serialize};
 use simulation::{COMPLETED, Simulation, gang, seconds, step};
 use std::collections::BTreeSet;
@@ -478,7 +478,7 @@
     };
     progress.steps[0].crashes.insert(1, crashes);
     progress.steps[0].broken_run = 3;
-    progress.steps[0].unexplained.push(UnexplainedEnd {
+    progress.steps[0].unexplained.push(progress::End {
         index: 1,
         run: 2,
         incarnation: Incarnation {
--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -6,7 +6,7 @@
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::message::{self, Directive, Records, Reply, Report, Tail, TailRequest};
 use godwitstep_batch::policy::Queue;
-use godwitstep_batch::progress::{Outcome, Progress, State, UnexplainedEnd};
+use godwitstep_batch::progress::{self, Outcome, Progress, State};
 use godwitstep_batch::record::{Announcement, Claim, Record};
 use std::time::Duration;
 
@@ -235,7 +235,7 @@
             started_ms: 5,
         };
         progress.steps[0].broken_run = broken_run;
-        progress.steps[0].unexplained.push(UnexplainedEnd {
+        progress.steps[0].unexplained.push(progress::End {
             index: 0,
             run: unexplained_run,
             incarnation: incarnation.clone(),
