fix(batch): acknowledge nothing in probes of a restarted worker

The rule is now in Session::acknowledged, which both callers use.

Test: a_deregistered_worker_that_has_restarted_under_its_name_is_not_gone now acknowledges ends before the restart and looks at the next probe too; it failed before (5 in place of 0). Its check of the lease request compared 0 with a decider that had acknowledged nothing, so it guarded only the lease.

--- a/crates/godwitstep-batch/src/agent.rs
+++ b/crates/godwitstep-batch/src/agent.rs
@@ -207,16 +207,15 @@
             return None;
         }
         let session = self.session.as_mut()?;
-        // The next incarnation with the worker's name would apply what is meant for this one.
-        let restarted = session.late_starts_end.is_some();
-        // The lease of a worker that may be gone is left to expire, as the last evidence that it is.
-        let renew = renew && !restarted && !session.is_unreachable();
+        // The lease of a worker that may be gone is left to expire, as the last evidence that it is. The next incarnation
+        // with its name would apply a renewal that is meant for this one.
+        let renew = renew && !session.has_restarted() && !session.is_unreachable();
         let deadline = renew.then(|| session.clock(now).saturating_add(millis(lease)));
         session.extend_lease(deadline);
         Some(LeaseRequest {
             incarnation: session.incarnation().clone(),
             token: self.fence.token(),
-            recorded: if restarted { 0 } else { session.acknowledged() },
+            recorded: session.acknowledged(),
             deadline,
             wait: !session.has_unrecorded_ends(),
         })
--- a/crates/godwitstep-batch/src/agent/session.rs
+++ b/crates/godwitstep-batch/src/agent/session.rs
@@ -226,9 +226,14 @@
         self.is_unreachable() && self.has_lease_expired(now) && late_starts_ended
     }
 
+    /// Returns whether another incarnation with the worker's name has answered in its place.
+    pub const fn has_restarted(&self) -> bool {
+        self.late_starts_end.is_some()
+    }
+
     /// Returns whether the worker's process has ended and no next one with its name can run what was meant for it.
     pub fn has_left(&self, now: Duration) -> bool {
-        (self.absent && self.late_starts_end.is_none()) || self.is_gone(now)
+        (self.absent && !self.has_restarted()) || self.is_gone(now)
     }
 
     /// Returns whether the worker can be reached.
@@ -290,8 +295,12 @@
         self.acknowledgeable.is_some() || self.ended.iter().any(|end| end.number > self.recorded)
     }
 
-    /// Returns the sequence number up to which the worker may forget all ends.
+    /// Returns the sequence number up to which the worker may forget all ends; 0 once it has restarted under its name, as
+    /// the next incarnation would forget its own.
     pub fn acknowledged(&self) -> u64 {
+        if self.has_restarted() {
+            return 0;
+        }
         self.acknowledgeable
             .map_or(self.recorded, |limit| limit.min(self.recorded))
     }
--- a/crates/godwitstep-batch/tests/leaving.rs
+++ b/crates/godwitstep-batch/tests/leaving.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 const EPOCH: Epoch = 1 << 20;
+/// Ends that the decider has recorded.
+const RECORDED: u64 = 5;
 const TASK: Task = Task {
     job: 7,
     step: 0,
@@ -78,6 +80,7 @@
             spec: "spec".into(),
             saved: "".into(),
         }],
+        recorded: RECORDED,
         ..Directive::default()
     }
 }
@@ -173,6 +176,9 @@
 #[test]
 fn a_deregistered_worker_that_has_restarted_under_its_name_is_not_gone() {
     let mut agent = leaving_agent();
+    deliver(&mut agent, millis(105));
+    let request = agent.lease_request(millis(105)).expect("it is polled");
+    assert_eq!(request.recorded, RECORDED);
     let transition = answer_probe(&mut agent, millis(110), Contact::Restarted);
     assert_eq!(transition, Transition::Unchanged);
     let transition = answer_poll(&mut agent, millis(120), Contact::Restarted);
@@ -180,6 +186,11 @@
     // What is meant for the worker must not reach the next incarnation.
     let request = agent.lease_request(millis(130)).expect("it is polled");
     assert_eq!((request.deadline, request.recorded), (None, 0));
+    let probe = agent.due_probe(millis(200)).expect("a probe is due");
+    assert_eq!(probe.request.recorded, 0);
+    let contact = Contact::Restarted;
+    let transition = agent.probe_answered(millis(200), millis(200), &probe, contact);
+    assert_eq!(transition, Transition::Unchanged);
     // The next incarnation takes over and lists what it runs.
     register(&mut agent, millis(900), 51, false);
     let transition = answer_probe(&mut agent, millis(900), Contact::Lists(lists(51)));
