refactor(batch): share the late-start window and the look-up of a worker

The agent computed the window of late starts of a restarted worker again that the planner's reports already had; Bounds::late_start_window serves both. The check that a report names an incarnation stood in four places of the planner; they use one look-up now.

--- a/crates/godwitstep-batch/src/agent/replacement.rs
+++ b/crates/godwitstep-batch/src/agent/replacement.rs
@@ -331,7 +331,7 @@
             return Transition::Unchanged;
         };
         if matches!(contact, Contact::Restarted) {
-            let late_starts_end = now + self.bounds.max_lease_duration() * 2;
+            let late_starts_end = now + self.bounds.late_start_window();
             session.late_starts_end.get_or_insert(late_starts_end);
         }
         if session.leaving_since.is_none() {
--- a/crates/godwitstep-batch/src/bounds.rs
+++ b/crates/godwitstep-batch/src/bounds.rs
@@ -114,6 +114,13 @@
         self.worker_lease().mul_f64(1.0 + 2.0 * WORKER_CLOCK_DRIFT) + DELIVERY_ALLOWANCE
     }
 
+    /// Returns the time after a worker has restarted under its name after which a start that was sent to it before can no
+    /// longer be carried out, nor still run there.
+    #[must_use]
+    pub fn late_start_window(&self) -> Duration {
+        self.max_lease_duration() * 2
+    }
+
     /// Returns the time without a report from an agent after which none of its runs can still be active.
     #[must_use]
     pub fn agent_timeout(&self) -> Duration {
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -81,12 +81,8 @@
         self.headroom.retain(open);
         self.waits.retain(open);
         let reports = &self.reports;
-        self.health.retain(is_placed, |incarnation| {
-            reports
-                .get(&incarnation.host)
-                .and_then(|report| report.worker.as_ref())
-                .is_some_and(|worker| worker.info.incarnation == *incarnation)
-        });
+        self.health
+            .retain(is_placed, |incarnation| reports.lists_worker(incarnation));
     }
 
     /// Returns the reply to a report, which holds the orders for its host. For a process of the agent whose reports
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -102,7 +102,7 @@
             silence_counted_from: now + DECIDER_LEASE,
             max_silence: bounds.agent_timeout(),
             max_unlisted_lease: bounds.max_lease_duration() + MAX_REPORT_AGE,
-            late_start_window: bounds.max_lease_duration() * 2,
+            late_start_window: bounds.late_start_window(),
         }
     }
 
@@ -223,16 +223,19 @@
 
     /// Returns whether the newest report of its host names this incarnation of a worker.
     pub fn lists_worker(&self, incarnation: &Incarnation) -> bool {
-        let report = self.get(&incarnation.host);
-        let worker = report.and_then(|report| report.worker.as_ref());
-        worker.is_some_and(|worker| worker.info.incarnation == *incarnation)
+        self.worker(incarnation).is_some()
+    }
+
+    /// Returns what the newest report of its host says of an incarnation of a worker, if it names it.
+    fn worker(&self, incarnation: &Incarnation) -> Option<&Worker> {
+        let worker = self.get(&incarnation.host)?.worker.as_ref()?;
+        (worker.info.incarnation == *incarnation).then_some(worker)
     }
 
     /// Returns whether an incarnation of a worker is draining.
     pub fn is_draining(&self, incarnation: &Incarnation) -> bool {
-        self.get(&incarnation.host)
-            .and_then(|report| report.worker.as_ref())
-            .is_some_and(|worker| worker.info.incarnation == *incarnation && worker.info.draining)
+        self.worker(incarnation)
+            .is_some_and(|worker| worker.info.draining)
     }
 
     /// Returns the largest capacity that a worker has had in this decider's view: it may have shrunk for a while.
@@ -293,13 +296,9 @@
 
     /// Returns whether the newest report lists a run as active on this incarnation of a worker.
     pub fn lists(&self, incarnation: &Incarnation, task: Task, run: Run) -> bool {
-        let worker = self
-            .get(&incarnation.host)
-            .and_then(|report| report.worker.as_ref());
-        worker.is_some_and(|worker| {
-            let is_run = |listed_run: &Running| listed_run.task == task && listed_run.run == run;
-            worker.info.incarnation == *incarnation && worker.running.iter().any(is_run)
-        })
+        let is_run = |listed_run: &Running| listed_run.task == task && listed_run.run == run;
+        self.worker(incarnation)
+            .is_some_and(|worker| worker.running.iter().any(is_run))
     }
 
     /// Returns whether a run that an incarnation of a worker has listed may still be active there.
