feat(batch): learn run times and the slowness of workers from finished runs

Cause: estimates of some queues say little about run times (completed urgent jobs of one deployment ran 0.4 to 6.7 times their estimate), and the present speed of workers is learned from independent tasks only and lost with the worker's process.

Change: `expectation` fits the logarithm of run times of a queue's gangs and independent steps on that of the estimate, with a prior that is the estimate itself and a bounded influence of each step. Workers are known by host and hardware, also from gangs. Nothing uses it yet.

Result: in 200 seeds of a queue whose estimates have a spread of 0.9 and say nothing, the expectation after 15 runs is off by less than 0.3 on average (tests/expectation.rs); 4 runs or good estimates leave the estimate as it is.

--- /dev/null
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -0,0 +1,222 @@
+//! Slowness of workers: the logarithm of run times there relative to equal tasks elsewhere.
+//!
+//! Workers of the same kind differ by a quarter and more, and none of them reports it. The independent tasks of a step
+//! are equal, so their run times on different workers show the difference. A gang takes as long as on its slowest worker,
+//! so its time says something of that one, as precisely as the expected run time of its class is known.
+//!
+//! Slowness belongs to a machine, so it is kept by host, and outlives the worker's process. Other hardware under the
+//! same name starts without history.
+
+use super::Source;
+use crate::demand::Demand;
+use crate::id::Host;
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+/// Number of tasks of a step whose run times must be known before further ones are compared with them.
+const MIN_TASKS: f64 = 2.0;
+/// Weight of the prior assumption that a worker has average speed. Unit: tasks.
+const PRIOR_WEIGHT: f64 = 1.0;
+/// Weight of the earlier tasks on a worker, at most, so that a change of its speed is tracked: three quarters of it
+/// within ten tasks. Unit: tasks.
+const MAX_WEIGHT: f64 = 6.0;
+/// Distance from what is known at which a task counts in full. Limits the influence of a task that takes several times as
+/// long for a reason of its own.
+const MAX_DEVIATION: f64 = 0.5;
+/// Bounds of the slowness.
+const MAX_LOG_SLOWDOWN: f64 = 2.0;
+/// Spread among the run times of equal tasks on equal workers. With the spread of a class it gives the weight of a gang
+/// relative to a task that is compared with its own step.
+const EQUAL_TASKS_SPREAD: f64 = 0.15;
+/// Upper bound of that weight.
+const MAX_GANG_WEIGHT: f64 = 0.5;
+/// Difference in slowness by which one member of a gang is certain to be the slowest.
+const CLEAR_DIFFERENCE: f64 = 0.1;
+/// Maximum number of workers that are remembered, of about 100 bytes each.
+const MAX_WORKERS: usize = 40_000;
+/// Maximum number of steps with means of their own, of about 50 bytes each.
+const MAX_STEPS: usize = 4_096;
+
+/// Digest of what a worker provides: its capacity and its labels. Other toolchains may compute another one, in which
+/// case workers start without history.
+pub type Hardware = u64;
+
+/// Returns the digest of a worker's capacity and labels.
+#[must_use]
+pub fn hardware(capacity: &Demand, labels: &[Arc<str>]) -> Hardware {
+    let mut labels: Vec<&Arc<str>> = labels.iter().collect();
+    labels.sort_unstable();
+    let mut hasher = DefaultHasher::new();
+    (capacity.cpu, capacity.memory, capacity.accelerators).hash(&mut hasher);
+    labels.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// A worker by its machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Machine {
+    /// Host of the worker.
+    pub host: Host,
+    /// Check that the machine is still the same kind.
+    pub hardware: Hardware,
+}
+
+/// What is known of one worker.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Speed {
+    pub hardware: Hardware,
+    /// Within ±[`MAX_LOG_SLOWDOWN`].
+    pub log_slowdown: f64,
+    /// Weight of the tasks that it rests on, at most [`MAX_WEIGHT`].
+    pub weight: f64,
+    /// Position of the last sample among all samples.
+    pub used: u64,
+}
+
+impl Speed {
+    const fn unknown(hardware: Hardware) -> Self {
+        Self {
+            hardware,
+            log_slowdown: 0.0,
+            weight: 0.0,
+            used: 0,
+        }
+    }
+
+    /// Moves the slowness by the deviation of a sample from it.
+    fn update(&mut self, deviation: f64, weight: f64) {
+        self.weight = (self.weight + weight).min(MAX_WEIGHT);
+        let gain = weight / (self.weight + PRIOR_WEIGHT);
+        let moved = self.log_slowdown + gain * deviation.clamp(-MAX_DEVIATION, MAX_DEVIATION);
+        self.log_slowdown = moved.clamp(-MAX_LOG_SLOWDOWN, MAX_LOG_SLOWDOWN);
+    }
+}
+
+/// Mean of the logarithms of the run times of a step's tasks, corrected by the slowness of their workers.
+#[derive(Debug, Default, Clone, Copy)]
+struct StepMean {
+    total: f64,
+    count: f64,
+    used: u64,
+}
+
+impl StepMean {
+    fn mean(&self) -> f64 {
+        self.total / self.count
+    }
+
+    /// Adds a task. A task far from the others counts as if it was nearer.
+    fn add(&mut self, log_run_time: f64) {
+        let counted = if self.count > 0.0 {
+            let mean = self.mean();
+            log_run_time.clamp(mean - MAX_DEVIATION, mean + MAX_DEVIATION)
+        } else {
+            log_run_time
+        };
+        self.total += counted;
+        self.count += 1.0;
+    }
+}
+
+/// Slowness of all workers.
+#[derive(Debug, Default)]
+pub(super) struct Workers {
+    steps: HashMap<Source, StepMean>,
+    by_host: HashMap<Host, Speed>,
+    /// Number of samples so far.
+    samples: u64,
+}
+
+impl Workers {
+    /// Returns the slowness of a worker; 0 if unknown.
+    pub fn log_slowdown(&self, host: &str, hardware: Hardware) -> f64 {
+        self.by_host
+            .get(host)
+            .filter(|speed| speed.hardware == hardware)
+            .map_or(0.0, |speed| speed.log_slowdown)
+    }
+
+    /// Returns the slowness of the worker that was last known on a host; 0 if unknown.
+    pub fn log_slowdown_of_host(&self, host: &str) -> f64 {
+        self.by_host
+            .get(host)
+            .map_or(0.0, |speed| speed.log_slowdown)
+    }
+
+    /// Records an independent task. Returns the mean of its step so far, corrected by the workers' slowness.
+    pub fn record_task(&mut self, source: Source, machine: &Machine, log_run_time: f64) -> f64 {
+        let corrected = log_run_time - self.log_slowdown(&machine.host, machine.hardware);
+        let known = self.steps.get(&source).copied().unwrap_or_default();
+        if known.count >= MIN_TASKS {
+            self.update(machine, corrected - known.mean(), 1.0);
+        }
+        self.samples += 1;
+        let used = self.samples;
+        let step = self.steps.entry(source).or_default();
+        step.add(corrected);
+        step.used = used;
+        let mean = step.mean();
+        self.limit_steps();
+        mean
+    }
+
+    /// Records the deviation of a gang, or of a task without equals, from the time that its class and its slowest worker
+    /// let expect. `spread` is that of its class.
+    pub fn record_deviation(&mut self, machines: &[Machine], deviation: f64, spread: f64) {
+        let weight = (EQUAL_TASKS_SPREAD / spread).powi(2).min(MAX_GANG_WEIGHT);
+        let slowest = self.slowest(machines);
+        let likelihood = |machine: &Machine| {
+            let slowdown = self.log_slowdown(&machine.host, machine.hardware);
+            ((slowdown - slowest) / CLEAR_DIFFERENCE).exp()
+        };
+        let likelihoods: Vec<f64> = machines.iter().map(likelihood).collect();
+        // At least 1, as one of the machines is the slowest.
+        let total: f64 = likelihoods.iter().sum();
+        for (machine, likelihood) in machines.iter().zip(likelihoods) {
+            self.update(machine, deviation, weight * likelihood / total);
+        }
+    }
+
+    /// Returns the slowness of the slowest of several workers; 0 if there is none.
+    pub fn slowest(&self, machines: &[Machine]) -> f64 {
+        machines
+            .iter()
+            .map(|machine| self.log_slowdown(&machine.host, machine.hardware))
+            .reduce(f64::max)
+            .unwrap_or(0.0)
+    }
+
+    fn update(&mut self, machine: &Machine, deviation: f64, weight: f64) {
+        self.samples += 1;
+        let unknown = Speed::unknown(machine.hardware);
+        let speed = self.by_host.entry(machine.host.clone()).or_insert(unknown);
+        if speed.hardware != machine.hardware {
+            *speed = unknown;
+        }
+        speed.update(deviation, weight);
+        speed.used = self.samples;
+        if self.by_host.len() > MAX_WORKERS {
+            let oldest = middle(self.by_host.values().map(|speed| speed.used));
+            self.by_host.retain(|_, speed| speed.used > oldest);
+        }
+    }
+
+    /// Drops the means of the steps that have been without a sample for longest.
+    fn limit_steps(&mut self) {
+        if self.steps.len() > MAX_STEPS {
+            let oldest = middle(self.steps.values().map(|step| step.used));
+            self.steps.retain(|_, step| step.used > oldest);
+        }
+    }
+}
+
+/// Returns the middle one of several numbers; 0 if there is none.
+fn middle(numbers: impl Iterator<Item = u64>) -> u64 {
+    let mut numbers: Vec<u64> = numbers.collect();
+    let index = numbers.len() / 2;
+    if numbers.is_empty() {
+        return 0;
+    }
+    *numbers.select_nth_unstable(index).1
+}
--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`ledger`] holds the authoritative state, derived from the log's [`record`]s, of which a long one is stored in
 //!   [`fragment`]s.
 //! * [`claim`] elects the decider; [`access`] authorizes callers.
-//! * [`planner`] decides where tasks run.
+//! * [`planner`] decides where tasks run; [`expectation`] learns how long they take.
 //! * [`agent`] renews one worker's lease and executes orders.
 //! * [`address`] checks the addresses that other processes name.
 //! * [`token`] fences off late copies of agents' calls to workers.
@@ -19,6 +19,7 @@
 pub mod bounds;
 pub mod claim;
 pub mod demand;
+pub mod expectation;
 pub mod fragment;
 pub mod id;
 pub mod job;
--- /dev/null
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -0,0 +1,271 @@
+//! Run times that are learned from finished runs.
+
+use godwitstep_batch::expectation::{
+    Class, End, Expectation, Expectations, FinishedRun, Machine, Source,
+};
+use godwitstep_batch::job::MAX_ESTIMATE;
+use std::time::Duration;
+
+const CLASS: Class = Class {
+    queue: "urgent",
+    gang: false,
+};
+const SEEDS: u64 = 200;
+
+fn run(job: u64, estimate: f64, run_time: f64) -> FinishedRun<'static> {
+    FinishedRun {
+        class: CLASS,
+        source: Source { job, step: 0 },
+        estimate: Duration::from_secs_f64(estimate),
+        run_time: Duration::from_secs_f64(run_time),
+        machines: Vec::new(),
+        equals: 1,
+        end: End::Done,
+    }
+}
+
+fn machine(number: usize) -> Machine {
+    Machine {
+        host: format!("host-{number}").into(),
+        hardware: 1,
+    }
+}
+
+/// Returns the expectations after some runs, given as estimates and run times in seconds.
+fn learned(runs: impl IntoIterator<Item = (f64, f64)>) -> Expectations {
+    let mut expectations = Expectations::default();
+    for (job, (estimate, run_time)) in (0..).zip(runs) {
+        expectations.record(&run(job, estimate, run_time));
+    }
+    expectations.refresh();
+    expectations
+}
+
+fn expected(expectations: &Expectations, estimate: f64) -> Expectation {
+    expectations.expected(CLASS, Duration::from_secs_f64(estimate))
+}
+
+/// Returns the logarithm of the typical run time for an estimate.
+fn log_typical(expectations: &Expectations, estimate: f64) -> f64 {
+    expected(expectations, estimate)
+        .typical()
+        .as_secs_f64()
+        .ln()
+}
+
+/// Returns a number with a standard normal distribution.
+fn normal(rng: &mut fastrand::Rng) -> f64 {
+    (0..12).map(|_| rng.f64()).sum::<f64>() - 6.0
+}
+
+/// Returns an estimate that says nothing and the run time in a queue with a median of 4 s, of which 3 of 100 runs take
+/// seven times as long.
+fn unrelated(rng: &mut fastrand::Rng) -> (f64, f64) {
+    let estimate = 2.0 * (0.9 * normal(rng)).exp();
+    let tail = if rng.u8(..100) < 3 { 7.0 } else { 1.0 };
+    (estimate, 4.0 * (0.5 * normal(rng)).exp() * tail)
+}
+
+/// Guards against decisions that a handful of runs changes, and against estimates that change by rounding.
+#[test]
+fn few_runs_and_good_estimates_leave_estimates_unchanged() {
+    let odd = Duration::from_nanos(1_234_567_891);
+    let unknown = learned([]).expected(CLASS, odd);
+    assert_eq!(unknown, Expectation::of_estimate(odd));
+    assert_eq!(unknown.quantile(0.95), odd);
+    let few = learned([(1.0, 9.0); 4]);
+    assert_eq!(few.expected(CLASS, odd), Expectation::of_estimate(odd));
+    let good = learned((1..60).map(|number| (f64::from(number), f64::from(number) * 1.05)));
+    assert_eq!(good.expected(CLASS, odd).typical(), odd);
+    let other = Class {
+        gang: true,
+        ..CLASS
+    };
+    let biased = learned([(1.0, 9.0); 40]);
+    assert_eq!(biased.expected(other, odd).typical(), odd, "another class");
+}
+
+/// Guards against a queue whose poor estimates decide for long: after 15 runs the typical time is known, and most of the
+/// run times lie within the quantiles.
+#[test]
+fn fifteen_runs_replace_estimates_that_say_nothing() {
+    let (mut error, mut estimate_error, mut within) = (0.0, 0.0, 0);
+    for seed in 0..SEEDS {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let expectations = learned((0..15).map(|_| unrelated(&mut rng)));
+        let (estimate, run_time) = unrelated(&mut rng);
+        error += (log_typical(&expectations, estimate) - 4_f64.ln()).abs();
+        estimate_error += (estimate.ln() - 4_f64.ln()).abs();
+        let quantile = expected(&expectations, estimate).quantile(0.9);
+        within += u64::from(run_time <= quantile.as_secs_f64());
+    }
+    let (error, estimate_error) = (error / 200.0, estimate_error / 200.0);
+    assert!(
+        error < 0.3,
+        "mean error {error}, of estimates {estimate_error}"
+    );
+    assert!(
+        (160..=195).contains(&within),
+        "{within} of {SEEDS} within 90 %"
+    );
+}
+
+/// Guards against a queue whose estimates are too short by a factor but tell jobs apart.
+#[test]
+fn a_common_factor_is_learned_and_differences_are_kept() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let runs = (0..20).map(|_| {
+        let estimate = 5.0 * normal(&mut rng).exp();
+        (estimate, 1.9 * estimate * (0.2 * normal(&mut rng)).exp())
+    });
+    let expectations = learned(runs);
+    for estimate in [1.0_f64, 5.0, 20.0] {
+        let ratio = log_typical(&expectations, estimate) - estimate.ln();
+        assert!((ratio - 1.9_f64.ln()).abs() < 0.25, "{estimate}: {ratio}");
+    }
+}
+
+/// Guards against a few very long runs, or a single absurd estimate, that spoil the expectation of a queue.
+#[test]
+fn outliers_have_a_bounded_influence() {
+    let usual = (0..30).map(|number| (2.0, 3.0 + f64::from(number % 5) * 0.2));
+    let before = log_typical(&learned(usual.clone()), 2.0);
+    for outlier in [(2.0, 5_000.0), (2.0, 0.000_1), (2e7, 3.0), (1e-9, 3.0)] {
+        let expectations = learned(usual.clone().chain([outlier; 3]));
+        let moved = (log_typical(&expectations, 2.0) - before).abs();
+        assert!(moved < 0.15, "{outlier:?} moved it by {moved}");
+    }
+}
+
+/// Guards against invalid estimates or run times that stop the decider or spoil what it knows.
+#[test]
+fn any_input_gives_a_valid_expectation() {
+    let extreme = [0.0, 1e-9, 1.0, 1e4, MAX_ESTIMATE.as_secs_f64(), 1e15];
+    for seed in 0..SEEDS {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut draw = || extreme[rng.usize(..extreme.len())];
+        let expectations = learned((0..80).map(|_| (draw().min(3e7), draw())));
+        for estimate in extreme.map(|estimate| estimate.min(3e7)) {
+            let expectation = expected(&expectations, estimate);
+            for time in [
+                expectation.typical(),
+                expectation.quantile(0.999),
+                expectation.quantile(f64::NAN.max(0.0)),
+                expectation.remaining(Duration::from_secs(1 << 40)),
+                expectation.on_worker(2.0).remaining(Duration::ZERO),
+            ] {
+                assert!(time <= MAX_ESTIMATE, "seed {seed}: {time:?}");
+            }
+        }
+    }
+}
+
+/// Guards against queues without estimates that stay unknown.
+#[test]
+fn steps_without_estimates_get_the_typical_time_of_their_class() {
+    let expectations = learned([(0.0, 30.0); 30]);
+    let typical = expected(&expectations, 0.0).typical().as_secs_f64();
+    assert!((20.0..31.0).contains(&typical), "{typical}");
+    assert_eq!(
+        expected(&expectations, 2.0).typical(),
+        Duration::from_secs(2)
+    );
+}
+
+/// Guards against stopped runs that make a queue seem faster than it is: they only show that runs take longer.
+#[test]
+fn stopped_runs_only_raise_the_expectation() {
+    let mut expectations = learned([(2.0, 4.0); 20]);
+    let before = log_typical(&expectations, 2.0);
+    let stopped = |job, run_time| FinishedRun {
+        end: End::Stopped,
+        ..run(job, 2.0, run_time)
+    };
+    for job in 100..120 {
+        assert_eq!(expectations.record(&stopped(job, 0.5)), None);
+    }
+    expectations.refresh();
+    assert!((log_typical(&expectations, 2.0) - before).abs() < 1e-9);
+    for job in 200..220 {
+        expectations.record(&stopped(job, 20.0));
+    }
+    expectations.refresh();
+    assert!(log_typical(&expectations, 2.0) > before);
+}
+
+/// Guards against predicted ends of overdue runs that stay at once, or that are forgotten.
+#[test]
+fn an_overdue_run_is_expected_to_take_longer_the_longer_it_has_run() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let expectation = expected(&learned((0..40).map(|_| unrelated(&mut rng))), 4.0);
+    let remaining = |elapsed| expectation.remaining(Duration::from_secs(elapsed));
+    assert!((remaining(0).as_secs_f64() / expectation.typical().as_secs_f64() - 1.0).abs() < 0.01);
+    assert!(remaining(2) < remaining(0));
+    assert!(remaining(40) > remaining(20) && remaining(20) > remaining(10));
+}
+
+/// Guards against workers that are taken for as fast or slow as they once were.
+#[test]
+fn a_change_of_a_workers_speed_is_tracked_within_ten_runs() {
+    let mut expectations = Expectations::default();
+    let mut job = 0;
+    let mut run_on_all = |expectations: &mut Expectations, runs: u32, slowdown: f64| {
+        for _ in 0..runs {
+            job += 1;
+            for number in [1, 2, 3, 0] {
+                let run_time = if number == 0 { slowdown } else { 1.0 };
+                expectations.record(&FinishedRun {
+                    machines: vec![machine(number)],
+                    equals: 4,
+                    ..run(job, 1.0, run_time)
+                });
+            }
+        }
+    };
+    run_on_all(&mut expectations, 10, 1.4);
+    let slow = expectations.log_slowdown("host-0", 1);
+    assert!((0.2..0.4).contains(&slow), "{slow}");
+    assert!(
+        expectations.log_slowdown("host-0", 2).abs() < 1e-9,
+        "other hardware"
+    );
+    run_on_all(&mut expectations, 10, 0.6);
+    let fast = expectations.log_slowdown("host-0", 1);
+    assert!((-0.6..-0.25).contains(&fast), "{fast}");
+    let outlier = FinishedRun {
+        machines: vec![machine(1)],
+        equals: 4,
+        ..run(0, 1.0, 1.0)
+    };
+    expectations.record(&FinishedRun {
+        run_time: Duration::from_secs(7),
+        ..outlier
+    });
+    let delayed = expectations.log_slowdown("host-1", 1);
+    assert!(delayed < 0.1, "one task counted {delayed}");
+}
+
+/// Guards against a cluster that runs only gangs and never learns which workers are slow.
+#[test]
+fn gangs_show_which_worker_is_slow() {
+    let class = Class {
+        gang: true,
+        ..CLASS
+    };
+    let mut expectations = Expectations::default();
+    let mut rng = fastrand::Rng::with_seed(5);
+    for job in 0..400 {
+        let first = rng.usize(..8);
+        let members = [first, (first + 1 + rng.usize(..7)) % 8];
+        let run_time = if members.contains(&0) { 2.0 } else { 1.0 };
+        expectations.record(&FinishedRun {
+            class,
+            machines: members.map(machine).into(),
+            ..run(job, 1.0, run_time * (0.1 * normal(&mut rng)).exp())
+        });
+        expectations.refresh();
+    }
+    let slowdown = |number| expectations.log_slowdown(&format!("host-{number}"), 1);
+    let others = (1..8).map(slowdown).fold(f64::MIN, f64::max);
+    assert!(slowdown(0) > others + 0.3, "{} and {others}", slowdown(0));
+}
