feat(batch): place by the slowness of machines instead of worker processes

Cause: the estimate of worker speed was keyed by incarnation, so a restarted worker lost its history, gangs added nothing to it, and one delayed task weighed as much after a hundred tasks as after ten.

Change: planner/speed.rs is replaced by `expectation`, which the decider feeds from the ends of first runs (planner/learn.rs). Gangs are timed from when all members were listed. Runs that stalled, whose members were spread over racks or which began before the decider took over are left out.

Result: the tests of worker speed pass unchanged; a new one restarts all workers and finds the urgent gang on the fast machines.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -32,16 +32,17 @@
 mod headroom;
 mod health;
 mod late;
+mod learn;
 mod order;
 mod place;
 mod preempt;
 mod reports;
 mod reserve;
-mod speed;
 mod stall;
 mod waits;
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
+use crate::expectation::Expectations;
 use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::Report;
@@ -217,13 +218,16 @@
     plan: &'r mut Plan,
 }
 
-/// Scheduling state of the decider that is not in the log. A successor starts without it.
+/// Scheduling state of the decider that is not in the ledger.
 #[derive(Debug)]
 pub struct Planner {
     epoch: Epoch,
+    /// When this decider took over.
+    started_at: Duration,
     bounds: Bounds,
     reports: AgentReports,
     health: Health,
+    expectations: Expectations,
     failures: FailedWorkers,
     headroom: Headroom,
     /// When each open job was accepted, on the decider's clock. For a job accepted before the
@@ -264,9 +268,11 @@
     pub fn new(epoch: Epoch, now: Duration, bounds: Bounds) -> Self {
         Self {
             epoch,
+            started_at: now,
             reports: AgentReports::new(epoch, now, &bounds),
             bounds,
             health: Health::default(),
+            expectations: Expectations::default(),
             failures: FailedWorkers::default(),
             headroom: Headroom::default(),
             accepted_at: HashMap::new(),
@@ -310,14 +316,22 @@
         self.record_arrivals(now, wall, ledger);
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
-        self.mark_complete_gangs(&draft);
+        self.mark_complete_gangs(now, &draft);
         self.explain_ends(now, &mut draft, &mut plan);
         self.record_ends(now, &mut draft, &mut plan);
+        self.expectations.refresh();
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
         if view.permits_starts() {
-            let mut cluster =
-                Cluster::new(now, &self.reports, &self.health, &self.late, &draft, view);
+            let mut cluster = Cluster::new(
+                now,
+                &self.reports,
+                &self.health,
+                &self.expectations,
+                &self.late,
+                &draft,
+                view,
+            );
             let mut round = Round {
                 now,
                 draft: &mut draft,
@@ -356,7 +370,7 @@
     }
 
     /// Marks the runs of gangs each member of which has been reported as running.
-    fn mark_complete_gangs(&mut self, draft: &Draft) {
+    fn mark_complete_gangs(&mut self, now: Duration, draft: &Draft) {
         let mut complete = Vec::new();
         for (job, job_state, progress) in draft.open() {
             for (step, (spec, state)) in (0..).zip(job_state.job.steps.iter().zip(&progress.steps))
@@ -377,7 +391,7 @@
             }
         }
         for (task, run) in complete {
-            self.health.mark_gang_complete(task, run);
+            self.health.mark_gang_complete(now, task, run);
         }
     }
 
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -9,8 +9,8 @@
 use super::health::{Health, StallTimes};
 use super::late::LateRuns;
 use super::reports::AgentReports;
-use super::speed::SLOW_LOG_RATIO;
 use crate::demand::Demand;
+use crate::expectation::Expectations;
 use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
@@ -20,6 +20,8 @@
 /// Maximum number of runs on a worker, however small they are. Limits the size of what the worker, its agent and the
 /// decider tell each other: 8,192 runs with checkpoints of 256 bytes take 3 MB in a report, of the 4 MB that fit.
 const MAX_RUNS: usize = 8_192;
+/// Logarithm of the relative run time from which a worker counts as slow.
+const SLOW_LOG_RATIO: f64 = 0.06;
 
 /// A run that occupies capacity on a worker.
 #[derive(Debug)]
@@ -199,6 +201,7 @@
         now: Duration,
         reports: &AgentReports,
         health: &Health,
+        expectations: &Expectations,
         late: &LateRuns,
         draft: &Draft,
         view: &OperatorView,
@@ -208,6 +211,7 @@
             .workers(now)
             .map(|(age, worker)| Node {
                 full_capacity: reports.full_capacity(worker),
+                log_slowdown: log_slowdown(reports, expectations, worker),
                 ..build_node(now, age, worker, health, &stall_times, view)
             })
             .collect();
@@ -321,6 +325,12 @@
     }
 }
 
+/// Returns what is known of the slowness of a worker's machine.
+fn log_slowdown(reports: &AgentReports, expectations: &Expectations, worker: &Worker) -> f64 {
+    let host = &worker.info.incarnation.host;
+    expectations.log_slowdown(host, reports.hardware(host))
+}
+
 /// Returns the scheduling state of a worker that runs nothing.
 fn build_node(
     now: Duration,
@@ -346,7 +356,7 @@
         excess: Demand::default(),
         committed: Demand::default(),
         reservation: None,
-        log_slowdown: health.log_slowdown(&worker.info.incarnation),
+        log_slowdown: 0.0,
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
         occupants: Vec::new(),
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -78,10 +78,7 @@
             .is_some_and(|step| step.gang);
         self.stopping.remove(&(end.task, end.run));
         self.ended.insert((end.task, end.run));
-        if !gang && matches!(end.cause, EndCause::Reported(EndReason::Done, _)) {
-            self.health
-                .record_run_time(now, &end.incarnation, end.task, end.run);
-        }
+        self.learn(now, draft, end);
         self.health
             .record_end(now, &end.incarnation, end.task.job, &end.cause);
         let failed = matches!(end.cause, EndCause::Reported(EndReason::Failed, _));
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -6,7 +6,6 @@
 
 use super::Decision;
 use super::reports::EndCause;
-use super::speed::WorkerSpeeds;
 use crate::id::{Host, Incarnation, JobId, Run, Task};
 use crate::message::{EndReason, Refusal, Report, Running};
 use std::collections::{BTreeMap, HashMap};
@@ -21,6 +20,9 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(16);
 /// Time without progress on a worker after which it gets no new tasks.
 const WORKER_STALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Share of its run time for which a run may be without progress and not count as stalled. Progress is reported in whole
+/// percent, so that of long runs moves seldom.
+const STALL_SHARE: f64 = 0.1;
 
 /// A failure within this time after a run was first listed is attributed to the worker. Runs that
 /// fail by their own fault work for a while first.
@@ -60,8 +62,10 @@
     progressed_at: Duration,
     /// When a report first listed the run.
     first_listed: Duration,
-    /// Whether each member of its gang has been listed, though not necessarily at the same time.
-    gang_complete: bool,
+    /// When it was found that each member of its gang has been listed, though not necessarily at the same time.
+    gang_complete: Option<Duration>,
+    /// Longest time without progress before the last one.
+    longest_stall: Duration,
     /// Time and progress at the start of the period over which the rate is measured.
     rate_start: (Duration, u8),
     /// Newest measured rate. Unit: percent per second.
@@ -74,7 +78,6 @@
 pub(super) struct Health {
     workers: BTreeMap<Incarnation, WorkerHealth>,
     runs: HashMap<(Task, Run), RunProgress>,
-    speeds: WorkerSpeeds,
     /// Quarantines that have begun and are not yet logged.
     quarantines: Vec<Decision>,
 }
@@ -98,7 +101,8 @@
                 percent: listed_run.percent,
                 progressed_at: now,
                 first_listed: now,
-                gang_complete: false,
+                gang_complete: None,
+                longest_stall: Duration::ZERO,
                 rate_start: (now, listed_run.percent),
                 rate: None,
                 saved: "".into(),
@@ -111,6 +115,7 @@
             run_progress.rate_start = (now, listed_run.percent);
         }
         if run_progress.percent != listed_run.percent {
+            run_progress.longest_stall = run_progress.stall(now);
             run_progress.percent = listed_run.percent;
             run_progress.progressed_at = now;
         }
@@ -119,27 +124,23 @@
         }
     }
 
-    /// Returns the logarithm of the run time of tasks on a worker relative to equal tasks
-    /// elsewhere.
-    pub fn log_slowdown(&self, incarnation: &Incarnation) -> f64 {
-        self.speeds.log_slowdown(incarnation)
-    }
-
-    /// Records the run time of a completed independent task. Only first runs count, as later ones
-    /// may have resumed from a checkpoint.
-    pub fn record_run_time(
-        &mut self,
+    /// Returns the time for which a run, or all members of its gang, have been listed; `None` if it was first listed
+    /// before `known_from`, or if it stalled.
+    pub fn clean_run_time(
+        &self,
         now: Duration,
-        incarnation: &Incarnation,
         task: Task,
         run: Run,
-    ) {
-        if run != 1 {
-            return;
-        }
-        if let Some(run_time) = self.elapsed(now, task, run) {
-            self.speeds.record(incarnation, task, run_time);
-        }
+        known_from: Duration,
+    ) -> Option<Duration> {
+        let run_progress = self.runs.get(&(task, run))?;
+        let start = run_progress
+            .gang_complete
+            .unwrap_or(run_progress.first_listed);
+        let run_time = now.saturating_sub(start);
+        let max_stall = WORKER_STALL_LIMIT.max(run_time.mul_f64(STALL_SHARE));
+        let clean = run_progress.first_listed >= known_from && run_progress.stall(now) <= max_stall;
+        clean.then_some(run_time)
     }
 
     /// Returns whether a run failed too early for a fault of its own.
@@ -255,9 +256,9 @@
     }
 
     /// Records that each member of the run's gang has been listed.
-    pub fn mark_gang_complete(&mut self, task: Task, run: Run) {
+    pub fn mark_gang_complete(&mut self, now: Duration, task: Task, run: Run) {
         if let Some(run_progress) = self.runs.get_mut(&(task, run)) {
-            run_progress.gang_complete = true;
+            run_progress.gang_complete.get_or_insert(now);
         }
     }
 
@@ -265,7 +266,7 @@
     pub fn gang_was_complete(&self, task: Task, run: Run) -> bool {
         self.runs
             .get(&(task, run))
-            .is_some_and(|run_progress| run_progress.gang_complete)
+            .is_some_and(|run_progress| run_progress.gang_complete.is_some())
     }
 
     /// Returns the time since the last progress of any run on each host, where the progress of some
@@ -313,6 +314,16 @@
 }
 
 impl RunProgress {
+    /// Returns the longest time without progress.
+    fn stall(&self, now: Duration) -> Duration {
+        if self.expects_progress() {
+            let current = now.saturating_sub(self.progressed_at);
+            self.longest_stall.max(current)
+        } else {
+            self.longest_stall
+        }
+    }
+
     /// Returns whether the run's progress should advance. Only tasks that write checkpoints report
     /// progress, and a gang member that has finished its work waits for the others.
     const fn expects_progress(&self) -> bool {
--- a/crates/godwitstep-batch/src/planner/reports.rs
+++ b/crates/godwitstep-batch/src/planner/reports.rs
@@ -10,8 +10,11 @@
 use super::crashes::PROMPT_AGE;
 use crate::bounds::{Bounds, DECIDER_LEASE};
 use crate::demand::Demand;
+use crate::expectation::{self, Hardware};
 use crate::id::{AgentProcess, Epoch, Host, Incarnation, Run, Task};
-use crate::message::{EndReason, Ended, Reachability, Refusal, Report, Running, Worker};
+use crate::message::{
+    EndReason, Ended, Reachability, Refusal, Report, Running, Worker, WorkerInfo,
+};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,6 +76,8 @@
     incarnation_since: Duration,
     /// Largest capacity, in each resource, that the reports have named for this incarnation in a row.
     full_capacity: Demand,
+    /// Digest of the labels and of that capacity.
+    hardware: Hardware,
     report: Report,
 }
 
@@ -137,10 +142,12 @@
             }
             _ => capacity(&report),
         };
+        let hardware = self.digest(&report, full_capacity);
         let latest = LatestReport {
             received_at: now,
             incarnation_since,
             full_capacity,
+            hardware,
             report,
         };
         let host = latest.report.host.clone();
@@ -148,6 +155,23 @@
         self.get(&host)
     }
 
+    /// Returns the digest of what the worker of a report provides, from the last report if that provided the same.
+    fn digest(&self, report: &Report, full_capacity: Demand) -> Hardware {
+        fn labels(report: &Report) -> &[Arc<str>] {
+            let worker = report.worker.as_ref();
+            worker.map_or(&[], |worker| &worker.info.labels)
+        }
+        match self.hosts.get(&report.host) {
+            Some(latest)
+                if latest.full_capacity == full_capacity
+                    && labels(&latest.report) == labels(report) =>
+            {
+                latest.hardware
+            }
+            _ => expectation::hardware(&full_capacity, labels(report)),
+        }
+    }
+
     /// Remembers the process of an agent when it first reports.
     fn remember(&mut self, report: &Report) {
         let processes = self.processes.entry(report.host.clone()).or_default();
@@ -238,6 +262,16 @@
             .is_some_and(|worker| worker.info.draining)
     }
 
+    /// Returns the digest of what the worker on a host provides; 0 if there is none.
+    pub fn hardware(&self, host: &str) -> Hardware {
+        self.hosts.get(host).map_or(0, |latest| latest.hardware)
+    }
+
+    /// Returns the properties of an incarnation of a worker, if it is the one of the newest report.
+    pub fn worker_info(&self, incarnation: &Incarnation) -> Option<&WorkerInfo> {
+        self.worker(incarnation).map(|worker| &worker.info)
+    }
+
     /// Returns the largest capacity that a worker has had in this decider's view: it may have shrunk for a while.
     pub fn full_capacity(&self, worker: &Worker) -> Demand {
         self.hosts
--- a/crates/godwitstep-batch/tests/speed.rs
+++ b/crates/godwitstep-batch/tests/speed.rs
@@ -61,3 +61,18 @@
     assert_eq!(hosts.len(), 20);
     assert!(hosts.iter().all(|host| is_slow(host)), "{hosts:?}");
 }
+
+/// Guards against machines whose speed is forgotten when their workers restart, so that urgent gangs run on slow ones.
+#[test]
+fn a_restarted_worker_keeps_the_speed_of_its_machine() {
+    let mut sim = uneven_cluster();
+    for number in 0..WORKERS {
+        sim.host(number).rename_worker();
+    }
+    sim.run_for(seconds(20));
+    sim.submit(10, "urgent", "north", vec![gang(3, 4, seconds(2))]);
+    sim.run_for(Duration::from_millis(200));
+    let hosts = sim.hosts_running(10);
+    assert_eq!(hosts.len(), 3);
+    assert!(!hosts.iter().any(|host| is_slow(host)), "{hosts:?}");
+}
