feat(batch): order and preempt by expected run times

Cause: order, waits, preemption, reservations, backfill and the test for slow runs used the callers' estimates. In queues whose estimates say nothing this prefers jobs by chance, stops runs that are about to end, and takes jobs for worthless that are not.

Change: the planner asks `Planner::expected` and `Planner::remaining` (planner/expect.rs) instead of `Step::estimate`. Lengths and objectives are computed from the expectation; a job is worthless only if it is so by the 95 % quantile of its length too. A run is slow if hardly any run of its class takes as long. The remaining time of a run without progress is the conditional median, on the worker where it runs.

--- a/crates/godwitstep-batch/src/expectation.rs
+++ b/crates/godwitstep-batch/src/expectation.rs
@@ -36,7 +36,7 @@
 pub use worker::{Hardware, Machine, hardware};
 
 use crate::id::{self, JobId};
-use crate::job::MAX_ESTIMATE;
+use crate::job::{Job, MAX_ESTIMATE, Step};
 use regression::{Regression, Sample};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -63,7 +63,16 @@
     pub gang: bool,
 }
 
-impl Class<'_> {
+impl<'a> Class<'a> {
+    /// Returns the class of a job's step.
+    #[must_use]
+    pub fn of(job: &'a Job, step: &Step) -> Self {
+        Self {
+            queue: &job.queue.name,
+            gang: step.gang,
+        }
+    }
+
     /// Returns the index of the steps with this estimate among the kinds of a queue. Callers that give no estimates have
     /// a regression of their own.
     fn kind(self, estimate: Duration) -> usize {
--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -170,7 +170,14 @@
     /// Returns the objective for the job's completion time, derived from the estimates; at most [`MAX_OBJECTIVE`].
     #[must_use]
     pub fn objective(&self) -> Duration {
-        let stretched = self.critical_path().as_secs_f64() * self.queue.stretch;
+        self.objective_for(self.critical_path())
+    }
+
+    /// Returns the objective for the job's completion time if its critical path has this length; at most
+    /// [`MAX_OBJECTIVE`].
+    #[must_use]
+    pub fn objective_for(&self, length: Duration) -> Duration {
+        let stretched = length.as_secs_f64() * self.queue.stretch;
         let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(MAX_OBJECTIVE);
         stretched
             .saturating_add(self.queue.objective)
@@ -180,6 +187,17 @@
     /// Returns the estimated length of the critical path of the steps that are not done.
     #[must_use]
     pub fn remaining_critical_path(&self, done: impl Fn(usize) -> bool) -> Duration {
+        self.critical_path_by(done, |step| step.estimate)
+    }
+
+    /// Returns the length of the critical path of the steps that are not done, if each takes the time that `run_time`
+    /// returns.
+    #[must_use]
+    pub fn critical_path_by(
+        &self,
+        done: impl Fn(usize) -> bool,
+        run_time: impl Fn(&Step) -> Duration,
+    ) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for (index, step) in self.steps.iter().enumerate() {
             let ready = step
@@ -191,7 +209,7 @@
             let run_time = if done(index) {
                 Duration::ZERO
             } else {
-                step.estimate
+                run_time(step)
             };
             ends.push(ready + run_time);
         }
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -29,6 +29,7 @@
 mod draft;
 mod earmark;
 mod ends;
+mod expect;
 mod headroom;
 mod health;
 mod late;
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -10,7 +10,7 @@
 use super::late::LateRuns;
 use super::reports::AgentReports;
 use crate::demand::Demand;
-use crate::expectation::Expectations;
+use crate::expectation::{Class, Expectations};
 use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
@@ -226,7 +226,7 @@
         };
         cluster.count_placed(draft);
         cluster.count_listed(now, reports, draft);
-        cluster.exclude_slow(health, draft);
+        cluster.exclude_slow(health, expectations, draft);
         cluster.isolate_suspects(now, health, draft);
         cluster
     }
@@ -292,15 +292,16 @@
     }
 
     /// Excludes workers on which all runs are slow from placements.
-    fn exclude_slow(&mut self, health: &Health, draft: &Draft) {
+    fn exclude_slow(&mut self, health: &Health, expectations: &Expectations, draft: &Draft) {
         for node in &mut self.nodes {
             let slow: Vec<bool> = node
                 .occupants
                 .iter()
                 .filter_map(|occupant| {
                     let job = &draft.ledger().job(occupant.task.job)?.job;
-                    let estimate = job.steps[usize::from(occupant.task.step)].estimate;
-                    health.is_slow(occupant.task, occupant.run, estimate)
+                    let step = &job.steps[usize::from(occupant.task.step)];
+                    let expectation = || expectations.expected(Class::of(job, step), step.estimate);
+                    health.is_slow(occupant.task, occupant.run, expectation)
                 })
                 .collect();
             if !slow.is_empty() && slow.iter().all(|slow| *slow) {
--- a/crates/godwitstep-batch/src/planner/earmark.rs
+++ b/crates/godwitstep-batch/src/planner/earmark.rs
@@ -70,7 +70,7 @@
             if let Some(node) = round.cluster.node_mut(incarnation) {
                 node.commit(
                     &pending.step.demand.saturating_mul(*count),
-                    pending.step.estimate,
+                    pending.run_time,
                 );
                 pending.isolate(node);
             }
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -202,10 +202,7 @@
         job_state: &JobState,
         pending: &PendingStep,
     ) -> bool {
-        let slack = job_state
-            .job
-            .objective()
-            .saturating_sub(job_state.job.critical_path());
+        let slack = self.expected_slack(&job_state.job);
         let early = self.age(now, pending.job) < slack.mul_f64(WAITING_SHARE);
         early || (urgency.late && !pending.step.gang)
     }
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -6,6 +6,7 @@
 
 use super::Decision;
 use super::reports::EndCause;
+use crate::expectation::Expectation;
 use crate::id::{Host, Incarnation, JobId, Run, Task};
 use crate::message::{EndReason, Refusal, Report, Running};
 use std::collections::{BTreeMap, HashMap};
@@ -33,12 +34,11 @@
 const GANG_MEMBER_DONE_PERCENT: u8 = 99;
 /// Minimum progress from which the end of a run is predicted. Unit: percent.
 const MIN_PREDICTABLE_PERCENT: u8 = 4;
-/// Minimum remaining time that is assumed for a run without known progress, as a share of its
-/// estimate.
-const MIN_REMAINING_SHARE: f64 = 0.2;
-/// A run is slow below this share of the rate that its estimate implies. Estimates are off by up to
+/// A run is slow below this share of the rate that its typical time implies. Expectations are off by up to
 /// a half, and healthy workers differ by up to a quarter.
 const SLOW_RATE_SHARE: f64 = 0.3;
+/// Share of the runs of its class that a slow run would outlast.
+const SLOW_QUANTILE: f64 = 0.95;
 
 /// Time since the last progress of any run, by host.
 pub(super) type StallTimes = HashMap<Host, Duration>;
@@ -212,28 +212,41 @@
             .map_or_else(|| "".into(), |run_progress| run_progress.saved.clone())
     }
 
-    /// Predicts how long a run still takes at its average rate so far.
-    pub fn remaining(&self, now: Duration, task: Task, run: Run, estimate: Duration) -> Duration {
+    /// Predicts how long a run still takes at its average rate so far, or from the expectation if that is not known.
+    pub fn remaining(
+        &self,
+        now: Duration,
+        task: Task,
+        run: Run,
+        expectation: impl FnOnce() -> Expectation,
+    ) -> Duration {
         let Some(run_progress) = self.runs.get(&(task, run)) else {
-            return estimate;
+            return expectation().typical();
         };
         let elapsed = now.saturating_sub(run_progress.first_listed);
         if run_progress.percent < MIN_PREDICTABLE_PERCENT {
-            return estimate
-                .saturating_sub(elapsed)
-                .max(estimate.mul_f64(MIN_REMAINING_SHARE));
+            return expectation().remaining(elapsed);
         }
         let done = f64::from(run_progress.percent) / 100.0;
         elapsed.mul_f64((1.0 - done) / done)
     }
 
-    /// Returns whether a run is much slower than its estimate, if its rate is known.
-    pub fn is_slow(&self, task: Task, run: Run, estimate: Duration) -> Option<bool> {
+    /// Returns whether a run is much slower than expected, if its rate is known: it would take longer than hardly any run
+    /// of its class.
+    pub fn is_slow(
+        &self,
+        task: Task,
+        run: Run,
+        expectation: impl FnOnce() -> Expectation,
+    ) -> Option<bool> {
         let run_progress = self.runs.get(&(task, run))?;
         let rate = run_progress
             .rate
             .filter(|_| run_progress.expects_progress())?;
-        Some(rate / 100.0 * estimate.as_secs_f64() < SLOW_RATE_SHARE)
+        let expectation = expectation();
+        let longest = expectation.typical().as_secs_f64() / SLOW_RATE_SHARE;
+        let longest = longest.max(expectation.quantile(SLOW_QUANTILE).as_secs_f64());
+        Some(rate / 100.0 * longest < 1.0)
     }
 
     /// Returns the time since a run last made progress, if its progress is known.
--- a/crates/godwitstep-batch/src/planner/learn.rs
+++ b/crates/godwitstep-batch/src/planner/learn.rs
@@ -61,10 +61,7 @@
             ..
         } = ended.task;
         self.expectations.record(&FinishedRun {
-            class: Class {
-                queue: &job.queue.name,
-                gang: step.gang,
-            },
+            class: Class::of(job, step),
             source: Source {
                 job: id,
                 step: number,
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -8,6 +8,7 @@
 
 use super::Planner;
 use super::draft::Draft;
+use super::expect::Length;
 use crate::id::{JobId, Workspace};
 use crate::ledger::JobState;
 use crate::policy::Policy;
@@ -15,8 +16,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Multiple of its objective after which a job's result counts as worthless. Objectives follow from
-/// estimates, which may be as low as half of the true duration.
+/// Multiple of its objective after which a job's result counts as worthless. The objective follows
+/// from the expected length, which may be as low as half of the true one.
 const WORTHLESS_AFTER_OBJECTIVES: u32 = 5;
 
 /// Whether runs of other jobs are being stopped for a job.
@@ -92,12 +93,20 @@
         within_guarantee: &WithinGuarantee,
     ) -> Urgency {
         let job = &job_state.job;
-        let objective = job.objective();
-        let remaining =
-            job.remaining_critical_path(|step| progress.steps.get(step).is_some_and(Step::done));
-        let needed = self.age(now, id) + remaining;
+        let by_length = |length| {
+            let done = |step: usize| progress.steps.get(step).is_some_and(Step::done);
+            let needed = self.age(now, id) + self.remaining_length(job, length, done);
+            (needed, self.expected_objective(job, length))
+        };
+        let (mut needed, mut objective) = by_length(Length::Typical);
         let late = needed > objective;
-        let worthless = needed > objective * WORTHLESS_AFTER_OBJECTIVES;
+        let is_worthless = |needed, objective| needed > objective * WORTHLESS_AFTER_OBJECTIVES;
+        let mut worthless = is_worthless(needed, objective);
+        if worthless {
+            // A job that takes longer than is typical has a later objective.
+            (needed, objective) = by_length(Length::Upper);
+            worthless = is_worthless(needed, objective);
+        }
         let deadline = if late {
             objective * WORTHLESS_AFTER_OBJECTIVES
         } else {
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -1,8 +1,7 @@
 //! Placement of waiting tasks.
 //!
-//! Jobs are placed in scheduling order. Independent tasks are placed one by one, each on the worker
-//! that it fills best. A gang is placed as a whole or not at all, and within one rack if it requires
-//! that and some rack could hold it.
+//! Jobs are placed in scheduling order. Independent tasks are placed one by one, each on the worker that it fills best.
+//! A gang is placed as a whole or not at all, and within one rack if it requires that and some rack could hold it.
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
@@ -15,8 +14,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-/// Maximum number of reservations at a time. Reserved capacity can only be used by shorter tasks, so
-/// each reservation has a cost.
+/// Maximum number of reservations at a time. Reserved capacity can only be used by shorter tasks, so each has a cost.
 const MAX_RESERVATIONS: usize = 3;
 
 /// Placement of one task: its index in the step and the index of the node.
@@ -28,6 +26,8 @@
     pub pool: &'a str,
     pub step_number: u16,
     pub step: &'a Step,
+    /// Expected run time of a task on a worker of average speed.
+    pub run_time: std::time::Duration,
     /// Indices of the waiting tasks.
     pub waiting: Vec<u16>,
     /// Whether the job has little slack.
@@ -94,13 +94,14 @@
     ) -> Option<PendingStep<'e>> {
         let job = job_state.job.id;
         let state = &round.draft.progress(job, job_state).steps[usize::from(step_number)];
-        let gang = job_state.job.steps[usize::from(step_number)].gang;
+        let step = &job_state.job.steps[usize::from(step_number)];
         let mut pending = PendingStep {
             job,
             pool: &job_state.job.queue.pool,
             step_number,
-            step: &job_state.job.steps[usize::from(step_number)],
-            waiting: waiting_tasks(state, gang, neighbours),
+            step,
+            run_time: self.expected(&job_state.job, step).typical(),
+            waiting: waiting_tasks(state, step.gang, neighbours),
             urgent: job_state.job.queue.priority == 0,
             fast_only: false,
             trusted_only: false,
@@ -175,7 +176,7 @@
             run,
             demand: pending.step.demand,
         };
-        node.occupy(occupant, pending.step.estimate);
+        node.occupy(occupant, pending.run_time);
         pending.isolate(node);
         let incarnation = node.incarnation.clone();
         let step = &mut round.draft.edit(pending.job).steps[usize::from(pending.step_number)];
@@ -267,7 +268,7 @@
 
     /// Returns the capacity that a worker has for a task of the step.
     pub fn free(&self, node: &Node) -> crate::Demand {
-        node.free_for(self.step.estimate)
+        node.free_for(self.run_time)
     }
 
     /// Returns how many more tasks of the step fit on a worker.
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -66,7 +66,7 @@
             return;
         }
         let losses = self.losses(now, draft, cluster, pending);
-        let own_work = pending.step.estimate.as_secs_f64() * pending.step.demand.cores();
+        let own_work = pending.run_time.as_secs_f64() * pending.step.demand.cores();
         let max_cost = if urgency.unguaranteed {
             own_work
         } else {
@@ -105,8 +105,7 @@
 
     /// Returns how long a job may still wait before it must preempt others.
     fn remaining_wait(&self, now: Duration, job_state: &JobState, urgency: Urgency) -> Duration {
-        let job = &job_state.job;
-        let mut max_wait = job.objective().saturating_sub(job.critical_path());
+        let mut max_wait = self.expected_slack(&job_state.job);
         if !urgency.unguaranteed {
             max_wait = max_wait.min(self.bounds.guaranteed_start_time);
         }
@@ -350,7 +349,7 @@
 fn commit_capacity(cluster: &mut Cluster, pending: &PendingStep, placements: &[Placement]) {
     for (_, node_index) in placements {
         let node = &mut cluster.nodes[*node_index];
-        node.commit(&pending.step.demand, pending.step.estimate);
+        node.commit(&pending.step.demand, pending.run_time);
         pending.isolate(node);
     }
 }
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -108,18 +108,4 @@
         }
         wait_times
     }
-
-    /// Returns the predicted remaining time of a run.
-    pub(super) fn time_left(&self, now: Duration, draft: &Draft, occupant: &Occupant) -> Duration {
-        if self.is_stopping(occupant) {
-            return self.bounds.max_stop_time;
-        }
-        let estimate = draft
-            .ledger()
-            .job(occupant.task.job)
-            .map(|job_state| job_state.job.steps[usize::from(occupant.task.step)].estimate)
-            .unwrap_or_default();
-        self.health
-            .remaining(now, occupant.task, occupant.run, estimate)
-    }
 }
--- a/crates/godwitstep-batch/src/planner/stall.rs
+++ b/crates/godwitstep-batch/src/planner/stall.rs
@@ -32,10 +32,13 @@
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
                 let task = Task { job, step, index };
-                let estimate = job_state.job.steps[usize::from(step)].estimate;
-                let remaining = self.health.remaining(now, task, placed.run, estimate);
-                let outlasts = self.reports.is_draining(incarnation) && remaining > DRAIN_TIME;
-                if outlasts && !self.stopping.contains(&(task, placed.run)) {
+                if !self.reports.is_draining(incarnation)
+                    || self.stopping.contains(&(task, placed.run))
+                {
+                    continue;
+                }
+                let remaining = self.remaining(now, draft, job_state, task, placed.run);
+                if remaining > DRAIN_TIME {
                     outlasting.push((task, placed.run, remaining));
                 }
             }
--- a/crates/godwitstep-batch/tests/expectation.rs
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -1,9 +1,13 @@
 //! Run times that are learned from finished runs.
 
+mod simulation;
+
 use godwitstep_batch::expectation::{
     Class, End, Expectation, Expectations, FinishedRun, Machine, Source,
 };
 use godwitstep_batch::job::MAX_ESTIMATE;
+use godwitstep_batch::planner::Decision;
+use simulation::{COMPLETED, Simulation, gang, seconds, step};
 use std::time::Duration;
 
 const CLASS: Class = Class {
@@ -269,3 +273,53 @@
     let others = (1..8).map(slowdown).fold(f64::MIN, f64::max);
     assert!(slowdown(0) > others + 0.3, "{} and {others}", slowdown(0));
 }
+
+/// Returns a cluster of two workers that has run 20 jobs of a queue, which all took 2 s, with these estimates.
+fn experienced(queue: &str, estimate: impl Fn(u64) -> f64) -> Simulation {
+    let mut sim = Simulation::new(2, 2);
+    for job in 100..120 {
+        let estimate = Duration::from_secs_f64(estimate(job));
+        sim.run_times.insert(job, seconds(2));
+        sim.submit(job, queue, "south", vec![step(1, 4, estimate)]);
+    }
+    sim.run_for(seconds(30));
+    assert!((100..120).all(|job| sim.status(job) == COMPLETED));
+    sim
+}
+
+/// Guards against urgent jobs that stop runs which are about to end, because their estimates are far too long.
+#[test]
+fn an_urgent_job_waits_for_runs_that_are_known_to_end_soon() {
+    let mut sim = experienced("normal", |_| 60.0);
+    for job in 1..=2 {
+        sim.run_times.insert(job, seconds(2));
+        sim.submit(job, "normal", "south", vec![step(1, 8, seconds(60))]);
+    }
+    sim.run_for(seconds(1));
+    assert_eq!(sim.hosts_running(1).len() + sim.hosts_running(2).len(), 2);
+    sim.submit(3, "urgent", "north", vec![gang(1, 8, seconds(10))]);
+    // Brings the workspace beyond its guarantee of 16 accelerators, which would limit the wait.
+    sim.submit(4, "urgent", "north", vec![gang(3, 8, seconds(10))]);
+    sim.run_for(Duration::from_millis(1_500));
+    let preempted = |decision: &Decision| matches!(decision, Decision::Preempted { by: 3, .. });
+    assert!(!sim.has_decision(preempted), "the runs end within 2 s");
+}
+
+/// Guards against jobs that wait behind later ones because their estimates, which say nothing, are longer.
+#[test]
+fn jobs_of_a_queue_with_useless_estimates_run_in_the_order_of_arrival() {
+    let estimates = [0.3, 0.6, 2.0, 4.0, 9.0, 18.0];
+    let mut sim = experienced("normal", |job| estimates[usize::try_from(job % 6).unwrap()]);
+    let submit = |sim: &mut Simulation, job, estimate| {
+        sim.run_times.insert(job, seconds(2));
+        sim.submit(job, "normal", "south", vec![step(2, 8, estimate)]);
+        sim.run_for(Duration::from_millis(600));
+    };
+    submit(&mut sim, 1, seconds(2));
+    submit(&mut sim, 2, seconds(9));
+    submit(&mut sim, 3, Duration::from_millis(300));
+    while !sim.started(2) && !sim.started(3) {
+        sim.round();
+    }
+    assert!(sim.started(2), "the shorter estimate was preferred");
+}
