feat(batch): fit placements to the time that jobs have left on workers of unequal speed

Cause: a worker counted as slow or not by one limit. An urgent gang that did not fit on fast workers alone took any workers, so it wasted fast ones beside usual ones and did not avoid the slowest ones; the first gangs took scarce fast workers although usual ones sufficed; gangs of other priorities ignored speed; and so did preemption.

Change: workers of a pool are divided into at most four speed classes. Urgent gangs get the earliest expected end, or the slowest workers on which they are in time while fast ones are scarce; other work gets the slowest workers on which it is in time. A gang is placed on the narrowest range of classes that has capacity. Preemption breaks ties between about equal losses by speed. `placed` shows `slowdown`. The choice of workers moves from place.rs to choice.rs.

Pools within 10 % are placed as before, which a test shows.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -23,6 +23,7 @@
 mod avoid;
 mod begun;
 mod broken;
+mod choice;
 mod cluster;
 mod crashes;
 mod directive;
@@ -38,6 +39,7 @@
 mod reports;
 mod reserve;
 mod speed;
+mod speed_fit;
 mod stall;
 mod waits;
 
@@ -107,6 +109,8 @@
         incarnation: Incarnation,
         /// Time since the job was accepted, as far as the decider knows.
         age: Duration,
+        /// Run time of tasks on the worker relative to equal tasks elsewhere; 1 if unknown.
+        slowdown: f64,
     },
     /// A run ended.
     Ended {
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -9,7 +9,7 @@
 use super::health::{Health, StallTimes};
 use super::late::LateRuns;
 use super::reports::AgentReports;
-use super::speed::SLOW_LOG_RATIO;
+use super::speed_fit::{SpeedClass, SpeedClasses};
 use crate::demand::Demand;
 use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
@@ -50,6 +50,8 @@
     pub reservation: Option<Reservation>,
     /// Logarithm of the run time of tasks here relative to equal tasks elsewhere; 0 if unknown.
     pub log_slowdown: f64,
+    /// Speed class within the pool.
+    pub speed_class: SpeedClass,
     /// Whether a run failed here by the worker's fault since the last successful run.
     pub suspect: bool,
     /// Whether the worker accepts new tasks.
@@ -172,11 +174,6 @@
         self.excess != Demand::default()
     }
 
-    /// Returns whether tasks take clearly longer here than elsewhere.
-    pub fn is_slow(&self) -> bool {
-        self.log_slowdown > SLOW_LOG_RATIO
-    }
-
     /// Returns whether the worker accepts tasks of a pool that need a label.
     pub fn serves(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
         self.schedulable
@@ -192,6 +189,7 @@
     by_host: HashMap<Host, usize>,
     /// Tasks of late runs that may be active.
     active: HashSet<Task>,
+    speed_classes: HashMap<Pool, SpeedClasses>,
 }
 
 impl Cluster {
@@ -219,7 +217,9 @@
             nodes,
             by_host,
             active: late.tasks().collect(),
+            speed_classes: HashMap::new(),
         };
+        cluster.classify_speeds();
         cluster.count_placed(draft);
         cluster.count_listed(now, reports, draft);
         cluster.exclude_slow(health, draft);
@@ -227,6 +227,25 @@
         cluster
     }
 
+    /// Divides the workers of each pool into speed classes.
+    fn classify_speeds(&mut self) {
+        let mut log_slowdowns: HashMap<Pool, Vec<f64>> = HashMap::new();
+        for node in &self.nodes {
+            let pool = log_slowdowns.entry(node.pool.clone()).or_default();
+            pool.push(node.log_slowdown);
+        }
+        let classes = |(pool, values): (Pool, Vec<f64>)| (pool, SpeedClasses::new(&values));
+        self.speed_classes = log_slowdowns.into_iter().map(classes).collect();
+        for node in &mut self.nodes {
+            node.speed_class = self.speed_classes[&node.pool].class_of(node.log_slowdown);
+        }
+    }
+
+    /// Returns the speed classes of a pool, or `None` if it has no workers.
+    pub fn speed_classes(&self, pool: &str) -> Option<&SpeedClasses> {
+        self.speed_classes.get(pool)
+    }
+
     fn count_placed(&mut self, draft: &Draft) {
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
@@ -347,6 +366,7 @@
         committed: Demand::default(),
         reservation: None,
         log_slowdown: health.log_slowdown(&worker.info.incarnation),
+        speed_class: 0,
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
         occupants: Vec::new(),
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -136,7 +136,7 @@
         empty.sort_by_key(|node| {
             let shrunk = node.capacity != node.full_capacity;
             let in_rack = Reverse(by_rack[&node.rack]);
-            (shrunk, node.suspect, node.is_slow(), in_rack)
+            (shrunk, node.suspect, node.speed_class, in_rack)
         });
         let incarnations = empty.into_iter().map(|node| node.incarnation.clone());
         incarnations.take(target_size).collect()
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -1,13 +1,14 @@
 //! Placement of waiting tasks.
 //!
-//! Jobs are placed in scheduling order. Independent tasks are placed one by one, each on the worker
-//! that it fills best. A gang is placed as a whole or not at all, and within one rack if it requires
-//! that and some rack could hold it.
+//! Jobs are placed in scheduling order. Independent tasks are placed one by one. A gang is placed as a
+//! whole or not at all, and within one rack if it requires that and some rack could hold it. Which of
+//! the workers with capacity is chosen is decided in [`super::choice`].
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
 use super::order::{self, Urgency};
-use super::{Decision, OperatorView, Planner, Round, broken, crashes};
+use super::speed_fit::RunBudget;
+use super::{Decision, OperatorView, Planner, Round, broken, choice, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -32,10 +33,8 @@
     pub waiting: Vec<u16>,
     /// Whether the job has little slack.
     pub urgent: bool,
-    /// Whether slow workers are excluded.
-    pub fast_only: bool,
-    /// Whether suspect workers are excluded.
-    pub trusted_only: bool,
+    /// How long the step may take.
+    pub budget: RunBudget,
     /// Which tasks may run beside them.
     pub neighbours: Neighbours,
     /// Workers that are excluded because the job failed there or because they are left empty.
@@ -102,8 +101,12 @@
             step: &job_state.job.steps[usize::from(step_number)],
             waiting: waiting_tasks(state, gang, neighbours),
             urgent: job_state.job.queue.priority == 0,
-            fast_only: false,
-            trusted_only: false,
+            budget: RunBudget::new(
+                &job_state.job,
+                round.draft.progress(job, job_state),
+                step_number,
+                self.age(round.now, job),
+            ),
             neighbours,
             excluded: BTreeSet::new(),
         };
@@ -140,7 +143,7 @@
         run: &impl Fn(u16) -> Run,
     ) {
         let placed: BTreeSet<u16> = if pending.step.gang {
-            let placements = best_gang_placements(pending, round.cluster);
+            let placements = choice::best_gang_placements(pending, round.cluster);
             for &(index, node) in &placements {
                 self.place_task(round, pending, index, run(index), node);
             }
@@ -148,7 +151,7 @@
         } else {
             let mut placed = BTreeSet::new();
             for &index in &pending.waiting {
-                let Some(node) = best_node(pending, round.cluster) else {
+                let Some(node) = choice::best_node(pending, round.cluster) else {
                     break;
                 };
                 self.place_task(round, pending, index, run(index), node);
@@ -178,6 +181,7 @@
         node.occupy(occupant, pending.step.estimate);
         pending.isolate(node);
         let incarnation = node.incarnation.clone();
+        let slowdown = node.log_slowdown.exp();
         let step = &mut round.draft.edit(pending.job).steps[usize::from(pending.step_number)];
         let state = &mut step.tasks[usize::from(index)];
         state.run = run;
@@ -187,6 +191,7 @@
             run,
             incarnation,
             age: self.age(round.now, pending.job),
+            slowdown,
         });
     }
 }
@@ -214,10 +219,7 @@
 
     /// Returns whether tasks of the step may run on a worker, regardless of its capacity.
     pub fn allows(&self, node: &Node) -> bool {
-        let is_excluded = (self.fast_only && node.is_slow())
-            || (self.trusted_only && node.suspect)
-            || self.excluded.contains(&node.incarnation);
-        self.serves(node) && !is_excluded
+        self.serves(node) && !self.excluded.contains(&node.incarnation)
     }
 
     /// Returns whether a worker could run tasks of the step, regardless of its capacity and of what the tasks avoid.
@@ -243,7 +245,7 @@
 
     /// Returns how many tasks of other jobs a crash under these tasks would end on a worker: those that it must not end
     /// again, and all. None if the tasks have not crashed workers.
-    fn endangered(&self, node: &Node) -> (usize, usize) {
+    pub fn endangered(&self, node: &Node) -> (usize, usize) {
         if !self.is_suspect() {
             return (0, 0);
         }
@@ -329,79 +331,11 @@
     }
 }
 
-/// Returns the node that one more independent task fills best, if any has capacity.
-fn best_node(pending: &PendingStep, cluster: &Cluster) -> Option<usize> {
-    (0..)
-        .zip(&cluster.nodes)
-        .filter(|(_, node)| pending.allows(node) && pending.joins(node))
-        .filter(|(_, node)| pending.copies(node, &pending.free(node)) > 0)
-        .min_by(|(_, a), (_, b)| {
-            let key = |node: &Node| {
-                let wrong_speed = node.is_slow() == pending.urgent;
-                let endangered = pending.endangered(node);
-                let far = far_from_data(pending.step, node);
-                (endangered, far, node.suspect, wrong_speed)
-            };
-            key(a)
-                .cmp(&key(b))
-                .then_with(|| free_share_after(pending, a).total_cmp(&free_share_after(pending, b)))
-        })
-        .map(|(node_index, _)| node_index)
-}
-
-/// Returns whether a worker is outside the rack that holds the step's data.
-fn far_from_data(step: &Step, node: &Node) -> bool {
-    step.data_rack
-        .as_ref()
-        .is_some_and(|rack| node.rack.as_ref() != Some(rack))
-}
-
-/// Returns the share of a worker's capacity that stays free after placing a task.
-fn free_share_after(pending: &PendingStep, node: &Node) -> f64 {
-    node.free
-        .saturating_sub(&pending.step.demand)
-        .share_of(&node.capacity)
-}
-
 /// Returns whether a step must run within one rack.
 pub(super) fn needs_one_rack(pending: &PendingStep, cluster: &Cluster) -> bool {
     pending.step.gang && pending.step.one_rack && fits_one_rack(pending, cluster)
 }
 
-/// Places all tasks of a gang, or none. Suspect workers are avoided if there is capacity elsewhere,
-/// and so are slow ones if the job is urgent, as a gang is as slow as its slowest member.
-fn best_gang_placements(pending: &mut PendingStep, cluster: &Cluster) -> Vec<Placement> {
-    let unrestricted = gang_placements(pending, cluster);
-    if unrestricted.is_empty() {
-        return unrestricted;
-    }
-    let urgent = pending.urgent;
-    let suspects = cluster.nodes.iter().any(|node| node.suspect);
-    let best = [(true, true), (true, false), (false, true)]
-        .into_iter()
-        .filter(|(trusted_only, fast_only)| (suspects || !trusted_only) && (urgent || !fast_only))
-        .find_map(|(trusted_only, fast_only)| {
-            (pending.trusted_only, pending.fast_only) = (trusted_only, fast_only);
-            let placements = gang_placements(pending, cluster);
-            (!placements.is_empty()).then_some(placements)
-        });
-    (pending.trusted_only, pending.fast_only) = (false, false);
-    best.unwrap_or(unrestricted)
-}
-
-/// Places all tasks of a gang, or none, on the candidate group that leaves the least free capacity.
-fn gang_placements(pending: &PendingStep, cluster: &Cluster) -> Vec<Placement> {
-    candidate_groups(pending, cluster)
-        .into_iter()
-        .map(|mut nodes| {
-            nodes.retain(|node_index| pending.joins(&cluster.nodes[*node_index]));
-            place_within(pending, cluster, &nodes, |node| pending.free(node))
-        })
-        .filter(|placements| !placements.is_empty())
-        .min_by(|a, b| unused_share(cluster, a).total_cmp(&unused_share(cluster, b)))
-        .unwrap_or_default()
-}
-
 /// Returns the groups of nodes, each of which is considered as a whole for all tasks of a step: one
 /// group per rack for a gang that must run within one rack, otherwise a single group of all nodes.
 pub(super) fn candidate_groups(pending: &PendingStep, cluster: &Cluster) -> Vec<Vec<usize>> {
@@ -488,12 +422,3 @@
     }
     placements
 }
-
-/// Returns the summed shares of free capacity on the workers that a gang would use.
-fn unused_share(cluster: &Cluster, placements: &[Placement]) -> f64 {
-    let used: BTreeSet<usize> = placements.iter().map(|(_, node)| *node).collect();
-    used.iter()
-        .map(|node_index| &cluster.nodes[*node_index])
-        .map(|node| node.free.share_of(&node.capacity))
-        .sum()
-}
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -9,6 +9,7 @@
 use super::draft::Draft;
 use super::order::Urgency;
 use super::place::{self, PendingStep, Placement};
+use super::speed_fit::PreemptionCost;
 use super::{Decision, Planner, Round};
 use crate::demand::Demand;
 use crate::id::{Run, Task};
@@ -202,7 +203,7 @@
             .into_iter()
             .map(|nodes| self.cheapest_in_group(cluster, pending, losses, &nodes))
             .filter(|placements| !placements.is_empty())
-            .min_by(|a, b| total_cost(a).total_cmp(&total_cost(b)))
+            .min_by(|a, b| total(cluster, a).compare(&total(cluster, b)))
             .unwrap_or_default()
     }
 
@@ -231,7 +232,13 @@
                     let new_cost: f64 = victims.iter().map(|key| losses[key]).sum();
                     Some((*node_index, tasks + 1, new_cost, new_cost - cost))
                 })
-                .min_by(|(_, _, _, a), (_, _, _, b)| a.total_cmp(b));
+                .min_by(|(a_node, _, _, a), (b_node, _, _, b)| {
+                    let cost = |node: usize, loss: f64| PreemptionCost {
+                        loss,
+                        slowest: cluster.nodes[node].speed_class,
+                    };
+                    cost(*a_node, *a).compare(&cost(*b_node, *b))
+                });
             let Some((node, tasks, node_cost, cost)) = best else {
                 break;
             };
@@ -342,6 +349,17 @@
     }
 }
 
+/// Returns the cost of a placement of several tasks.
+fn total(cluster: &Cluster, placements: &[CostedPlacement]) -> PreemptionCost {
+    let classes = placements
+        .iter()
+        .map(|placement| cluster.nodes[placement.node].speed_class);
+    PreemptionCost {
+        loss: total_cost(placements),
+        slowest: classes.max().unwrap_or_default(),
+    }
+}
+
 fn total_cost(placements: &[CostedPlacement]) -> f64 {
     placements.iter().map(|placement| placement.cost).sum()
 }
--- a/crates/godwitstep-batch/src/planner/speed.rs
+++ b/crates/godwitstep-batch/src/planner/speed.rs
@@ -2,15 +2,12 @@
 //!
 //! Workers of the same kind differ by a quarter and more, and none of them reports it. The
 //! independent tasks of a step are equal, so their run times on different workers show the
-//! difference. Urgent jobs, which have little slack, go to the faster workers and other jobs to the
-//! slower ones.
+//! difference. [`super::speed_fit`] decides by it.
 
 use crate::id::{Incarnation, JobId, Task};
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Logarithm of the relative run time from which a worker counts as slow.
-pub(super) const SLOW_LOG_RATIO: f64 = 0.06;
 /// Number of tasks of a step whose run times must be known before further ones are compared with them.
 const MIN_SAMPLES: f64 = 2.0;
 /// Weight of the prior assumption that a worker has average speed. Unit: tasks.
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -332,9 +332,12 @@
             run,
             incarnation,
             age,
+            slowdown,
         } => {
+            // Two decimals: the estimate is no more accurate.
+            let slowdown = format_args!("{slowdown:.2}");
             metrics::histogram!("godwitstep_placement_age_seconds").record(*age);
-            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), epoch, version, view_ms, jobs_view_ms, "placed");
+            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), %slowdown, epoch, version, view_ms, jobs_view_ms, "placed");
         }
         Decision::Ended {
             task,
