--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -23,6 +23,7 @@
 mod avoid;
 mod begun;
 mod broken;
+mod choice;
 mod cluster;
 mod crashes;
 mod directive;
@@ -39,6 +40,7 @@
 mod preempt;
 mod reports;
 mod reserve;
+mod speed_fit;
 mod stall;
 mod waits;
 
@@ -109,6 +111,8 @@
         incarnation: Incarnation,
         /// Time since the job was accepted, as far as the decider knows.
         age: Duration,
+        /// Run time of tasks on the worker relative to equal tasks elsewhere; 1 if unknown.
+        slowdown: f64,
     },
     /// A run ended.
     Ended {
--- a/crates/godwitstep-batch/src/planner/expect.rs
+++ b/crates/godwitstep-batch/src/planner/expect.rs
@@ -5,10 +5,12 @@
 use super::Planner;
 use super::cluster::Occupant;
 use super::draft::Draft;
+use super::speed_fit::RunBudget;
 use crate::expectation::{Class, Expectation};
 use crate::id::{Run, Task};
 use crate::job::{Job, Step};
 use crate::ledger::JobState;
+use crate::progress::{self, Progress};
 use std::time::Duration;
 
 /// Slowness up to which a worker counts as an average one in predicted ends.
@@ -60,6 +62,25 @@
         job.objective_for(length).saturating_sub(length)
     }
 
+    /// Returns how long a step of a job may take.
+    pub(super) fn run_budget(
+        &self,
+        now: Duration,
+        job: &Job,
+        progress: &Progress,
+        step: &Step,
+    ) -> RunBudget {
+        let done = |step| progress.steps.get(step).is_some_and(progress::Step::done);
+        let run = self.expected(job, step).typical();
+        let remaining = self.remaining_length(job, Length::Typical, done);
+        let objective = self.expected_objective(job, Length::Typical);
+        RunBudget {
+            run,
+            rest: remaining.saturating_sub(run),
+            left: objective.saturating_sub(self.age(now, job.id)),
+        }
+    }
+
     /// Returns the predicted remaining time of a placed run.
     pub(super) fn time_left(&self, now: Duration, draft: &Draft, occupant: &Occupant) -> Duration {
         if self.is_stopping(occupant) {
