feat(batch): keep learned run times in the log for the next decider

Cause: what a decider has learned was lost with it, so its successor decided by the estimates for the first 10 to 20 runs of each queue.

Change: the decider writes `Record::Expectations` under the key `expectations` beside other records when something is new and 1.5 s have passed: the samples of the queues and the slowness of the workers, the least recently used ones omitted beyond 32 KiB. A new decider restores it before its first round. Values are integers of a thousandth and checked for their range; a record of a later epoch than the reader's is not used. Entries of earlier versions skip the record as malformed, so it never goes alone: they hear of the decider by the others.

--- a/crates/godwitstep-batch/src/expectation.rs
+++ b/crates/godwitstep-batch/src/expectation.rs
@@ -30,9 +30,11 @@
 
 mod distribution;
 mod regression;
+mod snapshot;
 mod worker;
 
 pub use distribution::Expectation;
+pub use snapshot::{MAX_RECORD_BYTES, Snapshot};
 pub use worker::{Hardware, Machine, hardware};
 
 use crate::id::{self, JobId};
@@ -132,6 +134,8 @@
     workers: Workers,
     /// Number of samples so far.
     samples: u64,
+    /// Whether there are samples that no [`Snapshot`] has.
+    unsaved: bool,
 }
 
 impl Expectations {
@@ -174,6 +178,7 @@
 
     fn add_sample(&mut self, run: &FinishedRun, sample: Sample) {
         self.samples += 1;
+        self.unsaved = true;
         let queue = match self.queues.get_mut(run.class.queue) {
             Some(queue) => queue,
             None => self.queues.entry(run.class.queue.into()).or_default(),
--- a/crates/godwitstep-batch/src/expectation/regression.rs
+++ b/crates/godwitstep-batch/src/expectation/regression.rs
@@ -170,8 +170,9 @@
 /// Samples of one class and their fit.
 #[derive(Debug, Default)]
 pub(super) struct Regression {
-    /// At most [`MAX_SAMPLES`], the oldest first, with the step that each one comes from.
-    samples: VecDeque<(Source, Sample)>,
+    /// At most [`MAX_SAMPLES`], the oldest first, with the step that each one comes from; `None` if an earlier
+    /// decider recorded it.
+    samples: VecDeque<(Option<Source>, Sample)>,
     /// `None` while there are fewer than [`MIN_SAMPLES`] completed runs.
     fit: Option<Fit>,
     /// Whether samples have changed since the last fit.
@@ -183,10 +184,20 @@
     pub fn record(&mut self, source: Source, sample: Sample) {
         self.changed = true;
         let mut newest_first = self.samples.iter_mut().rev();
-        if let Some((_, known)) = newest_first.find(|(other, _)| *other == source) {
+        if let Some((_, known)) = newest_first.find(|(other, _)| *other == Some(source)) {
             *known = sample;
             return;
         }
+        self.push(Some(source), sample);
+    }
+
+    /// Adds a sample of an earlier decider.
+    pub fn restore(&mut self, sample: Sample) {
+        self.changed = true;
+        self.push(None, sample);
+    }
+
+    fn push(&mut self, source: Option<Source>, sample: Sample) {
         if self.samples.len() >= MAX_SAMPLES {
             self.samples.pop_front();
         }
@@ -206,7 +217,8 @@
         self.fit.as_ref()
     }
 
-    fn samples(&self) -> impl Iterator<Item = &Sample> + Clone {
+    /// Returns the samples, the oldest first.
+    pub fn samples(&self) -> impl ExactSizeIterator<Item = &Sample> + Clone {
         self.samples.iter().map(|(_, sample)| sample)
     }
 }
--- a/crates/godwitstep-batch/src/expectation/worker.rs
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -20,12 +20,12 @@
 const PRIOR_WEIGHT: f64 = 1.0;
 /// Weight of the earlier tasks on a worker, at most, so that a change of its speed is tracked: three quarters of it
 /// within ten tasks. Unit: tasks.
-const MAX_WEIGHT: f64 = 6.0;
+pub(super) const MAX_WEIGHT: f64 = 6.0;
 /// Distance from what is known at which a task counts in full. Limits the influence of a task that takes several times as
 /// long for a reason of its own.
 const MAX_DEVIATION: f64 = 0.5;
 /// Bounds of the slowness.
-const MAX_LOG_SLOWDOWN: f64 = 2.0;
+pub(super) const MAX_LOG_SLOWDOWN: f64 = 2.0;
 /// Spread among the run times of equal tasks on equal workers. With the spread of a class it gives the weight of a gang
 /// relative to a task that is compared with its own step.
 const EQUAL_TASKS_SPREAD: f64 = 0.15;
@@ -209,6 +209,17 @@
             self.steps.retain(|_, step| step.used > oldest);
         }
     }
+
+    /// Restores a worker from a record.
+    pub fn restore(&mut self, host: Host, speed: Speed) {
+        self.samples = self.samples.max(speed.used);
+        self.by_host.insert(host, speed);
+    }
+
+    /// Returns all workers of which something is known.
+    pub fn iter(&self) -> impl Iterator<Item = (&Host, &Speed)> {
+        self.by_host.iter()
+    }
 }
 
 /// Returns the middle one of several numbers; 0 if there is none.
--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -16,11 +16,13 @@
 //! assert_eq!(ledger.status(7), Some(Status::Queued));
 //! ```
 
+use crate::expectation::Snapshot;
 use crate::id::{Epoch, Host, JobId, Offset};
 use crate::job::Job;
 use crate::progress::{Outcome, Progress};
 use crate::record::{
-    Announcement, Claim, Record, announcement_key, cancelled_key, progress_key, submitted_key,
+    Announcement, Claim, EXPECTATIONS_KEY, Record, announcement_key, cancelled_key, progress_key,
+    submitted_key,
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -102,6 +104,8 @@
     claim: Option<(Offset, Claim)>,
     /// Newest announcement of each entry process and its offset.
     entries: BTreeMap<Host, (Offset, Announcement)>,
+    /// Newest record of what deciders have learned and its offset; at most 32 KiB when encoded.
+    expectations: Option<(Offset, Snapshot)>,
 }
 
 impl Ledger {
@@ -149,6 +153,14 @@
                     self.entries.insert(host, (offset, announcement));
                 }
             }
+            Record::Expectations(snapshot) => {
+                let is_newer = |(newest, known): &(Offset, Snapshot)| {
+                    offset >= *newest && snapshot.epoch >= known.epoch
+                };
+                if self.expectations.as_ref().is_none_or(is_newer) {
+                    self.expectations = Some((offset, snapshot));
+                }
+            }
             // Part of a record that is applied as a whole.
             Record::Fragment(_) => {}
         }
@@ -201,6 +213,10 @@
         }
         self.entries
             .retain(|host, (offset, _)| !deleted(announcement_key(host), Some(*offset)));
+        let learned_at = self.expectations.as_ref().map(|(offset, _)| *offset);
+        if deleted(EXPECTATIONS_KEY.to_owned(), learned_at) {
+            self.expectations = None;
+        }
     }
 
     fn apply_submission(&mut self, job: Job) {
@@ -331,6 +347,16 @@
         self.claim().map_or(0, |claim| claim.epoch)
     }
 
+    /// Returns what deciders up to an epoch have learned. A record of a later epoch is not used: it is that of a decider
+    /// that has replaced the one that asks, or of no decider.
+    #[must_use]
+    pub fn expectations(&self, epoch: Epoch) -> Option<&Snapshot> {
+        let newest = self.expectations.as_ref();
+        newest
+            .map(|(_, snapshot)| snapshot)
+            .filter(|snapshot| snapshot.epoch <= epoch)
+    }
+
     /// Returns the announcements of all entries.
     pub fn entries(&self) -> impl Iterator<Item = &Announcement> {
         self.entries.values().map(|(_, announcement)| announcement)
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -229,6 +229,8 @@
     reports: AgentReports,
     health: Health,
     expectations: Expectations,
+    /// When the expectations were last given out to be stored.
+    expectations_saved_at: Duration,
     failures: FailedWorkers,
     headroom: Headroom,
     /// When each open job was accepted, on the decider's clock. For a job accepted before the
@@ -274,6 +276,7 @@
             bounds,
             health: Health::default(),
             expectations: Expectations::default(),
+            expectations_saved_at: now,
             failures: FailedWorkers::default(),
             headroom: Headroom::default(),
             accepted_at: HashMap::new(),
--- a/crates/godwitstep-batch/src/planner/learn.rs
+++ b/crates/godwitstep-batch/src/planner/learn.rs
@@ -8,17 +8,50 @@
 use super::draft::Draft;
 use super::ends::EndedRun;
 use super::reports::EndCause;
-use crate::expectation::{Class, End, FinishedRun, Machine, Source};
+use crate::expectation::{
+    Class, End, Expectation, Expectations, FinishedRun, Machine, Snapshot, Source,
+};
 use crate::id::{Incarnation, Task};
-use crate::job::Step;
+use crate::job::{Job, Step};
 use crate::message::{EndReason, WorkerInfo};
+use crate::record::Record;
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Least time between two records of what has been learned. With the wait for another record to go with, at most 2 s of
+/// samples are lost with a decider.
+const SAVE_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time after a take-over within which the first reports may list runs that began long before.
 const INHERITED_WINDOW: Duration = Duration::from_secs(2);
 
 impl Planner {
+    /// Goes on from what an earlier decider has learned.
+    #[must_use]
+    pub fn with_expectations(self, snapshot: &Snapshot) -> Self {
+        Self {
+            expectations: Expectations::restore(snapshot),
+            ..self
+        }
+    }
+
+    /// Returns the expected run time of the tasks of a job's step on a worker of average speed.
+    #[must_use]
+    pub fn expected_run_time(&self, job: &Job, step: &Step) -> Expectation {
+        self.expected(job, step)
+    }
+
+    /// Returns a record of at most `limit` bytes with what has been learned, if there is anything new and the last one is
+    /// old enough. It is written together with other records, as an append of its own would cost a call.
+    pub fn save_expectations(&mut self, now: Duration, limit: usize) -> Option<Record> {
+        let age = now.saturating_sub(self.expectations_saved_at);
+        if age < SAVE_INTERVAL || !self.expectations.is_unsaved() {
+            return None;
+        }
+        self.expectations_saved_at = now;
+        let snapshot = self.expectations.snapshot(self.epoch, limit);
+        Some(Record::Expectations(snapshot))
+    }
+
     /// Learns from the end of a run, before it is applied to the state of its job.
     pub(super) fn learn(&mut self, now: Duration, draft: &Draft, ended: &EndedRun) {
         let end = match &ended.cause {
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -12,6 +12,7 @@
 //! ```
 
 use crate::address;
+use crate::expectation::Snapshot;
 use crate::fragment::Fragment;
 use crate::id::{Epoch, Host, JobId, Run};
 use crate::job::{self, Job, MAX_STEPS, MAX_TASKS};
@@ -46,6 +47,8 @@
     Claimed(Claim),
     /// A process serves as an entry.
     Announced(Announcement),
+    /// The decider has learned run times. Fenced by its epoch. Entries of versions without it skip the record.
+    Expectations(Snapshot),
     /// Part of a record of a job's state that exceeds the log's limit. Fenced by the decider's epoch.
     Fragment(Fragment),
 }
@@ -90,6 +93,8 @@
 const CANCELLED_PREFIX: &str = "stop/";
 const PROGRESS_PREFIX: &str = "progress/";
 const CLAIM_KEY: &str = "claim";
+/// Key of what the decider has learned.
+pub const EXPECTATIONS_KEY: &str = "expectations";
 const ANNOUNCEMENT_PREFIX: &str = "entry/";
 
 impl Record {
@@ -102,6 +107,7 @@
             Self::Progressed { job, .. } | Self::Dropped { job } => progress_key(*job),
             Self::Claimed(_) => CLAIM_KEY.to_owned(),
             Self::Announced(announcement) => announcement_key(&announcement.host),
+            Self::Expectations(_) => EXPECTATIONS_KEY.to_owned(),
             Self::Fragment(fragment) => fragment.item_key(),
         }
     }
@@ -150,6 +156,7 @@
             Self::Submitted(job) => validate_job(job),
             Self::Progressed { progress, .. } => validate_progress(progress),
             Self::Fragment(fragment) => fragment.validate(),
+            Self::Expectations(snapshot) => snapshot.validate(),
             Self::Claimed(claim) if claim.epoch > MAX_EPOCH => {
                 Err(format!("epoch {} is out of range", claim.epoch))
             }
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -25,6 +25,7 @@
 use godwitstep_batch::claim::FailureDetector;
 use godwitstep_batch::fragment::Assembler;
 use godwitstep_batch::id::{Domain, Epoch, Offset};
+use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::planner::Planner;
 use godwitstep_batch::record::Record;
@@ -272,7 +273,10 @@
                     Ok(Some((offset, record))) => {
                         let from_decider = matches!(
                             record,
-                            Record::Claimed(_) | Record::Progressed { .. } | Record::Dropped { .. }
+                            Record::Claimed(_)
+                                | Record::Progressed { .. }
+                                | Record::Dropped { .. }
+                                | Record::Expectations(_)
                         );
                         if from_decider {
                             state.detector.reset_timeout(now);
@@ -418,6 +422,14 @@
         addresses
     }
 
+    /// Returns the typical run time that the decider expects of a step's tasks; `None` if this entry does not decide.
+    #[must_use]
+    pub fn expected_run_time(&self, job: &Job, step: &Step) -> Option<Duration> {
+        let state = self.state.borrow();
+        let planner = state.decider.as_ref().map(|decider| &decider.planner);
+        planner.map(|planner| planner.expected_run_time(job, step).typical())
+    }
+
     /// Returns whether this entry is the decider.
     #[must_use]
     pub fn is_decider(&self) -> bool {
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -10,6 +10,7 @@
 use godwitstep_batch::bounds::{DECIDER_LEASE, RENEWAL_INTERVAL};
 use godwitstep_batch::claim;
 use godwitstep_batch::id::{Epoch, Offset};
+use godwitstep_batch::ledger::Ledger;
 use godwitstep_batch::planner::{Decision, OperatorView, Planner};
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::{Claim, Record};
@@ -174,20 +175,41 @@
         };
         self.wait_for_offset(end, DECIDER_LEASE).await.then(|| {
             let now = self.clock.now();
-            let planner = Planner::new(epoch, now, self.bounds.clone());
-            self.state.borrow_mut().decider = Some(Decider {
+            let mut state = self.state.borrow_mut();
+            let planner = self.new_planner(epoch, now, &state.ledger);
+            state.decider = Some(Decider {
                 planner,
                 renewed_at: sent,
                 last_append_refused: false,
                 sequence: 1,
                 last_directives: HashMap::new(),
             });
+            drop(state);
             metrics::gauge!("godwitstep_decides").set(1.0);
             tracing::info!(epoch, "decides");
             epoch
         })
     }
 
+    /// Returns the planner of a new decider, with what its predecessors have learned. The ledger includes the claim, and
+    /// with it all records that they could store.
+    fn new_planner(&self, epoch: Epoch, now: Duration, ledger: &Ledger) -> Planner {
+        let planner = Planner::new(epoch, now, self.bounds.clone());
+        match ledger.expectations(epoch) {
+            Some(learned) => {
+                tracing::info!(
+                    epoch,
+                    learned_in = learned.epoch,
+                    queues = learned.queues(),
+                    workers = learned.workers(),
+                    "run-time expectations taken over"
+                );
+                planner.with_expectations(learned)
+            }
+            None => planner,
+        }
+    }
+
     fn claim(&self, epoch: Epoch, released: bool) -> Record {
         Record::Claimed(Claim {
             epoch,
@@ -286,6 +308,11 @@
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
         }
+        // Never alone: entries of earlier versions skip the record, and must hear of the decider by another one.
+        if !records.is_empty() {
+            let limit = self.settings.sizes.record_bytes;
+            records.extend(decider.planner.save_expectations(now, limit));
+        }
         records
     }
 
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -293,6 +293,7 @@
             Record::Progressed { .. }
             | Record::Dropped { .. }
             | Record::Claimed(_)
+            | Record::Expectations(_)
             | Record::Fragment(_) => false,
         }
     }
