fix(batch): judge lack of progress by the pace of a run

Cause: a worker got no new tasks, and a run was stopped as stalled, after 1.5 s or 1.6 s without a change of a whole percent. A run of over 150 s changes less often. Workers with only such runs got no tasks nearly all the time, and checkpointed runs of that length were stopped again and again. The rate in `is_slow` was measured over 1 s, so such runs also counted as slow between two changes.

Change: `pace.rs` keeps when the percentage of a run changed. Rates are measured over a period in which a change is due. Slow runs on more than half of a pool's workers do not exclude them: then the estimates are wrong.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -34,6 +34,7 @@
 mod health;
 mod late;
 mod order;
+mod pace;
 mod place;
 mod preempt;
 mod reports;
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -201,7 +201,7 @@
         draft: &Draft,
         view: &OperatorView,
     ) -> Self {
-        let stall_times = health.worker_stalls(now);
+        let stall_times = health.worker_stalls(now, |task| draft.expected_run_time(task));
         let nodes: Vec<Node> = reports
             .workers(now)
             .map(|(age, worker)| Node {
@@ -306,20 +306,31 @@
         self.active.contains(&task)
     }
 
-    /// Excludes workers on which all runs are slow from placements.
+    /// Excludes workers on which all runs are slow from placements, unless these are most workers of a pool: then the
+    /// estimates are wrong rather than the workers.
     fn exclude_slow(&mut self, health: &Health, draft: &Draft) {
-        for node in &mut self.nodes {
-            let slow: Vec<bool> = node
-                .occupants
-                .iter()
-                .filter_map(|occupant| {
-                    let job = &draft.ledger().job(occupant.task.job)?.job;
-                    let estimate = job.steps[usize::from(occupant.task.step)].estimate;
-                    health.is_slow(occupant.task, occupant.run, estimate)
-                })
-                .collect();
+        let is_slow = |occupant: &Occupant| {
+            let estimate = draft.expected_run_time(occupant.task);
+            health.is_slow(occupant.task, occupant.run, estimate)
+        };
+        let mut slow_by_pool: HashMap<Pool, Vec<usize>> = HashMap::new();
+        let mut workers_by_pool: HashMap<Pool, usize> = HashMap::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            *workers_by_pool.entry(node.pool.clone()).or_default() += 1;
+            let slow: Vec<bool> = node.occupants.iter().filter_map(is_slow).collect();
             if !slow.is_empty() && slow.iter().all(|slow| *slow) {
-                node.schedulable = false;
+                slow_by_pool
+                    .entry(node.pool.clone())
+                    .or_default()
+                    .push(index);
+            }
+        }
+        for (pool, slow) in slow_by_pool {
+            if slow.len() * 2 > workers_by_pool[&pool] {
+                continue;
+            }
+            for index in slow {
+                self.nodes[index].schedulable = false;
             }
         }
     }
--- a/crates/godwitstep-batch/src/planner/draft.rs
+++ b/crates/godwitstep-batch/src/planner/draft.rs
@@ -5,6 +5,7 @@
 use crate::progress::Progress;
 use crate::record::Record;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 /// A ledger with uncommitted changes of job states.
 #[derive(Debug)]
@@ -56,6 +57,13 @@
         })
     }
 
+    /// Returns the expected run time of a task; zero if its job is unknown.
+    pub fn expected_run_time(&self, task: Task) -> Duration {
+        let job_state = self.ledger.job(task.job);
+        let step = job_state.and_then(|state| state.job.steps.get(usize::from(task.step)));
+        step.map_or(Duration::ZERO, |step| step.estimate)
+    }
+
     /// Returns the open jobs with their state, including the changes of this round.
     pub fn open(&self) -> impl Iterator<Item = (JobId, &JobState, &Progress)> {
         self.ledger
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -5,11 +5,12 @@
 //! long until a run succeeds there. Failures of a single job point to the job instead.
 
 use super::Decision;
+use super::pace::Pace;
 use super::reports::EndCause;
 use super::speed::WorkerSpeeds;
 use crate::id::{Host, Incarnation, JobId, Run, Task};
 use crate::message::{EndReason, Refusal, Report, Running};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(2);
 /// Upper bound of the quarantine, which doubles each time.
 const MAX_QUARANTINE: Duration = Duration::from_secs(16);
-/// Time without progress on a worker after which it gets no new tasks.
+/// Time without progress on a worker after which it gets no new tasks, if some run there is overdue.
 const WORKER_STALL_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// A failure within this time after a run was first listed is attributed to the worker. Runs that
@@ -38,7 +39,7 @@
 /// a half, and healthy workers differ by up to a quarter.
 const SLOW_RATE_SHARE: f64 = 0.3;
 
-/// Time since the last progress of any run, by host.
+/// Time since the last progress of any run, by host; only hosts where the progress of some run is overdue.
 pub(super) type StallTimes = HashMap<Host, Duration>;
 
 /// Health of one worker.
@@ -56,19 +57,26 @@
 #[derive(Debug)]
 struct RunProgress {
     host: Host,
-    percent: u8,
-    progressed_at: Duration,
+    pace: Pace,
     /// When a report first listed the run.
     first_listed: Duration,
     /// Whether each member of its gang has been listed, though not necessarily at the same time.
     gang_complete: bool,
     /// Time and progress at the start of the period over which the rate is measured.
     rate_start: (Duration, u8),
-    /// Newest measured rate. Unit: percent per second.
-    rate: Option<f64>,
+    /// Newest measured rate.
+    rate: Option<Rate>,
     saved: Arc<str>,
 }
 
+/// Progress of a run in a period.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    /// Unit: percent.
+    gained: u8,
+    span: Duration,
+}
+
 /// Health of all workers and progress of all runs.
 #[derive(Debug, Default)]
 pub(super) struct Health {
@@ -95,8 +103,7 @@
             .entry((listed_run.task, listed_run.run))
             .or_insert_with(|| RunProgress {
                 host: host.clone(),
-                percent: listed_run.percent,
-                progressed_at: now,
+                pace: Pace::new(now, listed_run.percent),
                 first_listed: now,
                 gang_complete: false,
                 rate_start: (now, listed_run.percent),
@@ -105,15 +112,14 @@
             });
         let (start, percent) = run_progress.rate_start;
         let span = now.saturating_sub(start);
-        if span >= RATE_SPAN {
-            let gained = f64::from(listed_run.percent.saturating_sub(percent));
-            run_progress.rate = Some(gained / span.as_secs_f64());
+        let gained = listed_run.percent.saturating_sub(percent);
+        run_progress.pace.record(now, listed_run.percent);
+        // A slow pace needs a longer period; one that is not known yet is judged in `is_slow`.
+        let is_measurable = gained > 0 || run_progress.pace.covers_changes(span, Duration::ZERO);
+        if span >= RATE_SPAN && is_measurable {
+            run_progress.rate = Some(Rate { gained, span });
             run_progress.rate_start = (now, listed_run.percent);
         }
-        if run_progress.percent != listed_run.percent {
-            run_progress.percent = listed_run.percent;
-            run_progress.progressed_at = now;
-        }
         if !listed_run.saved.is_empty() {
             run_progress.saved = listed_run.saved.clone();
         }
@@ -217,12 +223,12 @@
             return estimate;
         };
         let elapsed = now.saturating_sub(run_progress.first_listed);
-        if run_progress.percent < MIN_PREDICTABLE_PERCENT {
+        if run_progress.pace.percent() < MIN_PREDICTABLE_PERCENT {
             return estimate
                 .saturating_sub(elapsed)
                 .max(estimate.mul_f64(MIN_REMAINING_SHARE));
         }
-        let done = f64::from(run_progress.percent) / 100.0;
+        let done = f64::from(run_progress.pace.percent()) / 100.0;
         elapsed.mul_f64((1.0 - done) / done)
     }
 
@@ -232,15 +238,31 @@
         let rate = run_progress
             .rate
             .filter(|_| run_progress.expects_progress())?;
+        if rate.gained == 0 && !run_progress.pace.covers_changes(rate.span, estimate) {
+            return None;
+        }
+        let rate = f64::from(rate.gained) / rate.span.as_secs_f64();
         Some(rate / 100.0 * estimate.as_secs_f64() < SLOW_RATE_SHARE)
     }
 
-    /// Returns the time since a run last made progress, if its progress is known.
-    pub fn stalled_for(&self, now: Duration, task: Task, run: Run) -> Option<Duration> {
+    /// Returns the time since a run last made progress, if its progress is known; zero while the next progress of a run of
+    /// this expected time is not overdue.
+    pub fn stalled_for(
+        &self,
+        now: Duration,
+        task: Task,
+        run: Run,
+        expected: Duration,
+    ) -> Option<Duration> {
         let run_progress = self.runs.get(&(task, run))?;
-        run_progress
-            .expects_progress()
-            .then(|| now.saturating_sub(run_progress.progressed_at))
+        let pace = &run_progress.pace;
+        run_progress.expects_progress().then(|| {
+            if pace.is_overdue(now, expected) {
+                pace.unchanged_for(now)
+            } else {
+                Duration::ZERO
+            }
+        })
     }
 
     /// Returns the time since a run was first listed.
@@ -268,21 +290,25 @@
             .is_some_and(|run_progress| run_progress.gang_complete)
     }
 
-    /// Returns the time since the last progress of any run on each host, where the progress of some
-    /// run is known.
-    pub fn worker_stalls(&self, now: Duration) -> StallTimes {
+    /// Returns the time since the last progress of any run on each host where the progress of some run is overdue. Runs
+    /// that are not overdue show only by their last progress whether the worker hangs.
+    pub fn worker_stalls(&self, now: Duration, expected: impl Fn(Task) -> Duration) -> StallTimes {
         let mut stall_times = StallTimes::new();
-        for run_progress in self
-            .runs
-            .values()
-            .filter(|run_progress| run_progress.expects_progress())
-        {
-            let stalled_for = now.saturating_sub(run_progress.progressed_at);
+        let mut overdue: HashSet<&Host> = HashSet::new();
+        for ((task, _), run_progress) in &self.runs {
+            if !run_progress.expects_progress() {
+                continue;
+            }
+            let unchanged_for = run_progress.pace.unchanged_for(now);
             stall_times
                 .entry(run_progress.host.clone())
-                .and_modify(|shortest| *shortest = stalled_for.min(*shortest))
-                .or_insert(stalled_for);
+                .and_modify(|shortest| *shortest = unchanged_for.min(*shortest))
+                .or_insert(unchanged_for);
+            if run_progress.pace.is_overdue(now, expected(*task)) {
+                overdue.insert(&run_progress.host);
+            }
         }
+        stall_times.retain(|host, _| overdue.contains(host));
         stall_times
     }
 
@@ -316,7 +342,7 @@
     /// Returns whether the run's progress should advance. Only tasks that write checkpoints report
     /// progress, and a gang member that has finished its work waits for the others.
     const fn expects_progress(&self) -> bool {
-        self.percent > 0 && self.percent < GANG_MEMBER_DONE_PERCENT
+        self.pace.percent() > 0 && self.pace.percent() < GANG_MEMBER_DONE_PERCENT
     }
 }
 
--- a/crates/godwitstep-batch/src/planner/stall.rs
+++ b/crates/godwitstep-batch/src/planner/stall.rs
@@ -53,7 +53,9 @@
     /// Stops stalled runs and gangs that do not start completely.
     pub(super) fn stop_stalled(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stalled = Vec::new();
-        let stall_times = self.health.worker_stalls(now);
+        let stall_times = self
+            .health
+            .worker_stalls(now, |task| draft.expected_run_time(task));
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
                 let task = Task { job, step, index };
@@ -100,7 +102,7 @@
         let stalled_for = if step.gang {
             // The members of a gang make progress together.
             self.gang_stalled_for(now, job_state, task, run)?
-        } else if let Some(stalled_for) = self.health.stalled_for(now, task, run) {
+        } else if let Some(stalled_for) = self.health.stalled_for(now, task, run, step.estimate) {
             stalled_for
         } else {
             // The run reports no progress, but other runs on the worker may.
@@ -119,8 +121,12 @@
         task: Task,
         run: Run,
     ) -> Option<Duration> {
-        (0..job_state.job.steps[usize::from(task.step)].tasks)
-            .filter_map(|index| self.health.stalled_for(now, Task { index, ..task }, run))
+        let step = &job_state.job.steps[usize::from(task.step)];
+        (0..step.tasks)
+            .filter_map(|index| {
+                let member = Task { index, ..task };
+                self.health.stalled_for(now, member, run, step.estimate)
+            })
             .min()
     }
 }
