--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -36,6 +36,7 @@
 mod late;
 mod learn;
 mod order;
+mod pace;
 mod place;
 mod preempt;
 mod reports;
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -6,12 +6,13 @@
 
 use super::OperatorView;
 use super::draft::Draft;
+use super::expect;
 use super::health::{Health, StallTimes};
 use super::late::LateRuns;
 use super::reports::AgentReports;
 use super::speed_fit::{SpeedClass, SpeedClasses};
 use crate::demand::Demand;
-use crate::expectation::{Class, Expectations};
+use crate::expectation::Expectations;
 use crate::id::{Host, Incarnation, JobId, Pool, Run, Task};
 use crate::message::{Reachability, Worker};
 use std::collections::{HashMap, HashSet};
@@ -203,7 +204,9 @@
         draft: &Draft,
         view: &OperatorView,
     ) -> Self {
-        let stall_times = health.worker_stalls(now);
+        let stall_times = health.worker_stalls(now, |task| {
+            expect::of_task(expectations, draft, task).typical()
+        });
         let nodes: Vec<Node> = reports
             .workers(now)
             .map(|(age, worker)| Node {
@@ -309,21 +312,31 @@
         self.active.contains(&task)
     }
 
-    /// Excludes workers on which all runs are slow from placements.
+    /// Excludes workers on which all runs are slow from placements, unless these are most workers of a pool: then the
+    /// estimates are wrong rather than the workers.
     fn exclude_slow(&mut self, health: &Health, expectations: &Expectations, draft: &Draft) {
-        for node in &mut self.nodes {
-            let slow: Vec<bool> = node
-                .occupants
-                .iter()
-                .filter_map(|occupant| {
-                    let job = &draft.ledger().job(occupant.task.job)?.job;
-                    let step = &job.steps[usize::from(occupant.task.step)];
-                    let expectation = || expectations.expected(Class::of(job, step), step.estimate);
-                    health.is_slow(occupant.task, occupant.run, expectation)
-                })
-                .collect();
+        let is_slow = |occupant: &Occupant| {
+            let expectation = || expect::of_task(expectations, draft, occupant.task);
+            health.is_slow(occupant.task, occupant.run, expectation)
+        };
+        let mut slow_by_pool: HashMap<Pool, Vec<usize>> = HashMap::new();
+        let mut workers_by_pool: HashMap<Pool, usize> = HashMap::new();
+        for (index, node) in self.nodes.iter().enumerate() {
+            *workers_by_pool.entry(node.pool.clone()).or_default() += 1;
+            let slow: Vec<bool> = node.occupants.iter().filter_map(is_slow).collect();
             if !slow.is_empty() && slow.iter().all(|slow| *slow) {
-                node.schedulable = false;
+                slow_by_pool
+                    .entry(node.pool.clone())
+                    .or_default()
+                    .push(index);
+            }
+        }
+        for (pool, slow) in slow_by_pool {
+            if slow.len() * 2 > workers_by_pool[&pool] {
+                continue;
+            }
+            for index in slow {
+                self.nodes[index].schedulable = false;
             }
         }
     }
--- a/crates/godwitstep-batch/src/planner/expect.rs
+++ b/crates/godwitstep-batch/src/planner/expect.rs
@@ -6,7 +6,7 @@
 use super::cluster::Occupant;
 use super::draft::Draft;
 use super::speed_fit::RunBudget;
-use crate::expectation::{Class, Expectation};
+use crate::expectation::{Class, Expectation, Expectations};
 use crate::id::{Run, Task};
 use crate::job::{Job, Step};
 use crate::ledger::JobState;
@@ -27,6 +27,17 @@
     Upper,
 }
 
+/// Returns the expected run time of a task on a worker of average speed; zero if its job is unknown.
+pub(super) fn of_task(expectations: &Expectations, draft: &Draft, task: Task) -> Expectation {
+    let step = draft.ledger().job(task.job).and_then(|job_state| {
+        let step = job_state.job.steps.get(usize::from(task.step))?;
+        Some((&job_state.job, step))
+    });
+    step.map_or(Expectation::of_estimate(Duration::ZERO), |(job, step)| {
+        expectations.expected(Class::of(job, step), step.estimate)
+    })
+}
+
 impl Planner {
     /// Returns the expected run time of a step's tasks on a worker of average speed.
     pub(super) fn expected(&self, job: &Job, step: &Step) -> Expectation {
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -5,11 +5,12 @@
 //! long until a run succeeds there. Failures of a single job point to the job instead.
 
 use super::Decision;
+use super::pace::Pace;
 use super::reports::EndCause;
 use crate::expectation::Expectation;
 use crate::id::{Host, Incarnation, JobId, Run, Task};
 use crate::message::{EndReason, Refusal, Report, Running};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -19,7 +20,7 @@
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(2);
 /// Upper bound of the quarantine, which doubles each time.
 const MAX_QUARANTINE: Duration = Duration::from_secs(16);
-/// Time without progress on a worker after which it gets no new tasks.
+/// Time without progress on a worker after which it gets no new tasks, if some run there is overdue.
 const WORKER_STALL_LIMIT: Duration = Duration::from_millis(1_500);
 /// Share of its run time for which a run may be without progress and not count as stalled. Progress is reported in whole
 /// percent, so that of long runs moves seldom.
@@ -40,7 +41,7 @@
 /// Share of the runs of its class that a slow run would outlast.
 const SLOW_QUANTILE: f64 = 0.95;
 
-/// Time since the last progress of any run, by host.
+/// Time since the last progress of any run, by host; only hosts where the progress of some run is overdue.
 pub(super) type StallTimes = HashMap<Host, Duration>;
 
 /// Health of one worker.
@@ -58,8 +59,7 @@
 #[derive(Debug)]
 struct RunProgress {
     host: Host,
-    percent: u8,
-    progressed_at: Duration,
+    pace: Pace,
     /// When a report first listed the run.
     first_listed: Duration,
     /// When it was found that each member of its gang has been listed, though not necessarily at the same time.
@@ -68,11 +68,19 @@
     longest_stall: Duration,
     /// Time and progress at the start of the period over which the rate is measured.
     rate_start: (Duration, u8),
-    /// Newest measured rate. Unit: percent per second.
-    rate: Option<f64>,
+    /// Newest measured rate.
+    rate: Option<Rate>,
     saved: Arc<str>,
 }
 
+/// Progress of a run in a period.
+#[derive(Debug, Clone, Copy)]
+struct Rate {
+    /// Unit: percent.
+    gained: u8,
+    span: Duration,
+}
+
 /// Health of all workers and progress of all runs.
 #[derive(Debug, Default)]
 pub(super) struct Health {
@@ -98,8 +106,7 @@
             .entry((listed_run.task, listed_run.run))
             .or_insert_with(|| RunProgress {
                 host: host.clone(),
-                percent: listed_run.percent,
-                progressed_at: now,
+                pace: Pace::new(now, listed_run.percent),
                 first_listed: now,
                 gang_complete: None,
                 longest_stall: Duration::ZERO,
@@ -109,15 +116,16 @@
             });
         let (start, percent) = run_progress.rate_start;
         let span = now.saturating_sub(start);
-        if span >= RATE_SPAN {
-            let gained = f64::from(listed_run.percent.saturating_sub(percent));
-            run_progress.rate = Some(gained / span.as_secs_f64());
-            run_progress.rate_start = (now, listed_run.percent);
-        }
-        if run_progress.percent != listed_run.percent {
+        let gained = listed_run.percent.saturating_sub(percent);
+        if run_progress.pace.percent() != listed_run.percent {
             run_progress.longest_stall = run_progress.stall(now);
-            run_progress.percent = listed_run.percent;
-            run_progress.progressed_at = now;
+        }
+        run_progress.pace.record(now, listed_run.percent);
+        // A slow pace needs a longer period; one that is not known yet is judged in `is_slow`.
+        let is_measurable = gained > 0 || run_progress.pace.covers_changes(span, Duration::ZERO);
+        if span >= RATE_SPAN && is_measurable {
+            run_progress.rate = Some(Rate { gained, span });
+            run_progress.rate_start = (now, listed_run.percent);
         }
         if !listed_run.saved.is_empty() {
             run_progress.saved = listed_run.saved.clone();
@@ -224,10 +232,10 @@
             return expectation().typical();
         };
         let elapsed = now.saturating_sub(run_progress.first_listed);
-        if run_progress.percent < MIN_PREDICTABLE_PERCENT {
+        if run_progress.pace.percent() < MIN_PREDICTABLE_PERCENT {
             return expectation().remaining(elapsed);
         }
-        let done = f64::from(run_progress.percent) / 100.0;
+        let done = f64::from(run_progress.pace.percent()) / 100.0;
         elapsed.mul_f64((1.0 - done) / done)
     }
 
@@ -244,17 +252,37 @@
             .rate
             .filter(|_| run_progress.expects_progress())?;
         let expectation = expectation();
+        if rate.gained == 0
+            && !run_progress
+                .pace
+                .covers_changes(rate.span, expectation.typical())
+        {
+            return None;
+        }
+        let rate = f64::from(rate.gained) / rate.span.as_secs_f64();
         let longest = expectation.typical().as_secs_f64() / SLOW_RATE_SHARE;
         let longest = longest.max(expectation.quantile(SLOW_QUANTILE).as_secs_f64());
         Some(rate / 100.0 * longest < 1.0)
     }
 
-    /// Returns the time since a run last made progress, if its progress is known.
-    pub fn stalled_for(&self, now: Duration, task: Task, run: Run) -> Option<Duration> {
+    /// Returns the time since a run last made progress, if its progress is known; zero while the next progress of a run of
+    /// this expected time is not overdue.
+    pub fn stalled_for(
+        &self,
+        now: Duration,
+        task: Task,
+        run: Run,
+        expected: Duration,
+    ) -> Option<Duration> {
         let run_progress = self.runs.get(&(task, run))?;
-        run_progress
-            .expects_progress()
-            .then(|| now.saturating_sub(run_progress.progressed_at))
+        let pace = &run_progress.pace;
+        run_progress.expects_progress().then(|| {
+            if pace.is_overdue(now, expected) {
+                pace.unchanged_for(now)
+            } else {
+                Duration::ZERO
+            }
+        })
     }
 
     /// Returns the time since a run was first listed.
@@ -282,21 +310,25 @@
             .is_some_and(|run_progress| run_progress.gang_complete.is_some())
     }
 
-    /// Returns the time since the last progress of any run on each host, where the progress of some
-    /// run is known.
-    pub fn worker_stalls(&self, now: Duration) -> StallTimes {
+    /// Returns the time since the last progress of any run on each host where the progress of some run is overdue. Runs
+    /// that are not overdue show only by their last progress whether the worker hangs.
+    pub fn worker_stalls(&self, now: Duration, expected: impl Fn(Task) -> Duration) -> StallTimes {
         let mut stall_times = StallTimes::new();
-        for run_progress in self
-            .runs
-            .values()
-            .filter(|run_progress| run_progress.expects_progress())
-        {
-            let stalled_for = now.saturating_sub(run_progress.progressed_at);
+        let mut overdue: HashSet<&Host> = HashSet::new();
+        for ((task, _), run_progress) in &self.runs {
+            if !run_progress.expects_progress() {
+                continue;
+            }
+            let unchanged_for = run_progress.pace.unchanged_for(now);
             stall_times
                 .entry(run_progress.host.clone())
-                .and_modify(|shortest| *shortest = stalled_for.min(*shortest))
-                .or_insert(stalled_for);
+                .and_modify(|shortest| *shortest = unchanged_for.min(*shortest))
+                .or_insert(unchanged_for);
+            if run_progress.pace.is_overdue(now, expected(*task)) {
+                overdue.insert(&run_progress.host);
+            }
         }
+        stall_times.retain(|host, _| overdue.contains(host));
         stall_times
     }
 
@@ -330,7 +362,7 @@
     /// Returns the longest time without progress.
     fn stall(&self, now: Duration) -> Duration {
         if self.expects_progress() {
-            let current = now.saturating_sub(self.progressed_at);
+            let current = self.pace.unchanged_for(now);
             self.longest_stall.max(current)
         } else {
             self.longest_stall
@@ -340,7 +372,7 @@
     /// Returns whether the run's progress should advance. Only tasks that write checkpoints report
     /// progress, and a gang member that has finished its work waits for the others.
     const fn expects_progress(&self) -> bool {
-        self.percent > 0 && self.percent < GANG_MEMBER_DONE_PERCENT
+        self.pace.percent() > 0 && self.pace.percent() < GANG_MEMBER_DONE_PERCENT
     }
 }
 
--- a/crates/godwitstep-batch/src/planner/stall.rs
+++ b/crates/godwitstep-batch/src/planner/stall.rs
@@ -5,6 +5,7 @@
 //! take to redo the work that a stop loses, and is then stopped so that its task restarts elsewhere.
 
 use super::draft::Draft;
+use super::expect;
 use super::{Decision, Plan, Planner};
 use crate::id::{Run, Task};
 use crate::ledger::JobState;
@@ -56,7 +57,9 @@
     /// Stops stalled runs and gangs that do not start completely.
     pub(super) fn stop_stalled(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stalled = Vec::new();
-        let stall_times = self.health.worker_stalls(now);
+        let stall_times = self.health.worker_stalls(now, |task| {
+            expect::of_task(&self.expectations, draft, task).typical()
+        });
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
                 let task = Task { job, step, index };
@@ -100,10 +103,11 @@
             return (elapsed > GANG_START_LIMIT).then_some(elapsed);
         }
         let redo_time = self.redo_time(now, job_state, task, run);
+        let expected = self.expected(&job_state.job, step).typical();
         let stalled_for = if step.gang {
             // The members of a gang make progress together.
             self.gang_stalled_for(now, job_state, task, run)?
-        } else if let Some(stalled_for) = self.health.stalled_for(now, task, run) {
+        } else if let Some(stalled_for) = self.health.stalled_for(now, task, run, expected) {
             stalled_for
         } else {
             // The run reports no progress, but other runs on the worker may.
@@ -122,8 +126,13 @@
         task: Task,
         run: Run,
     ) -> Option<Duration> {
-        (0..job_state.job.steps[usize::from(task.step)].tasks)
-            .filter_map(|index| self.health.stalled_for(now, Task { index, ..task }, run))
+        let step = &job_state.job.steps[usize::from(task.step)];
+        let expected = self.expected(&job_state.job, step).typical();
+        (0..step.tasks)
+            .filter_map(|index| {
+                let member = Task { index, ..task };
+                self.health.stalled_for(now, member, run, expected)
+            })
             .min()
     }
 }
