feat(batch): reclaim guarantees from equals beyond their own

The first test of tests/reclaim.rs failed on: no task of the claim ran after 2.9 s.

borrowed.rs determines which runs of priority 0 are beyond their workspace's guarantee, gangs as a whole, and reclaim.rs which of them to stop if stopping lower priorities does not place the claim. The freed capacity is earmarked for the claim. What a claim may wait for is now also reduced by the time that a stop takes; a long claim waited 2.2 s of 2.9 s before it stopped anything.

The `preempted` line has a reason, and godwitstep_reclaims_total counts the runs.

All tests of godwitstep-batch and godwitstep pass.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -22,6 +22,7 @@
 
 mod avoid;
 mod begun;
+mod borrowed;
 mod broken;
 mod cluster;
 mod crashes;
@@ -35,6 +36,7 @@
 mod order;
 mod place;
 mod preempt;
+mod reclaim;
 mod reports;
 mod reserve;
 mod speed;
@@ -56,6 +58,7 @@
 use headroom::Headroom;
 use health::Health;
 use late::LateRuns;
+use order::WithinGuarantee;
 use reports::AgentReports;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
@@ -94,6 +97,15 @@
     pub worker: Option<Incarnation>,
 }
 
+/// Why a run may be stopped for another job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PreemptionReason {
+    /// The other job has a higher priority.
+    Priority,
+    /// The other job is within its workspace's guarantee, and the run is beyond that of its own workspace.
+    Guarantee,
+}
+
 /// A decision that is reported in the process's log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -157,6 +169,8 @@
         run: Run,
         /// Job that needs the capacity.
         by: JobId,
+        /// Why that job may have it.
+        reason: PreemptionReason,
     },
     /// A run without progress is stopped so that its task can restart elsewhere.
     Stalled {
@@ -212,6 +226,8 @@
     draft: &'r mut Draft<'l>,
     /// Remaining capacity of every worker.
     cluster: &'r mut Cluster,
+    policy: &'r Policy,
+    within_guarantee: WithinGuarantee,
     /// Workers that lower-priority jobs leave empty, by pool; filled on first use.
     headroom_workers: headroom::HeadroomWorkers,
     plan: &'r mut Plan,
@@ -318,14 +334,17 @@
         if view.permits_starts() {
             let mut cluster =
                 Cluster::new(now, &self.reports, &self.health, &self.late, &draft, view);
+            let within_guarantee = order::within_guarantee(&draft, view.policy);
             let mut round = Round {
                 now,
                 draft: &mut draft,
                 cluster: &mut cluster,
+                policy: view.policy,
+                within_guarantee,
                 headroom_workers: headroom::HeadroomWorkers::new(),
                 plan: &mut plan,
             };
-            self.place(&mut round, view);
+            self.place(&mut round);
         }
         self.stop_stalled(now, &draft, &mut plan);
         self.stop_on_draining_workers(now, &draft, &mut plan);
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -54,6 +54,8 @@
     pub suspect: bool,
     /// Whether the worker accepts new tasks.
     pub schedulable: bool,
+    /// Whether a recent report shows the worker; the runs on another one may have ended.
+    pub reports_recent: bool,
     pub occupants: Vec<Occupant>,
     /// Tasks of the other runs that a report lists here. They occupy capacity until they end.
     pub unplaced: Vec<Task>,
@@ -349,6 +351,7 @@
         log_slowdown: health.log_slowdown(&worker.info.incarnation),
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
+        reports_recent: AgentReports::is_fresh(age),
         occupants: Vec::new(),
         unplaced: Vec::new(),
         isolated_for: None,
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -68,7 +68,7 @@
 }
 
 /// Returns the accelerators that a job needs for the largest of its steps that are not done.
-fn accelerators_needed(job_state: &JobState, progress: &Progress) -> u64 {
+pub(super) fn accelerators_needed(job_state: &JobState, progress: &Progress) -> u64 {
     let steps = job_state.job.steps.iter().zip(&progress.steps);
     steps
         .filter(|(_, state)| !state.done())
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -6,8 +6,8 @@
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
-use super::order::{self, Urgency};
-use super::{Decision, OperatorView, Planner, Round, broken, crashes};
+use super::order::Urgency;
+use super::{Decision, Planner, Round, broken, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -45,14 +45,13 @@
 impl Planner {
     /// Places all tasks for which there is capacity, then preempts for urgent jobs and makes
     /// reservations for others.
-    pub(super) fn place(&mut self, round: &mut Round, view: &OperatorView) {
-        let within_guarantee = order::within_guarantee(round.draft, view.policy);
+    pub(super) fn place(&mut self, round: &mut Round) {
         let mut queue: Vec<Urgency> = round
             .draft
             .open()
             .filter(|(_, job_state, progress)| job_state.active() && progress.outcome.is_none())
             .map(|(id, job_state, progress)| {
-                self.urgency(round.now, id, job_state, progress, &within_guarantee)
+                self.urgency(round.now, id, job_state, progress, &round.within_guarantee)
             })
             .collect();
         queue.sort_unstable();
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -3,13 +3,14 @@
 //! A job of priority 0 that finds no capacity waits as long as it can still be on time with
 //! capacity that is about to become free. Otherwise it preempts runs from queues of lower priority
 //! where the least work is lost. If its workspace exceeds its guarantee, the lost work may not
-//! exceed the job's own. The freed capacity is committed to the job until it starts.
+//! exceed the job's own. The freed capacity is committed to the job until it starts. A job within its
+//! guarantee also stops runs of priority 0 of workspaces beyond theirs, see [`super::reclaim`].
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::draft::Draft;
 use super::order::Urgency;
 use super::place::{self, PendingStep, Placement};
-use super::{Decision, Planner, Round};
+use super::{Decision, Planner, PreemptionReason, Round};
 use crate::demand::Demand;
 use crate::id::{Run, Task};
 use crate::ledger::JobState;
@@ -25,7 +26,7 @@
 const LOSS_WEIGHTS: [f64; 2] = [3.0, 1.0];
 
 /// Work that is lost by stopping each run. Unit: core-seconds, weighted by priority.
-type Losses = BTreeMap<(Task, Run), f64>;
+pub(super) type Losses = BTreeMap<(Task, Run), f64>;
 
 /// A placement that may require preemption.
 struct CostedPlacement {
@@ -73,6 +74,12 @@
             f64::INFINITY
         };
         let placements = self.cheapest_placements(cluster, pending, &losses);
+        let placeable = placements.len();
+        if placeable < pending.waiting.len()
+            && self.reclaim(round, urgency, job_state, pending, &losses, placeable)
+        {
+            return;
+        }
         let needed = place::count_by_node(
             affordable(pending, &placements, max_cost)
                 .into_iter()
@@ -81,7 +88,7 @@
         let mut preempts_any = false;
         for (node_index, tasks) in needed {
             let demand = pending.step.demand.saturating_mul(tasks);
-            let node = &cluster.nodes[node_index];
+            let node = &round.cluster.nodes[node_index];
             let victims = self.victims(pending, node, &demand, &losses);
             let victims = victims.unwrap_or_default();
             for (task, run) in victims {
@@ -90,6 +97,7 @@
                     task,
                     run,
                     by: pending.job,
+                    reason: PreemptionReason::Priority,
                 });
             }
         }
@@ -108,7 +116,8 @@
         let job = &job_state.job;
         let mut max_wait = job.objective().saturating_sub(job.critical_path());
         if !urgency.unguaranteed {
-            max_wait = max_wait.min(self.bounds.guaranteed_start_time);
+            let bound = self.bounds.guaranteed_start_time;
+            max_wait = max_wait.min(bound.saturating_sub(self.bounds.max_stop_time));
         }
         max_wait.saturating_sub(self.age(now, urgency.job) + SWITCH_TIME)
     }
@@ -162,7 +171,13 @@
     }
 
     /// Returns the work that is lost if a run, and with it the gang that it belongs to, is stopped.
-    fn lost_work(&self, now: Duration, job_state: &JobState, task: Task, run: Run) -> f64 {
+    pub(super) fn lost_work(
+        &self,
+        now: Duration,
+        job_state: &JobState,
+        task: Task,
+        run: Run,
+    ) -> f64 {
         let step = &job_state.job.steps[usize::from(task.step)];
         let members = if step.gang {
             f64::from(step.tasks)
@@ -347,7 +362,11 @@
 }
 
 /// Commits the capacity of placements so that later jobs in the order cannot use it.
-fn commit_capacity(cluster: &mut Cluster, pending: &PendingStep, placements: &[Placement]) {
+pub(super) fn commit_capacity(
+    cluster: &mut Cluster,
+    pending: &PendingStep,
+    placements: &[Placement],
+) {
     for (_, node_index) in placements {
         let node = &mut cluster.nodes[*node_index];
         node.commit(&pending.step.demand, pending.step.estimate);
--- /dev/null
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -0,0 +1,169 @@
+//! Claims on a guarantee while jobs of equal priority use the capacity.
+
+mod simulation;
+
+use godwitstep_batch::bounds::Bounds;
+use godwitstep_batch::demand::Demand;
+use godwitstep_batch::id::JobId;
+use godwitstep_batch::job::Step;
+use godwitstep_batch::planner::{Decision, Planner, PreemptionReason};
+use godwitstep_batch::policy::Workspace;
+use simulation::{Simulation, gang, seconds, step};
+
+/// Number of workers in the day on which a claim was first seen to wait.
+const WORKERS: usize = 11;
+
+fn reclaimed_from(sim: &Simulation) -> Vec<JobId> {
+    let reclaimed = |decision: &Decision| match decision {
+        Decision::Preempted {
+            task,
+            reason: PreemptionReason::Guarantee,
+            ..
+        } => Some(task.job),
+        _ => None,
+    };
+    sim.decisions.iter().filter_map(reclaimed).collect()
+}
+
+/// Returns a cluster on which one workspace uses everything, far beyond its guarantee.
+fn borrowed_cluster(steps: Vec<Step>) -> Simulation {
+    let mut sim = Simulation::new(WORKERS, 4);
+    sim.submit(1, "urgent", "south", steps);
+    sim.run_for(seconds(2));
+    sim
+}
+
+fn run_until_bound(sim: &mut Simulation) {
+    sim.run_for(Bounds::default().guaranteed_start_time);
+    sim.assert_capacity();
+}
+
+/// Guards against a claim that waits until a task of another workspace ends by itself (pcmww-godwit quiet-1, 4.15 s).
+#[test]
+fn claim_starts_although_equals_use_all_workers() {
+    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(30))]);
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(9))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert_eq!(reclaimed_from(&sim), [1], "one run is enough");
+}
+
+/// Guards against a claim that needs several workers at once and gets only some of them.
+#[test]
+fn gang_claims_its_whole_guarantee() {
+    let mut sim = borrowed_cluster(vec![step(88, 1, seconds(30))]);
+    sim.submit(9, "urgent", "north", vec![gang(2, 8, seconds(9))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    assert_eq!(reclaimed_from(&sim).len(), 16);
+}
+
+/// Guards against a guarantee that is broken to keep another one.
+#[test]
+fn only_the_part_beyond_the_guarantee_is_stopped() {
+    let mut sim = Simulation::new(3, 3);
+    sim.submit(1, "urgent", "south", vec![step(3, 8, seconds(30))]);
+    sim.run_for(seconds(1));
+    sim.submit(9, "urgent", "north", vec![step(2, 8, seconds(20))]);
+    sim.run_for(seconds(4));
+    assert_eq!(reclaimed_from(&sim).len(), 1);
+    assert_eq!(sim.hosts_running(1).len(), 2, "the guarantee of the other");
+    assert_eq!(sim.hosts_running(9).len(), 1);
+}
+
+/// Guards against a gang that is taken for its member on one worker: it ends as a whole.
+#[test]
+fn gang_that_is_partly_within_the_guarantee_is_not_stopped() {
+    let mut sim = Simulation::new(3, 3);
+    sim.submit(1, "urgent", "south", vec![gang(3, 8, seconds(30))]);
+    sim.run_for(seconds(1));
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(20))]);
+    sim.run_for(seconds(4));
+    assert!(reclaimed_from(&sim).is_empty());
+    assert_eq!(sim.hosts_running(1).len(), 3);
+}
+
+/// Guards against members that keep their workers occupied after their gang was stopped, and against stops of further runs
+/// where the other members of a stopped gang free enough.
+#[test]
+fn gangs_are_stopped_as_a_whole() {
+    let mut sim = Simulation::new(6, 3);
+    sim.submit(1, "urgent", "south", vec![gang(2, 8, seconds(30))]);
+    sim.submit(2, "urgent", "south", vec![gang(2, 8, seconds(30))]);
+    sim.submit(3, "urgent", "south", vec![gang(2, 8, seconds(30))]);
+    sim.run_for(seconds(2));
+    sim.submit(9, "urgent", "north", vec![step(2, 8, seconds(20))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    let stopped = reclaimed_from(&sim);
+    assert_eq!(stopped.len(), 2);
+    assert_eq!(stopped[0], stopped[1], "the members of one gang");
+}
+
+/// Guards against runs that two workspaces stop in turn.
+#[test]
+fn stopped_job_does_not_stop_the_claim_in_turn() {
+    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(15))]);
+    sim.submit(9, "urgent", "north", vec![step(2, 8, seconds(60))]);
+    sim.run_for(seconds(12));
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    assert_eq!(reclaimed_from(&sim), [1, 1]);
+}
+
+/// Guards against equals that are stopped while stopping lower priorities is enough.
+#[test]
+fn lower_priorities_are_stopped_first() {
+    let mut sim = Simulation::new(4, 4);
+    sim.submit(1, "urgent", "south", vec![step(3, 8, seconds(30))]);
+    sim.submit(2, "patient", "south", vec![step(1, 8, seconds(30))]);
+    sim.run_for(seconds(1));
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(9))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert!(reclaimed_from(&sim).is_empty());
+}
+
+/// Guards against a decision that is made too late: a long job could wait, but its guarantee does not.
+#[test]
+fn long_claim_does_not_wait_for_a_run_that_ends_after_its_bound() {
+    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(4))]);
+    // The runs look as if they ended within the bound.
+    sim.run_times.insert(1, seconds(40));
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(60))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 1);
+}
+
+/// Guards against a successor that lacks what the former decider knew about use and running times.
+#[test]
+fn new_decider_reclaims_by_the_ledger() {
+    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(30))]);
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(9))]);
+    let epoch = sim.planner.epoch() + (1 << 20);
+    sim.planner = Planner::new(epoch, sim.now, Bounds::default());
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert!(sim.hosts_running(1).len() >= 10);
+}
+
+/// Guards against jobs that need no accelerators and so are within any guarantee, also one of nothing.
+#[test]
+fn jobs_without_accelerators_reclaim_nothing() {
+    let mut sim = borrowed_cluster(vec![step(88, 1, seconds(30))]);
+    sim.policy.workspaces.push(Workspace {
+        name: "west".into(),
+        ..Workspace::default()
+    });
+    let demand = Demand {
+        cpu: 64_000,
+        memory: 1_000,
+        accelerators: 0,
+    };
+    let large = Step {
+        demand,
+        ..step(1, 0, seconds(9))
+    };
+    sim.submit(9, "urgent", "west", vec![large]);
+    sim.run_for(seconds(4));
+    assert!(reclaimed_from(&sim).is_empty());
+}
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -10,7 +10,7 @@
 use godwitstep_batch::bounds::{DECIDER_LEASE, RENEWAL_INTERVAL};
 use godwitstep_batch::claim;
 use godwitstep_batch::id::{Epoch, Offset};
-use godwitstep_batch::planner::{Decision, OperatorView, Planner};
+use godwitstep_batch::planner::{Decision, OperatorView, Planner, PreemptionReason};
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::{Claim, Record};
 use smol::Timer;
@@ -374,9 +374,21 @@
             metrics::counter!("godwitstep_worker_crashes_total").increment(1);
             tracing::info!(%task, run, worker = %incarnation, alone, prompt, crashes = crashes.count, crashes_alone = crashes.alone, crashes_prompt = crashes.prompt, hosts = crashes.hosts.len(), given_up, epoch, "worker crashed under a run");
         }
-        Decision::Preempted { task, run, by } => {
+        Decision::Preempted {
+            task,
+            run,
+            by,
+            reason,
+        } => {
             metrics::counter!("godwitstep_preemptions_total").increment(1);
-            tracing::info!(%task, run, by = format_args!("{by:016x}"), epoch, "preempted");
+            let reason = match reason {
+                PreemptionReason::Priority => "priority",
+                PreemptionReason::Guarantee => {
+                    metrics::counter!("godwitstep_reclaims_total").increment(1);
+                    "guarantee"
+                }
+            };
+            tracing::info!(%task, run, by = format_args!("{by:016x}"), reason, epoch, "preempted");
         }
         Decision::Stalled {
             task,
