feat(batch): order competing workspaces by their recent use

By slack alone a burst of one workspace takes all capacity as it becomes free, and the few jobs of the others wait behind it until they are late.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -39,6 +39,7 @@
 mod reclaim;
 mod reports;
 mod reserve;
+mod share;
 mod speed;
 mod stall;
 mod waits;
@@ -60,6 +61,8 @@
 use late::LateRuns;
 use order::WithinGuarantee;
 use reports::AgentReports;
+use share::Shares;
+pub use share::WorkspaceShare;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use waits::Waits;
@@ -217,6 +220,8 @@
     pub records: Vec<Record>,
     /// Decisions for the log. Placements take effect only once the records are in the log.
     pub decisions: Vec<Decision>,
+    /// Shares of workspaces that have changed noticeably since the last round.
+    pub shares: Vec<WorkspaceShare>,
 }
 
 /// State of a scheduling round in progress.
@@ -242,6 +247,7 @@
     health: Health,
     failures: FailedWorkers,
     headroom: Headroom,
+    shares: Shares,
     /// When each open job was accepted, on the decider's clock. For a job accepted before the
     /// decider took over this is an estimate.
     accepted_at: HashMap<JobId, Duration>,
@@ -285,6 +291,7 @@
             health: Health::default(),
             failures: FailedWorkers::default(),
             headroom: Headroom::default(),
+            shares: Shares::default(),
             accepted_at: HashMap::new(),
             begun_at: HashMap::new(),
             ended_at: HashMap::new(),
--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -3,11 +3,12 @@
 //! Jobs whose result has become worthless because it is too late come last: they run on spare
 //! capacity, as accepted work is never dropped. The others are ordered by the priority of their
 //! queue, then by whether their workspace is within its guarantee, then by whether they can still
-//! be on time, then by slack. A job for which others are being preempted comes before all others of
+//! be on time, then by the recent use of their workspace if several compete, then by slack. A job for which others are being preempted comes before all others of
 //! its priority, so that it gets the freed capacity.
 
 use super::Planner;
 use super::draft::Draft;
+use super::share::UseRank;
 use crate::id::{JobId, Workspace};
 use crate::ledger::JobState;
 use crate::policy::Policy;
@@ -37,6 +38,8 @@
     pub unguaranteed: bool,
     /// Whether the job can no longer meet its objective.
     pub late: bool,
+    /// Recent use of the job's workspace, while jobs of several workspaces compete; otherwise the same for all.
+    pub use_rank: UseRank,
     /// Time until the job must run to meet its objective or, if it is late, until it is worthless.
     /// Unit: milliseconds.
     pub slack: i64,
@@ -118,6 +121,7 @@
             preemption,
             unguaranteed: !guaranteed,
             late,
+            use_rank: UseRank::default(),
             slack: millis(deadline) - millis(needed),
             job: id,
         }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -54,6 +54,7 @@
                 self.urgency(round.now, id, job_state, progress, &round.within_guarantee)
             })
             .collect();
+        self.rank_by_use(round, &mut queue);
         queue.sort_unstable();
         let mut reservations = 0;
         for urgency in queue {
@@ -71,6 +72,7 @@
                     if urgency.worthless && neighbours == Neighbours::Any {
                         continue;
                     }
+                    self.shares.note_waiting(&job_state.job);
                     if urgency.priority == 0 {
                         self.secure_capacity(round, urgency, job_state, &blocked);
                     } else if reservations < MAX_RESERVATIONS && self.reserve(round, &blocked) {
@@ -281,7 +283,7 @@
 }
 
 /// Returns the steps that have waiting tasks and whose dependencies are done.
-fn ready_steps(job_state: &JobState, progress: &progress::Progress) -> Vec<u16> {
+pub(super) fn ready_steps(job_state: &JobState, progress: &progress::Progress) -> Vec<u16> {
     let done = |dependency: &u16| {
         progress
             .steps
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -9,9 +9,12 @@
 use godwitstep_batch::planner::{Decision, Planner, PreemptionReason};
 use godwitstep_batch::policy::Workspace;
 use simulation::{Simulation, gang, seconds, step};
+use std::time::Duration;
 
 /// Number of workers in the day on which a claim was first seen to wait.
 const WORKERS: usize = 11;
+/// Time that a stop and a start take at real workers and not in the simulation, where both take one round each.
+const STOP_AND_START: Duration = Duration::from_millis(1_100);
 
 fn reclaimed_from(sim: &Simulation) -> Vec<JobId> {
     let reclaimed = |decision: &Decision| match decision {
@@ -126,12 +129,36 @@
 /// Guards against a decision that is made too late: a long job could wait, but its guarantee does not.
 #[test]
 fn long_claim_does_not_wait_for_a_run_that_ends_after_its_bound() {
-    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(4))]);
+    let mut sim = Simulation::new(WORKERS, 4);
     // The runs look as if they ended within the bound.
     sim.run_times.insert(1, seconds(40));
+    let estimate = Duration::from_millis(2_100);
+    sim.submit(1, "urgent", "south", vec![step(11, 8, estimate)]);
+    sim.run_for(seconds(2));
     sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(60))]);
-    run_until_bound(&mut sim);
+    let bound = Bounds::default().guaranteed_start_time;
+    sim.run_for(bound.saturating_sub(STOP_AND_START));
+    assert_eq!(sim.hosts_running(9).len(), 1);
+}
+
+/// Guards against a gang beyond any guarantee that takes the capacity which a claim has taken back, because runs are being
+/// stopped for the gang too and one of them does not end.
+#[test]
+fn reclaimed_capacity_stays_with_the_claim() {
+    let mut sim = Simulation::new(5, 5);
+    sim.submit(2, "patient", "south", vec![step(2, 8, seconds(30))]);
+    sim.round();
+    sim.submit(1, "urgent", "south", vec![step(3, 8, seconds(30))]);
+    sim.run_for(seconds(1));
+    let hung = sim.hosts_running(2)[0].clone();
+    sim.hosts.get_mut(&hung).unwrap().executes_orders = false;
+    sim.submit(5, "urgent", "west", vec![gang(2, 8, seconds(9))]);
+    sim.round();
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(9))]);
+    sim.run_for(Duration::from_millis(500));
     assert_eq!(sim.hosts_running(9).len(), 1);
+    assert!(sim.hosts_running(5).is_empty());
+    assert_eq!(reclaimed_from(&sim), [1]);
 }
 
 /// Guards against a successor that lacks what the former decider knew about use and running times.
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -11,7 +11,7 @@
     Crash, CrashedRun, Directive, EndReason, Ended, Reachability, Refusal, Refused, Report,
     Running, Worker, WorkerInfo,
 };
-use godwitstep_batch::planner::{Decision, OperatorView, Planner};
+use godwitstep_batch::planner::{Decision, OperatorView, Planner, WorkspaceShare};
 use godwitstep_batch::policy::{Policy, Queue, Workspace};
 use godwitstep_batch::progress::Outcome;
 use godwitstep_batch::record::Record;
@@ -61,6 +61,8 @@
     /// Hosts whose workers are cut off from the others: members of gangs learn of no end across the cut.
     pub cut_off: BTreeSet<String>,
     pub decisions: Vec<Decision>,
+    /// All changes of shares so far.
+    pub shares: Vec<WorkspaceShare>,
     pub directives: BTreeMap<String, Directive>,
     /// True run time of each job's tasks where it differs from the estimate.
     pub run_times: BTreeMap<JobId, Duration>,
@@ -139,6 +141,7 @@
             hosts: BTreeMap::new(),
             cut_off: BTreeSet::new(),
             decisions: Vec::new(),
+            shares: Vec::new(),
             directives: BTreeMap::new(),
             run_times: BTreeMap::new(),
             spec: "spec".into(),
@@ -250,6 +253,7 @@
         };
         let plan = self.planner.decide(self.now, 0, &self.ledger, &view);
         self.decisions.extend(plan.decisions);
+        self.shares.extend(plan.shares);
         for record in plan.records {
             self.append(record);
         }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -10,7 +10,9 @@
 use godwitstep_batch::bounds::{DECIDER_LEASE, RENEWAL_INTERVAL};
 use godwitstep_batch::claim;
 use godwitstep_batch::id::{Epoch, Offset};
-use godwitstep_batch::planner::{Decision, OperatorView, Planner, PreemptionReason};
+use godwitstep_batch::planner::{
+    Decision, OperatorView, Planner, PreemptionReason, WorkspaceShare,
+};
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::{Claim, Record};
 use smol::Timer;
@@ -282,6 +284,7 @@
         for decision in &plan.decisions {
             log_decision(decision, decider.planner.epoch(), &view);
         }
+        plan.shares.iter().for_each(report_share);
         let mut records = plan.records;
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
@@ -321,6 +324,15 @@
     }
 }
 
+/// Updates the metric of a workspace's share.
+fn report_share(share: &WorkspaceShare) {
+    let workspace = share.workspace.as_deref().unwrap_or_default().to_owned();
+    let pool = share.pool.to_string();
+    let priority = share.priority.to_string();
+    metrics::gauge!("godwitstep_share", "pool" => pool, "priority" => priority, "workspace" => workspace)
+        .set(share.share);
+}
+
 /// Logs a decision and updates its metrics.
 fn log_decision(decision: &Decision, epoch: Epoch, view: &OperatorView) {
     let version = view.policy.version;
