--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -22,6 +22,7 @@
 
 mod avoid;
 mod begun;
+mod borrowed;
 mod broken;
 mod choice;
 mod cluster;
@@ -39,8 +40,10 @@
 mod pace;
 mod place;
 mod preempt;
+mod reclaim;
 mod reports;
 mod reserve;
+mod share;
 mod speed_fit;
 mod stall;
 mod waits;
@@ -61,7 +64,10 @@
 use headroom::Headroom;
 use health::Health;
 use late::LateRuns;
+use order::WithinGuarantee;
 use reports::AgentReports;
+use share::Shares;
+pub use share::WorkspaceShare;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 use waits::Waits;
@@ -99,6 +105,15 @@
     pub worker: Option<Incarnation>,
 }
 
+/// Why a run may be stopped for another job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PreemptionReason {
+    /// The other job has a higher priority.
+    Priority,
+    /// The other job is within its workspace's guarantee, and the run is beyond that of its own workspace.
+    Guarantee,
+}
+
 /// A decision that is reported in the process's log.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Decision {
@@ -164,6 +179,8 @@
         run: Run,
         /// Job that needs the capacity.
         by: JobId,
+        /// Why that job may have it.
+        reason: PreemptionReason,
     },
     /// A run without progress is stopped so that its task can restart elsewhere.
     Stalled {
@@ -210,6 +227,8 @@
     pub records: Vec<Record>,
     /// Decisions for the log. Placements take effect only once the records are in the log.
     pub decisions: Vec<Decision>,
+    /// Shares of workspaces that have changed noticeably since the last round.
+    pub shares: Vec<WorkspaceShare>,
 }
 
 /// State of a scheduling round in progress.
@@ -219,6 +238,8 @@
     draft: &'r mut Draft<'l>,
     /// Remaining capacity of every worker.
     cluster: &'r mut Cluster,
+    policy: &'r Policy,
+    within_guarantee: WithinGuarantee,
     /// Workers that lower-priority jobs leave empty, by pool; filled on first use.
     headroom_workers: headroom::HeadroomWorkers,
     plan: &'r mut Plan,
@@ -238,6 +259,7 @@
     expectations_saved_at: Duration,
     failures: FailedWorkers,
     headroom: Headroom,
+    shares: Shares,
     /// When each open job was accepted, on the decider's clock. For a job accepted before the
     /// decider took over this is an estimate.
     accepted_at: HashMap<JobId, Duration>,
@@ -284,6 +306,7 @@
             expectations_saved_at: now,
             failures: FailedWorkers::default(),
             headroom: Headroom::default(),
+            shares: Shares::default(),
             accepted_at: HashMap::new(),
             begun_at: HashMap::new(),
             ended_at: HashMap::new(),
@@ -341,14 +364,17 @@
                 &draft,
                 view,
             );
+            let within_guarantee = order::within_guarantee(&draft, view.policy);
             let mut round = Round {
                 now,
                 draft: &mut draft,
                 cluster: &mut cluster,
+                policy: view.policy,
+                within_guarantee,
                 headroom_workers: headroom::HeadroomWorkers::new(),
                 plan: &mut plan,
             };
-            self.place(&mut round, view);
+            self.place(&mut round);
         }
         self.stop_stalled(now, &draft, &mut plan);
         self.stop_on_draining_workers(now, &draft, &mut plan);
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -6,9 +6,9 @@
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
-use super::order::{self, Urgency};
+use super::order::Urgency;
 use super::speed_fit::RunBudget;
-use super::{Decision, OperatorView, Planner, Round, broken, choice, crashes};
+use super::{Decision, Planner, Round, broken, choice, crashes};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -45,16 +45,16 @@
 impl Planner {
     /// Places all tasks for which there is capacity, then preempts for urgent jobs and makes
     /// reservations for others.
-    pub(super) fn place(&mut self, round: &mut Round, view: &OperatorView) {
-        let within_guarantee = order::within_guarantee(round.draft, view.policy);
+    pub(super) fn place(&mut self, round: &mut Round) {
         let mut queue: Vec<Urgency> = round
             .draft
             .open()
             .filter(|(_, job_state, progress)| job_state.active() && progress.outcome.is_none())
             .map(|(id, job_state, progress)| {
-                self.urgency(round.now, id, job_state, progress, &within_guarantee)
+                self.urgency(round.now, id, job_state, progress, &round.within_guarantee)
             })
             .collect();
+        self.rank_by_use(round, &mut queue);
         queue.sort_unstable();
         let mut reservations = 0;
         for urgency in queue {
@@ -72,6 +72,7 @@
                     if urgency.worthless && neighbours == Neighbours::Any {
                         continue;
                     }
+                    self.shares.note_waiting(&job_state.job);
                     if urgency.priority == 0 {
                         self.secure_capacity(round, urgency, job_state, &blocked);
                     } else if reservations < MAX_RESERVATIONS && self.reserve(round, &blocked) {
@@ -282,7 +283,7 @@
 }
 
 /// Returns the steps that have waiting tasks and whose dependencies are done.
-fn ready_steps(job_state: &JobState, progress: &progress::Progress) -> Vec<u16> {
+pub(super) fn ready_steps(job_state: &JobState, progress: &progress::Progress) -> Vec<u16> {
     let done = |dependency: &u16| {
         progress
             .steps
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -11,7 +11,9 @@
 use godwitstep_batch::claim;
 use godwitstep_batch::id::{Epoch, Offset};
 use godwitstep_batch::ledger::Ledger;
-use godwitstep_batch::planner::{Decision, OperatorView, Planner};
+use godwitstep_batch::planner::{
+    Decision, OperatorView, Planner, PreemptionReason, WorkspaceShare,
+};
 use godwitstep_batch::policy::Policy;
 use godwitstep_batch::record::{Claim, Record};
 use smol::Timer;
@@ -304,6 +306,7 @@
         for decision in &plan.decisions {
             log_decision(decision, decider.planner.epoch(), &view);
         }
+        plan.shares.iter().for_each(report_share);
         let mut records = plan.records;
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
@@ -348,6 +351,15 @@
     }
 }
 
+/// Updates the metric of a workspace's share.
+fn report_share(share: &WorkspaceShare) {
+    let workspace = share.workspace.as_deref().unwrap_or_default().to_owned();
+    let pool = share.pool.to_string();
+    let priority = share.priority.to_string();
+    metrics::gauge!("godwitstep_share", "pool" => pool, "priority" => priority, "workspace" => workspace)
+        .set(share.share);
+}
+
 /// Logs a decision and updates its metrics.
 fn log_decision(decision: &Decision, epoch: Epoch, view: &OperatorView) {
     let version = view.policy.version;
@@ -404,9 +416,21 @@
             metrics::counter!("godwitstep_worker_crashes_total").increment(1);
             tracing::info!(%task, run, worker = %incarnation, alone, prompt, crashes = crashes.count, crashes_alone = crashes.alone, crashes_prompt = crashes.prompt, hosts = crashes.hosts.len(), given_up, epoch, "worker crashed under a run");
         }
-        Decision::Preempted { task, run, by } => {
+        Decision::Preempted {
+            task,
+            run,
+            by,
+            reason,
+        } => {
             metrics::counter!("godwitstep_preemptions_total").increment(1);
-            tracing::info!(%task, run, by = format_args!("{by:016x}"), epoch, "preempted");
+            let reason = match reason {
+                PreemptionReason::Priority => "priority",
+                PreemptionReason::Guarantee => {
+                    metrics::counter!("godwitstep_reclaims_total").increment(1);
+                    "guarantee"
+                }
+            };
+            tracing::info!(%task, run, by = format_args!("{by:016x}"), reason, epoch, "preempted");
         }
         Decision::Stalled {
             task,
