--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -44,7 +44,7 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::expectation::Expectations;
-use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
+use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
@@ -109,6 +109,8 @@
         incarnation: Incarnation,
         /// Time since the job was accepted, as far as the decider knows.
         age: Duration,
+        /// Expected run time on that worker.
+        expected: Duration,
     },
     /// A run ended.
     Ended {
@@ -198,6 +200,15 @@
     },
 }
 
+/// How far the run time of a completed run was from the expected one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunTimeError {
+    /// Queue of the job.
+    pub queue: Queue,
+    /// Logarithm of the actual over the expected run time.
+    pub log_ratio: f64,
+}
+
 /// Result of one scheduling round.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -205,6 +216,8 @@
     pub records: Vec<Record>,
     /// Decisions for the log. Placements take effect only once the records are in the log.
     pub decisions: Vec<Decision>,
+    /// Errors of the expectations for the runs that were found to have completed and whose time is known.
+    pub run_time_errors: Vec<RunTimeError>,
 }
 
 /// State of a scheduling round in progress.
--- a/crates/godwitstep-batch/src/planner/ends.rs
+++ b/crates/godwitstep-batch/src/planner/ends.rs
@@ -32,6 +32,7 @@
     /// Applies all ends that the reports show.
     pub(super) fn record_ends(&mut self, now: Duration, draft: &mut Draft, plan: &mut Plan) {
         for end in self.ends(now, draft) {
+            plan.run_time_errors.extend(self.learn(now, draft, &end));
             let crashed = self.apply_end(now, draft, &end);
             plan.decisions.extend(crashed);
             plan.decisions.push(Decision::Ended {
@@ -78,7 +79,6 @@
             .is_some_and(|step| step.gang);
         self.stopping.remove(&(end.task, end.run));
         self.ended.insert((end.task, end.run));
-        self.learn(now, draft, end);
         self.health
             .record_end(now, &end.incarnation, end.task.job, &end.cause);
         let failed = matches!(end.cause, EndCause::Reported(EndReason::Failed, _));
--- a/crates/godwitstep-batch/src/planner/expect.rs
+++ b/crates/godwitstep-batch/src/planner/expect.rs
@@ -3,7 +3,7 @@
 //! All decisions that depend on how long work takes ask here instead of reading the estimates.
 
 use super::Planner;
-use super::cluster::Occupant;
+use super::cluster::{Node, Occupant};
 use super::draft::Draft;
 use crate::expectation::{Class, Expectation};
 use crate::id::{Run, Task};
@@ -91,13 +91,22 @@
                 .filter(|_| !step.gang)
                 .map(|worker| &worker.host);
             let slowdown = host.map_or(0.0, |host| self.expectations.log_slowdown_of_host(host));
-            let expected = self.expected(job, step);
-            if slowdown.abs() > MIN_LOG_SLOWDOWN {
-                expected.on_worker(slowdown)
-            } else {
-                expected
-            }
+            on_worker(self.expected(job, step), slowdown)
         };
         self.health.remaining(now, task, run, expectation)
     }
 }
+
+/// Returns the expectation on a worker with this slowness, which counts if it is clear.
+fn on_worker(expectation: Expectation, log_slowdown: f64) -> Expectation {
+    if log_slowdown.abs() > MIN_LOG_SLOWDOWN {
+        expectation.on_worker(log_slowdown)
+    } else {
+        expectation
+    }
+}
+
+/// Returns the run time on a node of tasks that take `run_time` on a worker of average speed.
+pub(super) fn on_node(run_time: Duration, node: &Node) -> Duration {
+    on_worker(Expectation::of_estimate(run_time), node.log_slowdown).typical()
+}
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -10,6 +10,7 @@
 use crate::id::{Host, Incarnation, JobId, Run, Task};
 use crate::message::{EndReason, Refusal, Report, Running};
 use std::collections::{BTreeMap, HashMap};
+use std::num::NonZeroU32;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,9 +22,9 @@
 const MAX_QUARANTINE: Duration = Duration::from_secs(16);
 /// Time without progress on a worker after which it gets no new tasks.
 const WORKER_STALL_LIMIT: Duration = Duration::from_millis(1_500);
-/// Share of its run time for which a run may be without progress and not count as stalled. Progress is reported in whole
-/// percent, so that of long runs moves seldom.
-const STALL_SHARE: f64 = 0.1;
+/// Multiple of the usual time for a percent from which on a run counts as stalled. Progress is reported in whole percent,
+/// so that of long runs moves seldom.
+const STALL_FACTOR: u32 = 3;
 
 /// A failure within this time after a run was first listed is attributed to the worker. Runs that
 /// fail by their own fault work for a while first.
@@ -62,10 +63,11 @@
     progressed_at: Duration,
     /// When a report first listed the run.
     first_listed: Duration,
-    /// When it was found that each member of its gang has been listed, though not necessarily at the same time.
-    gang_complete: Option<Duration>,
-    /// Longest time without progress before the last one.
-    longest_stall: Duration,
+    /// Time from the first listing until it was found that each member of its gang has been listed, though not necessarily
+    /// at the same time. Unit: milliseconds, as there may be 820,000 runs.
+    gang_complete_after: Option<NonZeroU32>,
+    /// Whether it was without progress for clearly longer than before.
+    stalled: bool,
     /// Time and progress at the start of the period over which the rate is measured.
     rate_start: (Duration, u8),
     /// Newest measured rate. Unit: percent per second.
@@ -101,8 +103,8 @@
                 percent: listed_run.percent,
                 progressed_at: now,
                 first_listed: now,
-                gang_complete: None,
-                longest_stall: Duration::ZERO,
+                gang_complete_after: None,
+                stalled: false,
                 rate_start: (now, listed_run.percent),
                 rate: None,
                 saved: "".into(),
@@ -115,7 +117,8 @@
             run_progress.rate_start = (now, listed_run.percent);
         }
         if run_progress.percent != listed_run.percent {
-            run_progress.longest_stall = run_progress.stall(now);
+            let gained = listed_run.percent.saturating_sub(run_progress.percent);
+            run_progress.stalled = run_progress.has_stalled(now, gained);
             run_progress.percent = listed_run.percent;
             run_progress.progressed_at = now;
         }
@@ -134,13 +137,10 @@
         known_from: Duration,
     ) -> Option<Duration> {
         let run_progress = self.runs.get(&(task, run))?;
-        let start = run_progress
-            .gang_complete
-            .unwrap_or(run_progress.first_listed);
-        let run_time = now.saturating_sub(start);
-        let max_stall = WORKER_STALL_LIMIT.max(run_time.mul_f64(STALL_SHARE));
-        let clean = run_progress.first_listed >= known_from && run_progress.stall(now) <= max_stall;
-        clean.then_some(run_time)
+        let complete_after = run_progress.gang_complete_after.map_or(0, NonZeroU32::get);
+        let start = run_progress.first_listed + Duration::from_millis(u64::from(complete_after));
+        let clean = run_progress.first_listed >= known_from && !run_progress.has_stalled(now, 1);
+        clean.then_some(now.saturating_sub(start))
     }
 
     /// Returns whether a run failed too early for a fault of its own.
@@ -271,7 +271,10 @@
     /// Records that each member of the run's gang has been listed.
     pub fn mark_gang_complete(&mut self, now: Duration, task: Task, run: Run) {
         if let Some(run_progress) = self.runs.get_mut(&(task, run)) {
-            run_progress.gang_complete.get_or_insert(now);
+            let elapsed = now.saturating_sub(run_progress.first_listed);
+            let millis = u32::try_from(elapsed.as_millis()).unwrap_or(u32::MAX);
+            let millis = NonZeroU32::new(millis).unwrap_or(NonZeroU32::MIN);
+            run_progress.gang_complete_after.get_or_insert(millis);
         }
     }
 
@@ -279,7 +282,7 @@
     pub fn gang_was_complete(&self, task: Task, run: Run) -> bool {
         self.runs
             .get(&(task, run))
-            .is_some_and(|run_progress| run_progress.gang_complete.is_some())
+            .is_some_and(|run_progress| run_progress.gang_complete_after.is_some())
     }
 
     /// Returns the time since the last progress of any run on each host, where the progress of some
@@ -327,14 +330,14 @@
 }
 
 impl RunProgress {
-    /// Returns the longest time without progress.
-    fn stall(&self, now: Duration) -> Duration {
-        if self.expects_progress() {
-            let current = now.saturating_sub(self.progressed_at);
-            self.longest_stall.max(current)
-        } else {
-            self.longest_stall
-        }
+    /// Returns whether the run has stalled before or has now taken clearly longer for the last `gained` percent than for
+    /// those before.
+    fn has_stalled(&self, now: Duration, gained: u8) -> bool {
+        let interval = now.saturating_sub(self.progressed_at);
+        let before = self.progressed_at.saturating_sub(self.first_listed);
+        let usual = before * u32::from(gained) / u32::from(self.percent.max(1));
+        let stalls = interval > WORKER_STALL_LIMIT && interval > usual * STALL_FACTOR;
+        self.stalled || (self.expects_progress() && stalls)
     }
 
     /// Returns whether the run's progress should advance. Only tasks that write checkpoints report
--- a/crates/godwitstep-batch/src/planner/learn.rs
+++ b/crates/godwitstep-batch/src/planner/learn.rs
@@ -4,10 +4,10 @@
 //! began while this decider received reports, and were not delayed by a stall, by distance to their data or between
 //! their members. Runs that failed say nothing, whenever they end.
 
-use super::Planner;
 use super::draft::Draft;
 use super::ends::EndedRun;
 use super::reports::EndCause;
+use super::{Planner, RunTimeError};
 use crate::expectation::{
     Class, End, Expectation, Expectations, FinishedRun, Machine, Snapshot, Source,
 };
@@ -52,48 +52,39 @@
         Some(Record::Expectations(snapshot))
     }
 
-    /// Learns from the end of a run, before it is applied to the state of its job.
-    pub(super) fn learn(&mut self, now: Duration, draft: &Draft, ended: &EndedRun) {
+    /// Learns from the end of a run, before it is applied to the state of its job. Returns the error of the expectation if
+    /// the run completed.
+    pub(super) fn learn(
+        &mut self,
+        now: Duration,
+        draft: &Draft,
+        ended: &EndedRun,
+    ) -> Option<RunTimeError> {
         let end = match &ended.cause {
             EndCause::Reported(EndReason::Done, _) => End::Done,
             EndCause::Reported(EndReason::Stopped, _) => End::Stopped,
-            _ => return,
-        };
-        let Some(job_state) = draft.ledger().job(ended.task.job) else {
-            return;
+            _ => return None,
         };
+        let Task {
+            job: id,
+            step: number,
+            index,
+        } = ended.task;
+        let job_state = draft.ledger().job(id)?;
         let job = &job_state.job;
-        let Some(step) = job.steps.get(usize::from(ended.task.step)) else {
-            return;
-        };
-        let progress = draft.progress(ended.task.job, job_state);
-        let is_placed = progress
-            .task(ended.task.step, ended.task.index)
-            .is_some_and(|task| task.placed_on().is_some());
-        let run_time = self.clean_run_time(now, ended);
+        let step = job.steps.get(usize::from(number))?;
+        let progress = draft.progress(id, job_state);
         // All members of a gang end with the first one, which counts.
-        let Some(run_time) = run_time.filter(|_| is_placed) else {
-            return;
-        };
+        progress.task(number, index)?.placed_on()?;
+        let run_time = self.clean_run_time(now, ended)?;
         let placed: Vec<&Incarnation> = if step.gang {
-            let state = &progress.steps[usize::from(ended.task.step)];
-            state
-                .tasks
-                .iter()
-                .filter_map(|task| task.placed_on())
-                .collect()
+            let members = &progress.steps[usize::from(number)].tasks;
+            members.iter().filter_map(|task| task.placed_on()).collect()
         } else {
             vec![&ended.incarnation]
         };
-        let Some(machines) = self.machines(step, &placed) else {
-            return;
-        };
-        let Task {
-            job: id,
-            step: number,
-            ..
-        } = ended.task;
-        self.expectations.record(&FinishedRun {
+        let machines = self.machines(step, &placed)?;
+        let log_ratio = self.expectations.record(&FinishedRun {
             class: Class::of(job, step),
             source: Source {
                 job: id,
@@ -104,7 +95,11 @@
             machines,
             equals: if step.gang { 1 } else { step.tasks },
             end,
-        });
+        })?;
+        Some(RunTimeError {
+            queue: job.queue.name.clone(),
+            log_ratio,
+        })
     }
 
     /// Returns how long a first run took, if it was not interrupted and its beginning is known.
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -6,7 +6,7 @@
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
 use super::order::{self, Urgency};
-use super::{Decision, OperatorView, Planner, Round, broken, crashes};
+use super::{Decision, OperatorView, Planner, Round, broken, crashes, expect};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -43,8 +43,7 @@
 }
 
 impl Planner {
-    /// Places all tasks for which there is capacity, then preempts for urgent jobs and makes
-    /// reservations for others.
+    /// Places all tasks for which there is capacity, then preempts for urgent jobs and makes reservations for others.
     pub(super) fn place(&mut self, round: &mut Round, view: &OperatorView) {
         let within_guarantee = order::within_guarantee(round.draft, view.policy);
         let mut queue: Vec<Urgency> = round
@@ -176,6 +175,7 @@
             run,
             demand: pending.step.demand,
         };
+        let expected = expect::on_node(pending.run_time, node);
         node.occupy(occupant, pending.run_time);
         pending.isolate(node);
         let incarnation = node.incarnation.clone();
@@ -188,6 +188,7 @@
             run,
             incarnation,
             age: self.age(round.now, pending.job),
+            expected,
         });
     }
 }
@@ -316,8 +317,7 @@
         .collect()
 }
 
-/// Returns a function from a task's index to its next run number. Members of a gang share one
-/// number.
+/// Returns a function from a task's index to its next run number. Members of a gang share one number.
 fn next_run(gang: bool, state: &progress::Step) -> impl Fn(u16) -> Run + use<> {
     let runs: Vec<Run> = state.tasks.iter().map(|task| task.run).collect();
     let highest = runs.iter().copied().max().unwrap_or(0);
--- a/crates/godwitstep-batch/tests/expectation.rs
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -6,6 +6,8 @@
     Class, End, Expectation, Expectations, FinishedRun, Machine, Source,
 };
 use godwitstep_batch::job::MAX_ESTIMATE;
+use godwitstep_batch::job::Step;
+use godwitstep_batch::message::EndReason;
 use godwitstep_batch::planner::Decision;
 use simulation::{COMPLETED, Simulation, gang, seconds, step};
 use std::time::Duration;
@@ -323,3 +325,61 @@
     }
     assert!(sim.started(2), "the shorter estimate was preferred");
 }
+
+/// Returns the typical run time that the planner expects of a job's first step.
+fn planned(sim: &Simulation, job: u64) -> Duration {
+    let job = &sim.ledger.job(job).unwrap().job;
+    sim.planner.expected_run_time(job, &job.steps[0]).typical()
+}
+
+/// Guards against placements whose expected time is not what operators find in the log.
+#[test]
+fn placements_name_the_expected_run_time() {
+    let mut sim = experienced("normal", |_| 1.0);
+    sim.submit(1, "normal", "south", vec![step(1, 8, seconds(1))]);
+    sim.round();
+    let expected = sim.decisions.iter().find_map(|decision| match decision {
+        Decision::Placed { task, expected, .. } if task.job == 1 => Some(*expected),
+        _ => None,
+    });
+    assert_eq!(expected, Some(planned(&sim, 1)));
+    assert!(
+        expected > Some(Duration::from_millis(1_700)),
+        "{expected:?}"
+    );
+}
+
+/// Guards against expectations that a hung worker, or a job that always fails, spoils.
+#[test]
+fn runs_that_stalled_or_failed_are_not_learned_from() {
+    let mut sim = Simulation::new(2, 2);
+    for job in 1..=20 {
+        let saving = Step {
+            checkpointable: true,
+            ..step(1, 0, seconds(4))
+        };
+        sim.submit(job, "normal", "south", vec![saving]);
+    }
+    sim.run_for(seconds(2));
+    for progress in [false, true] {
+        (0..2).for_each(|number| sim.host(number).makes_progress = progress);
+        sim.run_for(Duration::from_millis(1_500));
+    }
+    sim.run_for(seconds(10));
+    let completed = (1..=20).filter(|job| sim.status(*job) == COMPLETED).count();
+    assert_eq!(completed, 20, "the runs go on");
+    assert_eq!(planned(&sim, 20), seconds(4));
+    for job in 21..=40 {
+        sim.submit(job, "normal", "south", vec![step(1, 0, seconds(4))]);
+    }
+    sim.run_for(seconds(1));
+    for number in 0..2 {
+        let running = sim.host(number).worker.running.clone();
+        for run in running {
+            sim.host(number)
+                .end_run(run.task, run.run, EndReason::Failed);
+        }
+    }
+    sim.run_for(seconds(1));
+    assert_eq!(planned(&sim, 20), seconds(4));
+}
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -304,6 +304,11 @@
         for decision in &plan.decisions {
             log_decision(decision, decider.planner.epoch(), &view);
         }
+        for error in &plan.run_time_errors {
+            let queue = error.queue.to_string();
+            metrics::histogram!("godwitstep_run_time_error", "queue" => queue)
+                .record(error.log_ratio);
+        }
         let mut records = plan.records;
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
@@ -359,9 +364,10 @@
             run,
             incarnation,
             age,
+            expected,
         } => {
             metrics::histogram!("godwitstep_placement_age_seconds").record(*age);
-            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), epoch, version, view_ms, jobs_view_ms, "placed");
+            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), expected_ms = expected.as_millis(), epoch, version, view_ms, jobs_view_ms, "placed");
         }
         Decision::Ended {
             task,
--- a/crates/godwitstep/src/telemetry.rs
+++ b/crates/godwitstep/src/telemetry.rs
@@ -24,6 +24,11 @@
     2.0, 5.0, 10.0, 30.0, 120.0, 600.0,
 ];
 
+/// Upper bounds of the buckets of logarithms of ratios: a twentieth to twenty times.
+const LOG_RATIO_BUCKETS: [f64; 13] = [
+    -3.0, -2.0, -1.5, -1.0, -0.5, -0.25, 0.0, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0,
+];
+
 /// Output format of log messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -125,6 +130,7 @@
     }
     let recorder = PrometheusBuilder::new()
         .set_buckets_for_metric(Matcher::Suffix("_seconds".to_owned()), &SECONDS_BUCKETS)?
+        .set_buckets_for_metric(Matcher::Suffix("_error".to_owned()), &LOG_RATIO_BUCKETS)?
         .build_recorder();
     let new = recorder.handle();
     metrics::set_global_recorder(recorder).map_err(|_| Error::AlreadySet("metrics"))?;
