--- a/crates/godwitstep-batch/src/expectation.rs
+++ b/crates/godwitstep-batch/src/expectation.rs
@@ -207,7 +207,8 @@
         let Some(fit) = regression.and_then(Regression::fit) else {
             return Expectation::of_estimate(estimate);
         };
-        let correction = fit.correction(log_estimate(estimate));
+        // The fit is for a worker of slowness 0.
+        let correction = fit.correction(log_estimate(estimate)) + self.workers.mean();
         if estimate.is_zero() {
             Expectation::new(NO_ESTIMATE, correction, fit.spread)
         } else if correction.abs() <= MIN_CORRECTION {
@@ -220,13 +221,13 @@
     /// Returns the logarithm of the run time of tasks on a worker relative to equal tasks elsewhere; 0 if unknown.
     #[must_use]
     pub fn log_slowdown(&self, host: &str, hardware: Hardware) -> f64 {
-        self.workers.log_slowdown(host, hardware)
+        self.workers.relative(host, hardware)
     }
 
     /// Returns the same for whichever worker was last known on a host.
     #[must_use]
     pub fn log_slowdown_of_host(&self, host: &str) -> f64 {
-        self.workers.log_slowdown_of_host(host)
+        self.workers.relative_of_host(host)
     }
 
     fn regression(&self, class: Class, estimate: Duration) -> Option<&Regression> {
--- a/crates/godwitstep-batch/src/expectation/worker.rs
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -75,10 +75,10 @@
 }
 
 impl Speed {
-    const fn unknown(hardware: Hardware) -> Self {
+    const fn unknown(hardware: Hardware, mean: f64) -> Self {
         Self {
             hardware,
-            log_slowdown: 0.0,
+            log_slowdown: mean,
             weight: 0.0,
             used: 0,
         }
@@ -124,24 +124,44 @@
 pub(super) struct Workers {
     steps: HashMap<Source, StepMean>,
     by_host: HashMap<Host, Speed>,
+    /// Sum of the slowness of all workers in `by_host`.
+    total: f64,
     /// Number of samples so far.
     samples: u64,
 }
 
 impl Workers {
-    /// Returns the slowness of a worker; 0 if unknown.
-    pub fn log_slowdown(&self, host: &str, hardware: Hardware) -> f64 {
+    /// Returns the mean slowness of all known workers. Samples are compared with the first ones of their step, which are
+    /// those of fast workers, so the mean is above 0 where workers are unequal.
+    #[allow(clippy::cast_precision_loss)] // At most [`MAX_WORKERS`].
+    pub fn mean(&self) -> f64 {
+        if self.by_host.is_empty() {
+            return 0.0;
+        }
+        self.total / self.by_host.len() as f64
+    }
+
+    /// Returns the slowness of a worker relative to the mean of all known ones; 0 if unknown.
+    pub fn relative(&self, host: &str, hardware: Hardware) -> f64 {
         self.by_host
             .get(host)
             .filter(|speed| speed.hardware == hardware)
-            .map_or(0.0, |speed| speed.log_slowdown)
+            .map_or(0.0, |speed| speed.log_slowdown - self.mean())
     }
 
-    /// Returns the slowness of the worker that was last known on a host; 0 if unknown.
-    pub fn log_slowdown_of_host(&self, host: &str) -> f64 {
+    /// Returns the same for the worker that was last known on a host; 0 if unknown.
+    pub fn relative_of_host(&self, host: &str) -> f64 {
         self.by_host
             .get(host)
-            .map_or(0.0, |speed| speed.log_slowdown)
+            .map_or(0.0, |speed| speed.log_slowdown - self.mean())
+    }
+
+    /// Returns the slowness of a worker as samples are compared; the mean if unknown.
+    fn log_slowdown(&self, host: &str, hardware: Hardware) -> f64 {
+        self.by_host
+            .get(host)
+            .filter(|speed| speed.hardware == hardware)
+            .map_or_else(|| self.mean(), |speed| speed.log_slowdown)
     }
 
     /// Records an independent task. Returns the mean of its step so far, corrected by the workers' slowness.
@@ -189,16 +209,23 @@
 
     fn update(&mut self, machine: &Machine, deviation: f64, weight: f64) {
         self.samples += 1;
-        let unknown = Speed::unknown(machine.hardware);
-        let speed = self.by_host.entry(machine.host.clone()).or_insert(unknown);
-        if speed.hardware != machine.hardware {
-            *speed = unknown;
-        }
+        let known = self.by_host.get(&machine.host).copied();
+        let same = known.filter(|speed| speed.hardware == machine.hardware);
+        let mut speed = same.unwrap_or_else(|| Speed::unknown(machine.hardware, self.mean()));
         speed.update(deviation, weight);
         speed.used = self.samples;
+        self.insert(machine.host.clone(), speed);
         if self.by_host.len() > MAX_WORKERS {
             let oldest = middle(self.by_host.values().map(|speed| speed.used));
             self.by_host.retain(|_, speed| speed.used > oldest);
+            self.total = self.by_host.values().map(|speed| speed.log_slowdown).sum();
+        }
+    }
+
+    fn insert(&mut self, host: Host, speed: Speed) {
+        self.total += speed.log_slowdown;
+        if let Some(replaced) = self.by_host.insert(host, speed) {
+            self.total -= replaced.log_slowdown;
         }
     }
 
@@ -213,7 +240,7 @@
     /// Restores a worker from a record.
     pub fn restore(&mut self, host: Host, speed: Speed) {
         self.samples = self.samples.max(speed.used);
-        self.by_host.insert(host, speed);
+        self.insert(host, speed);
     }
 
     /// Returns all workers of which something is known.
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -50,7 +50,7 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::expectation::Expectations;
-use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
+use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task};
 use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
@@ -129,6 +129,8 @@
         age: Duration,
         /// Run time of tasks on the worker relative to equal tasks elsewhere; 1 if unknown.
         slowdown: f64,
+        /// Expected run time on that worker.
+        expected: Duration,
     },
     /// A run ended.
     Ended {
@@ -220,6 +222,15 @@
     },
 }
 
+/// How far the run time of a completed run was from the expected one.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RunTimeError {
+    /// Queue of the job.
+    pub queue: Queue,
+    /// Logarithm of the actual over the expected run time.
+    pub log_ratio: f64,
+}
+
 /// Result of one scheduling round.
 #[derive(Debug, Default)]
 pub struct Plan {
@@ -229,6 +240,8 @@
     pub decisions: Vec<Decision>,
     /// Shares of workspaces that have changed noticeably since the last round.
     pub shares: Vec<WorkspaceShare>,
+    /// Errors of the expectations for the runs that were found to have completed and whose time is known.
+    pub run_time_errors: Vec<RunTimeError>,
 }
 
 /// State of a scheduling round in progress.
--- a/crates/godwitstep-batch/src/planner/expect.rs
+++ b/crates/godwitstep-batch/src/planner/expect.rs
@@ -3,7 +3,7 @@
 //! All decisions that depend on how long work takes ask here instead of reading the estimates.
 
 use super::Planner;
-use super::cluster::Occupant;
+use super::cluster::{Node, Occupant};
 use super::draft::Draft;
 use super::speed_fit::RunBudget;
 use crate::expectation::{Class, Expectation, Expectations};
@@ -15,12 +15,16 @@
 
 /// Slowness up to which a worker counts as an average one in predicted ends.
 const MIN_LOG_SLOWDOWN: f64 = 0.1;
+/// Share of the runs that end within the time by which it is judged whether a job can wait.
+const LOWER_QUANTILE: f64 = 0.1;
 /// Share of the runs that end within the time by which a job is given up for its result being worthless.
 const UPPER_QUANTILE: f64 = 0.95;
 
 /// Length of a job, or of what is left of it, by which it is judged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Length {
+    /// Each step takes as short as hardly any of its class.
+    Lower,
     /// Each step takes its typical time.
     Typical,
     /// Each step takes as long as hardly any of its class.
@@ -55,6 +59,7 @@
         job.critical_path_by(done, |step| {
             let expectation = self.expected(job, step);
             match length {
+                Length::Lower => expectation.quantile(LOWER_QUANTILE),
                 Length::Typical => expectation.typical(),
                 Length::Upper => expectation.quantile(UPPER_QUANTILE),
             }
@@ -67,9 +72,10 @@
         job.objective_for(self.remaining_length(job, length, |_| false))
     }
 
-    /// Returns how long a job may wait in all and still meet its objective.
-    pub(super) fn expected_slack(&self, job: &Job) -> Duration {
-        let length = self.remaining_length(job, Length::Typical, |_| false);
+    /// Returns how long a job of this length may wait in all and still meet its objective. The objective grows with the
+    /// length, so a short job can wait for the least time.
+    pub(super) fn expected_slack(&self, job: &Job, length: Length) -> Duration {
+        let length = self.remaining_length(job, length, |_| false);
         job.objective_for(length).saturating_sub(length)
     }
 
@@ -123,13 +129,22 @@
                 .filter(|_| !step.gang)
                 .map(|worker| &worker.host);
             let slowdown = host.map_or(0.0, |host| self.expectations.log_slowdown_of_host(host));
-            let expected = self.expected(job, step);
-            if slowdown.abs() > MIN_LOG_SLOWDOWN {
-                expected.on_worker(slowdown)
-            } else {
-                expected
-            }
+            on_worker(self.expected(job, step), slowdown)
         };
         self.health.remaining(now, task, run, expectation)
     }
 }
+
+/// Returns the expectation on a worker with this slowness, which counts if it is clear.
+fn on_worker(expectation: Expectation, log_slowdown: f64) -> Expectation {
+    if log_slowdown.abs() > MIN_LOG_SLOWDOWN {
+        expectation.on_worker(log_slowdown)
+    } else {
+        expectation
+    }
+}
+
+/// Returns the run time on a node of tasks that take `run_time` on a worker of average speed.
+pub(super) fn on_node(run_time: Duration, node: &Node) -> Duration {
+    on_worker(Expectation::of_estimate(run_time), node.log_slowdown).typical()
+}
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -7,6 +7,7 @@
 //! late.
 
 use super::cluster::{Cluster, Node};
+use super::expect::Length;
 use super::order::Urgency;
 use super::place::PendingStep;
 use super::{Planner, Round};
@@ -117,8 +118,8 @@
         usize::try_from(covering_size).map_or(max_size, |workers| workers.min(max_size))
     }
 
-    /// Selects the workers of a pool to leave empty: those with all their capacity and fast ones first, together in a
-    /// rack.
+    /// Selects the workers of a pool to leave empty: those with all their capacity first, together in a rack as most urgent
+    /// gangs need, and among those the fast ones.
     fn select_workers(
         &mut self,
         now: Duration,
@@ -136,7 +137,7 @@
         empty.sort_by_key(|node| {
             let shrunk = node.capacity != node.full_capacity;
             let in_rack = Reverse(by_rack[&node.rack]);
-            (shrunk, node.suspect, node.speed_class, in_rack)
+            (shrunk, node.suspect, in_rack, node.speed_class)
         });
         let incarnations = empty.into_iter().map(|node| node.incarnation.clone());
         incarnations.take(target_size).collect()
@@ -202,7 +203,7 @@
         job_state: &JobState,
         pending: &PendingStep,
     ) -> bool {
-        let slack = self.expected_slack(&job_state.job);
+        let slack = self.expected_slack(&job_state.job, Length::Typical);
         let early = self.age(now, pending.job) < slack.mul_f64(WAITING_SHARE);
         early || (urgency.late && !pending.step.gang)
     }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -8,7 +8,7 @@
 use super::crashes::Neighbours;
 use super::order::Urgency;
 use super::speed_fit::RunBudget;
-use super::{Decision, Planner, Round, broken, choice, crashes};
+use super::{Decision, Planner, Round, broken, choice, crashes, expect};
 use crate::id::{Incarnation, JobId, Run, Task};
 use crate::job::Step;
 use crate::ledger::JobState;
@@ -177,6 +177,7 @@
             run,
             demand: pending.step.demand,
         };
+        let expected = expect::on_node(pending.run_time, node);
         node.occupy(occupant, pending.run_time);
         pending.isolate(node);
         let incarnation = node.incarnation.clone();
@@ -191,6 +192,7 @@
             incarnation,
             age: self.age(round.now, pending.job),
             slowdown,
+            expected,
         });
     }
 }
@@ -316,8 +318,7 @@
         .collect()
 }
 
-/// Returns a function from a task's index to its next run number. Members of a gang share one
-/// number.
+/// Returns a function from a task's index to its next run number. Members of a gang share one number.
 fn next_run(gang: bool, state: &progress::Step) -> impl Fn(u16) -> Run + use<> {
     let runs: Vec<Run> = state.tasks.iter().map(|task| task.run).collect();
     let highest = runs.iter().copied().max().unwrap_or(0);
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -8,6 +8,7 @@
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::draft::Draft;
+use super::expect::Length;
 use super::order::Urgency;
 use super::place::{self, PendingStep, Placement};
 use super::speed_fit::PreemptionCost;
@@ -114,7 +115,7 @@
 
     /// Returns how long a job may still wait before it must preempt others.
     fn remaining_wait(&self, now: Duration, job_state: &JobState, urgency: Urgency) -> Duration {
-        let mut max_wait = self.expected_slack(&job_state.job);
+        let mut max_wait = self.expected_slack(&job_state.job, Length::Lower);
         if !urgency.unguaranteed {
             let bound = self.bounds.guaranteed_start_time;
             max_wait = max_wait.min(bound.saturating_sub(self.bounds.max_stop_time));
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -307,6 +307,11 @@
             log_decision(decision, decider.planner.epoch(), &view);
         }
         plan.shares.iter().for_each(report_share);
+        for error in &plan.run_time_errors {
+            let queue = error.queue.to_string();
+            metrics::histogram!("godwitstep_run_time_error", "queue" => queue)
+                .record(error.log_ratio);
+        }
         let mut records = plan.records;
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
@@ -372,11 +377,12 @@
             incarnation,
             age,
             slowdown,
+            expected,
         } => {
             // Two decimals: the estimate is no more accurate.
             let slowdown = format_args!("{slowdown:.2}");
             metrics::histogram!("godwitstep_placement_age_seconds").record(*age);
-            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), %slowdown, epoch, version, view_ms, jobs_view_ms, "placed");
+            tracing::info!(%task, run, worker = %incarnation, age_ms = age.as_millis(), %slowdown, expected_ms = expected.as_millis(), epoch, version, view_ms, jobs_view_ms, "placed");
         }
         Decision::Ended {
             task,
