fix(batch): compare the tasks of a step once half of them have ended

Cause: tasks were compared with the first two of their step, which are on fast workers; those two were not compared at all. Fast workers therefore stayed without history.

--- a/crates/godwitstep-batch/src/expectation.rs
+++ b/crates/godwitstep-batch/src/expectation.rs
@@ -157,7 +157,8 @@
             End::Stopped => log_run_time - slowest,
             End::Done if run.equals >= MIN_EQUALS && run.machines.len() == 1 => {
                 let machine = &run.machines[0];
-                self.workers.record_task(run.source, machine, log_run_time)
+                self.workers
+                    .record_task(run.source, run.equals, machine, log_run_time)
             }
             End::Done => {
                 if let Some(fit) = fit {
--- a/crates/godwitstep-batch/src/expectation/worker.rs
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -14,8 +14,10 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-/// Number of tasks of a step whose run times must be known before further ones are compared with them.
-const MIN_TASKS: f64 = 2.0;
+/// Number of tasks of a step whose run times must be known before they are compared, at least.
+const MIN_TASKS: u16 = 3;
+/// Number of tasks from which on they are compared even if the step has many more.
+const MAX_TASKS: u16 = 64;
 /// Weight of the prior assumption that a worker has average speed. Unit: tasks.
 const PRIOR_WEIGHT: f64 = 1.0;
 /// Weight of the earlier tasks on a worker, at most, so that a change of its speed is tracked: three quarters of it
@@ -35,7 +37,7 @@
 const CLEAR_DIFFERENCE: f64 = 0.1;
 /// Maximum number of workers that are remembered, of about 100 bytes each.
 const MAX_WORKERS: usize = 40_000;
-/// Maximum number of steps with means of their own, of about 50 bytes each.
+/// Maximum number of steps with means of their own, of about 70 bytes each, and 50 bytes for a task to be compared.
 const MAX_STEPS: usize = 4_096;
 
 /// Digest of what a worker provides: its capacity and its labels. Other toolchains may compute another one, in which
@@ -94,11 +96,18 @@
 }
 
 /// Mean of the logarithms of the run times of a step's tasks, corrected by the slowness of their workers.
-#[derive(Debug, Default, Clone, Copy)]
+///
+/// The tasks are compared with the mean once half of them have ended. Those that end first are on fast workers, which
+/// would count as usual ones if they were the measure.
+#[derive(Debug, Default, Clone)]
 struct StepMean {
     total: f64,
     count: f64,
     used: u64,
+    /// Tasks that have not been compared yet, at most [`MAX_TASKS`].
+    waiting: Vec<(Machine, f64)>,
+    /// Whether tasks are compared at once.
+    compared: bool,
 }
 
 impl StepMean {
@@ -164,19 +173,34 @@
             .map_or_else(|| self.mean(), |speed| speed.log_slowdown)
     }
 
-    /// Records an independent task. Returns the mean of its step so far, corrected by the workers' slowness.
-    pub fn record_task(&mut self, source: Source, machine: &Machine, log_run_time: f64) -> f64 {
+    /// Records an independent task of a step of `tasks` equal ones. Returns the mean of its step so far, corrected by the
+    /// workers' slowness.
+    pub fn record_task(
+        &mut self,
+        source: Source,
+        tasks: u16,
+        machine: &Machine,
+        log_run_time: f64,
+    ) -> f64 {
         let corrected = log_run_time - self.log_slowdown(&machine.host, machine.hardware);
-        let known = self.steps.get(&source).copied().unwrap_or_default();
-        if known.count >= MIN_TASKS {
-            self.update(machine, corrected - known.mean(), 1.0);
-        }
         self.samples += 1;
         let used = self.samples;
         let step = self.steps.entry(source).or_default();
         step.add(corrected);
         step.used = used;
+        step.waiting.push((machine.clone(), log_run_time));
+        let needed = (tasks / 2).clamp(MIN_TASKS, MAX_TASKS);
+        step.compared |= step.waiting.len() >= usize::from(needed);
         let mean = step.mean();
+        let comparable = if step.compared {
+            std::mem::take(&mut step.waiting)
+        } else {
+            Vec::new()
+        };
+        for (machine, log_run_time) in comparable {
+            let corrected = log_run_time - self.log_slowdown(&machine.host, machine.hardware);
+            self.update(&machine, corrected - mean, 1.0);
+        }
         self.limit_steps();
         mean
     }
