fix(batch): learn from a gang once also if its members are stopped one by one

Cause: each stopped member of a gang looked up the machines of all members that were still placed, which grows with the square of the gang, and counted the slowest of the remaining ones only. A record of a future epoch was ignored without a log line.

Change: a gang is learned from while all its members are placed, that is with its first end. A new decider says when it ignores a record.

--- a/crates/godwitstep-batch/src/planner/learn.rs
+++ b/crates/godwitstep-batch/src/planner/learn.rs
@@ -74,16 +74,16 @@
         let job = &job_state.job;
         let step = job.steps.get(usize::from(number))?;
         let progress = draft.progress(id, job_state);
-        // All members of a gang end with the first one, which counts.
         progress.task(number, index)?.placed_on()?;
         let run_time = self.clean_run_time(now, ended)?;
-        let placed: Vec<&Incarnation> = if step.gang {
+        // A gang counts once: with its first member that ends, while all others are placed.
+        let placed: Option<Vec<&Incarnation>> = if step.gang {
             let members = &progress.steps[usize::from(number)].tasks;
-            members.iter().filter_map(|task| task.placed_on()).collect()
+            members.iter().map(|task| task.placed_on()).collect()
         } else {
-            vec![&ended.incarnation]
+            Some(vec![&ended.incarnation])
         };
-        let machines = self.machines(step, &placed)?;
+        let machines = self.machines(step, &placed?)?;
         let log_ratio = self.expectations.record(&FinishedRun {
             class: Class::of(job, step),
             source: Source {
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -195,19 +195,25 @@
     /// with it all records that they could store.
     fn new_planner(&self, epoch: Epoch, now: Duration, ledger: &Ledger) -> Planner {
         let planner = Planner::new(epoch, now, self.bounds.clone());
-        match ledger.expectations(epoch) {
-            Some(learned) => {
-                tracing::info!(
-                    epoch,
-                    learned_in = learned.epoch,
-                    queues = learned.queues(),
-                    workers = learned.workers(),
-                    "run-time expectations taken over"
-                );
-                planner.with_expectations(learned)
-            }
-            None => planner,
+        if let Some(learned) = ledger.expectations(epoch) {
+            let (queues, workers) = (learned.queues(), learned.workers());
+            tracing::info!(
+                epoch,
+                learned_in = learned.epoch,
+                queues,
+                workers,
+                "run-time expectations taken over"
+            );
+            return planner.with_expectations(learned);
+        }
+        if let Some(future) = ledger.expectations(Epoch::MAX) {
+            tracing::warn!(
+                epoch,
+                learned_in = future.epoch,
+                "run-time expectations of a future epoch ignored"
+            );
         }
+        planner
     }
 
     fn claim(&self, epoch: Epoch, released: bool) -> Record {
