--- a/crates/godwitstep-batch/src/planner/speed_fit.rs
+++ b/crates/godwitstep-batch/src/planner/speed_fit.rs
@@ -267,10 +267,13 @@
 impl PreemptionCost {
     /// Orders placements by loss. Of two with about the same loss, the faster one comes first.
     pub fn compare(&self, other: &Self) -> Ordering {
-        self.loss_band()
-            .total_cmp(&other.loss_band())
-            .then_with(|| self.slowest.cmp(&other.slowest))
-            .then_with(|| self.loss.total_cmp(&other.loss))
+        let by_speed = || self.slowest.cmp(&other.slowest);
+        let by_loss = self.loss.total_cmp(&other.loss);
+        if by_loss.is_eq() {
+            return by_speed();
+        }
+        let by_band = self.loss_band().total_cmp(&other.loss_band());
+        by_band.then_with(by_speed).then(by_loss)
     }
 
     /// Returns the number of the band of losses within [`END_TOLERANCE`] that contains the loss.
--- a/crates/godwitstep-batch/tests/long_runs.rs
+++ b/crates/godwitstep-batch/tests/long_runs.rs
@@ -35,7 +35,7 @@
 /// Submits short tasks for all workers every 2.9 s and panics if they do not start at once.
 fn assert_short_tasks_start(sim: &mut Simulation, jobs: std::ops::Range<JobId>) {
     for job in jobs {
-        sim.submit(job, "normal", "north", vec![step(WORKERS, 4, seconds(1))]);
+        sim.submit(job, "normal", "north", vec![step(WORKERS, 5, seconds(1))]);
         sim.round();
         sim.round();
         assert_eq!(sim.hosts_running(job).len(), 3, "at {:?}", sim.now);
