fix(batch): rank by use only jobs that cannot wait longer

Ranking all jobs that can be on time put jobs with ample slack before jobs of heavier users with little, which became late.

Only jobs with at most 1 s of slack are ranked now; the others follow by slack. Thresholds of 0.3 and 2 s were tried: the first does little, the second costs large workspaces more than it gives to the others.

--- a/crates/godwitstep-batch/src/planner/share.rs
+++ b/crates/godwitstep-batch/src/planner/share.rs
@@ -2,8 +2,9 @@
 //!
 //! By slack alone, a burst of one workspace's jobs takes all capacity, and the few jobs of the others wait behind it until
 //! they are late. While jobs of at least two workspaces of a priority wait, those of the workspace that has used the least
-//! come first, among the jobs that can still be on time: a late result is worth little, so a job that is late anyway does
-//! not displace one that is not. Use is about equal within half an equal share, and then the least slack decides.
+//! come first, among the jobs that can still be on time but not wait much longer. A late result is worth little, so a job
+//! that is late anyway does not displace one that is not, and neither does one that can wait. Use is about equal within half
+//! an equal share, and then the least slack decides.
 //!
 //! Use counts by priority, as work of lower priority displaces nothing. At priority 0 only use beyond the guarantee counts.
 
@@ -25,6 +26,9 @@
 const MAX_ACCOUNTS: usize = 1_000;
 /// Use below which an account without active runs is dropped. Unit: cores.
 const NEGLIGIBLE_CORES: f64 = 0.01;
+/// Slack up to which waiting puts a job at risk: about the time that a stop and a start take. Ranking jobs with more slack
+/// too made more of them late, as those with less slack then waited. Unit: milliseconds.
+const AT_RISK_SLACK: i64 = 1_000;
 /// Part of an equal share within which use counts as equal. Rounded to multiples, so that equal use is not at the limit.
 const EQUAL_WITHIN: f64 = 0.5;
 /// Change of a share that is reported to operators.
@@ -59,6 +63,11 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct UseRank(u8);
 
+impl UseRank {
+    /// Position of jobs that can wait, behind all that are at risk.
+    const CAN_WAIT: Self = Self(u8::MAX);
+}
+
 /// Share of a pool's capacity that a workspace's jobs of one priority have used recently, without what its guarantee
 /// covers.
 #[derive(Debug, Clone, PartialEq)]
@@ -193,7 +202,7 @@
         }
         let steps = (own / (equal * EQUAL_WITHIN))
             .round()
-            .clamp(0.0, f64::from(u8::MAX));
+            .clamp(0.0, f64::from(u8::MAX - 1));
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped just before.
         UseRank(steps as u8)
     }
@@ -310,6 +319,10 @@
             let Some(workspaces) = competitors.get(&account.market) else {
                 continue;
             };
+            if urgency.slack > AT_RISK_SLACK {
+                urgency.use_rank = UseRank::CAN_WAIT;
+                continue;
+            }
             let market = account.market.clone();
             let workspace = account.workspace.clone();
             urgency.use_rank = *ranks.entry(account).or_insert_with(|| {
