test(cli): send crowds of clients to an entry of the product

The product's interface accepts bodies of 1 MiB and holds up to 256 MiB of them, whatever the memory of its machine. The tests send crowds whose bodies add up to 160 MiB to an entry with memory_mb 64 and open_files 1024.

--- a/crates/godwitstep-cli/tests/proofs/main.rs
+++ b/crates/godwitstep-cli/tests/proofs/main.rs
@@ -4,6 +4,7 @@
 //! threads of the test, so that tests can read their ledgers at any time. Fault-injecting proxies
 //! sit on the connections between all of them, and can sit between callers and entries.
 
+mod crowds;
 mod end_to_end;
 mod fixture;
 mod outage;
