feat(http): decide on memory and connections by one budget a process

Cause: callers can make a process hold any number of bodies at once. On a host of 120 MB, 2,000 connections with bodies of 99,000 bytes that stop short of their end exceed its memory.

Change: add the decisions, without I/O. Settings `limits.memory_mb` and `limits.open_files` of the platform's processes and `memory_mb` and `open_files` of an entry state what a process may use; what is left out is read from the machine.

The decisions are not applied yet.

--- a/crates/godwitstep/src/batch/settings.rs
+++ b/crates/godwitstep/src/batch/settings.rs
@@ -13,6 +13,7 @@
 //! assert_eq!(settings.bounds.max_lease().as_secs(), 6);
 //! ```
 
+use crate::http::budget::Resources;
 use godwitstep_batch::bounds::Bounds;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -52,6 +53,70 @@
     /// Size limits of the log service.
     #[serde(default)]
     pub sizes: SizeLimits,
+    /// Limits of the machine.
+    #[serde(default)]
+    pub limits: MachineLimits,
+}
+
+/// Limits of what the process may use. A limit that is not set is the one that the process sees.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct MachineLimits {
+    /// Memory of the machine, including what the kernel holds for the process. Unit: MB (2^20 bytes).
+    pub memory_mb: Option<f64>,
+    /// Maximum number of open descriptors.
+    pub open_files: Option<f64>,
+}
+
+/// Minimum value of [`MachineLimits::memory_mb`]: a process without jobs takes 10 MB.
+const MIN_MEMORY_MB: f64 = 16.0;
+/// Minimum value of [`MachineLimits::open_files`]: listeners, the log, and 16 connections of each server.
+const MIN_OPEN_FILES: f64 = 128.0;
+/// Maximum of both limits, far above any machine.
+const MAX_MACHINE_LIMIT: f64 = 1e9;
+
+impl MachineLimits {
+    /// Returns the resources of the process.
+    #[must_use]
+    pub fn resources(&self) -> Resources {
+        let memory = self.memory_mb.map(|megabytes| to_usize(megabytes) << 20);
+        Resources::detect(memory, self.open_files.map(to_usize))
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        let limits = [
+            (
+                "limits.memory_mb",
+                self.memory_mb,
+                MIN_MEMORY_MB,
+                "16 MB to 1,000,000,000 MB",
+            ),
+            (
+                "limits.open_files",
+                self.open_files,
+                MIN_OPEN_FILES,
+                "128 to 1,000,000,000",
+            ),
+        ];
+        for (name, value, least, required) in limits {
+            if let Some(value) = value
+                && !(least..=MAX_MACHINE_LIMIT).contains(&value)
+            {
+                return Err(Error::OutOfRange {
+                    name,
+                    value,
+                    required,
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Converts a limit that has been checked.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Within 0 to MAX_MACHINE_LIMIT.
+const fn to_usize(value: f64) -> usize {
+    value as usize
 }
 
 /// Size limits of the log service. Unit: bytes.
@@ -208,6 +273,7 @@
             })?;
         settings.bounds.check()?;
         settings.sizes.check()?;
+        settings.limits.check()?;
         Ok(settings)
     }
 }
--- a/crates/godwitstep/src/http.rs
+++ b/crates/godwitstep/src/http.rs
@@ -26,6 +26,7 @@
 //! ```
 
 mod body;
+pub mod budget;
 mod client;
 mod server;
 
--- a/crates/godwitstep/src/settings/entry.rs
+++ b/crates/godwitstep/src/settings/entry.rs
@@ -2,6 +2,7 @@
 
 use super::key::{Form, Key, Presence};
 use super::{Secret, Settings};
+use crate::http::budget::Resources;
 use crate::telemetry::{Format, Level};
 use godwitstep_core::id::{DomainId, EntryId, RegionId};
 use godwitstep_core::resource::Fault;
@@ -14,6 +15,11 @@
 /// Maximum duration of a graceful shutdown. Unit: milliseconds.
 const MAX_STOP_LIMIT_MS: u64 = 600_000;
 
+/// Minimum memory: a process without jobs takes 10 MB. Unit: MB.
+const MIN_MEMORY_MB: u64 = 16;
+/// Minimum number of descriptors: listeners, links, the log, and 16 connections of each server.
+const MIN_OPEN_FILES: u64 = 128;
+
 pub(super) const NAME: Key = Key::required(
     "name",
     Form::Name,
@@ -82,12 +88,28 @@
     pub stop_limit: Duration,
     /// Minimum number of records that the log service retains per stream.
     pub retention_records: u64,
+    /// Memory of the process and the kernel buffers of its connections. If unset, the memory that the process sees.
+    /// Unit: MB (2^20 bytes).
+    #[serde(default)]
+    pub memory_mb: Option<usize>,
+    /// Maximum number of open descriptors. If unset, the limit that the process sees.
+    #[serde(default)]
+    pub open_files: Option<usize>,
     /// Output format of log messages.
     pub log_format: Format,
     /// Minimum severity of log messages.
     pub log_level: Level,
 }
 
+impl Entry {
+    /// Returns the resources of the process.
+    #[must_use]
+    pub fn resources(&self) -> Resources {
+        let memory = self.memory_mb.map(|megabytes| megabytes << 20);
+        Resources::detect(memory, self.open_files)
+    }
+}
+
 impl Settings for Entry {
     const KEYS: &'static [Key] = &[
         NAME,
@@ -122,6 +144,26 @@
              snapshot after each quarter of it.",
         )
         .presence(Presence::Integer(100_000)),
+        Key::required(
+            "memory_mb",
+            Form::Integer {
+                min: MIN_MEMORY_MB,
+                max: 1_000_000_000,
+            },
+            "Memory that the process may take, in MB. A third of it is for callers' requests. If left \
+             out, the memory of the machine or of its control group.",
+        )
+        .presence(Presence::Optional),
+        Key::required(
+            "open_files",
+            Form::Integer {
+                min: MIN_OPEN_FILES,
+                max: 1_000_000_000,
+            },
+            "Descriptors that the process may open. Half of them are for callers' connections. If \
+             left out, its limit of open files.",
+        )
+        .presence(Presence::Optional),
         LOG_FORMAT,
         LOG_LEVEL,
     ];
