feat(http): hold bodies and connections within a budget

Cause: bodies were collected as lists of chunks of any number, each of which kept its part of the read buffer, and connections beyond the limit were refused whatever the others did. Clients that stop short of the end of a body, never end a head or never read a response kept their memory and their place until a time limit.

Change: a body is copied into one growing buffer, whose capacity is charged before it grows; a displaced buffer is freed at once and its request answered 503 with Retry-After. A body without progress is ended after 5 s (408). At the limit of connections a new one displaces the one with the least progress; only if all have requests in progress it is answered 503. The pause after a failed accept no longer stops the server's other connections, the shutdown accepts a bounded number of connections, and the kernel's buffers of callers' connections are limited. The product's own bound of 256 MiB is replaced by the budget.

The test connections_are_reused_and_bodies_are_bounded expected a second connection to be refused while the only permitted one was idle; that one is now displaced, so the test checks that it is closed and the second one served. requests_in_progress_keep_their_connection takes over the check of the refusal.

The servers of the processes do not use a budget yet.

--- a/crates/godwitstep/src/batch/entry/handover.rs
+++ b/crates/godwitstep/src/batch/entry/handover.rs
@@ -13,7 +13,6 @@
 use futures_util::future::join_all;
 use godwitstep_batch::claim;
 use godwitstep_batch::id::Epoch;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use smol::Timer;
 use smol::future::FutureExt;
@@ -79,7 +78,10 @@
     }
 
     /// Handles an offer or a nomination by a decider that cannot append.
-    pub(super) async fn handle_handover(&self, request: Request<Incoming>) -> Response<http::Body> {
+    pub(super) async fn handle_handover(
+        &self,
+        request: Request<http::RequestBody>,
+    ) -> Response<http::Body> {
         let named = request.uri().path() == SUCCEED_PATH;
         let body = http::read(request.into_body(), MAX_BODY_BYTES, REQUEST_TIMEOUT).await;
         let text = body
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -14,7 +14,6 @@
 use godwitstep_batch::id::{Epoch, Offset};
 use godwitstep_batch::message::{self, Records, Value};
 use godwitstep_batch::record::Record;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
@@ -298,12 +297,15 @@
     }
 
     /// Handles a relay request of another entry.
-    pub(super) async fn handle_records(&self, request: Request<Incoming>) -> Response<http::Body> {
+    pub(super) async fn handle_records(
+        &self,
+        request: Request<http::RequestBody>,
+    ) -> Response<http::Body> {
         let body = match http::read(request.into_body(), MAX_BODY_BYTES, REQUEST_TIMEOUT).await {
             Ok(body) => body,
             Err(error) => {
                 tracing::warn!(%error, "records of another entry could not be read");
-                return http::respond(StatusCode::BAD_REQUEST, format!("{error}\n"));
+                return http::refuse(&error);
             }
         };
         let items = match message::decode::<Records>(&body) {
--- a/crates/godwitstep/src/batch/entry/report.rs
+++ b/crates/godwitstep/src/batch/entry/report.rs
@@ -9,7 +9,6 @@
 use godwitstep_batch::message::{self, Directive, Reply, Report};
 use godwitstep_batch::planner::OperatorView;
 use godwitstep_batch::policy::Policy;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -26,7 +25,7 @@
 
 impl<L: Log> Entry<L> {
     /// Serves a request on the internal address: a report of an agent, or a message of another entry.
-    pub async fn serve_agent(&self, request: Request<Incoming>) -> Response<http::Body> {
+    pub async fn serve_agent(&self, request: Request<http::RequestBody>) -> Response<http::Body> {
         if request.uri().path() == probe::PROBE_PATH {
             return self.handle_probe();
         }
@@ -41,7 +40,7 @@
         }
         let body = match http::read(request.into_body(), MAX_REPORT_BYTES, BODY_TIMEOUT).await {
             Ok(body) => body,
-            Err(error) => return bad_request(&error),
+            Err(error) => return http::refuse(&error),
         };
         match message::decode::<Report>(&body) {
             Ok(report) => {
--- a/crates/godwitstep/src/batch/entry/tail.rs
+++ b/crates/godwitstep/src/batch/entry/tail.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use godwitstep_batch::id::Offset;
 use godwitstep_batch::message::{self, Tail, TailRequest, Value};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -54,13 +53,13 @@
     /// Handles a request of another entry that cannot read the log.
     pub(super) async fn handle_tail_read(
         &self,
-        request: Request<Incoming>,
+        request: Request<http::RequestBody>,
     ) -> Response<http::Body> {
         let body = match http::read(request.into_body(), MAX_BODY_BYTES, REQUEST_TIMEOUT).await {
             Ok(body) => body,
             Err(error) => {
                 tracing::warn!(%error, "another entry's request to read the log could not be read");
-                return http::respond(StatusCode::BAD_REQUEST, format!("{error}\n"));
+                return http::refuse(&error);
             }
         };
         let tail_request = message::decode::<TailRequest>(&body).ok();
--- a/crates/godwitstep/src/caller/front.rs
+++ b/crates/godwitstep/src/caller/front.rs
@@ -70,8 +70,6 @@
     /// Whether a call to the sink is in progress.
     sending: Cell<bool>,
     pub(super) state: RefCell<State>,
-    /// Total size of the request bodies that are announced or in memory. Unit: bytes.
-    pub(super) held_body_bytes: Cell<usize>,
     pub(super) stopping: Cell<bool>,
 }
 
@@ -106,7 +104,6 @@
             outbox: RefCell::default(),
             sending: Cell::new(false),
             state: RefCell::new(state),
-            held_body_bytes: Cell::new(0),
             stopping: Cell::new(false),
         }
     }
--- a/crates/godwitstep/src/caller/serve.rs
+++ b/crates/godwitstep/src/caller/serve.rs
@@ -4,39 +4,33 @@
 use super::answer::{RequestError, name, respond};
 use super::head::{RequestHead, service};
 use super::pending::Pending;
-use crate::http::{Body, BoxError, ReadError, read};
+use crate::http::budget::admission::Group;
+use crate::http::{Body, ReadError, Source, read};
 use bytes::Bytes;
 use godwitstep_core::Reason;
 use godwitstep_core::backoff::add_jitter;
-use godwitstep_core::id::Key;
+use godwitstep_core::id::{Key, WorkspaceId};
 use godwitstep_core::router::{Event, Outcome, Refusal, Request, Sequence};
 use godwitstep_wire as wire;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Response, StatusCode};
 use smol::channel;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
 /// Time limit for receiving a request body.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
 /// Delay, before jitter, after which a caller may retry a request whose outcome is unknown.
 const UNKNOWN_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Maximum total size of the request bodies that are announced or in memory. Unit: bytes.
-const MAX_HELD_BODY_BYTES: usize = 256 * 1024 * 1024;
 
-/// Releases the reserved body size on drop, and reports the caller as disconnected if its request
-/// has not been answered.
+/// Reports the caller as disconnected on drop, if its request has not been answered.
 struct CallerGuard<'a> {
     front: &'a Frontend,
     sequence: Sequence,
-    size: usize,
 }
 
 impl Drop for CallerGuard<'_> {
     fn drop(&mut self) {
-        let held = self.front.held_body_bytes.get();
-        self.front
-            .held_body_bytes
-            .set(held.saturating_sub(self.size));
         let sequence = self.sequence;
         let open = self.front.state.borrow().pending.contains_key(&sequence);
         if open {
@@ -49,8 +43,7 @@
     /// Handles one HTTP request of a caller and returns the response.
     pub async fn serve<B>(&self, request: hyper::Request<B>) -> Response<Body>
     where
-        B: hyper::body::Body<Data = Bytes>,
-        B::Error: Into<BoxError>,
+        B: Source,
     {
         let arrived = self.clock.now();
         let sequence = self.next_sequence(arrived);
@@ -81,47 +74,40 @@
         request: hyper::Request<B>,
     ) -> Result<(Outcome, Bytes), RequestError>
     where
-        B: hyper::body::Body<Data = Bytes>,
-        B::Error: Into<BoxError>,
+        B: Source,
     {
-        let (parts, body) = request.into_parts();
+        let (parts, mut body) = request.into_parts();
         let service = service(&parts.method, parts.uri.path())?;
         let head = {
             let state = self.state.borrow();
             RequestHead::parse(service, &parts.headers, |id| state.router.workspace(id))?
         };
-        let announced = body
-            .size_hint()
-            .upper()
-            .unwrap_or(wire::MAX_BODY_BYTES as u64);
-        let size = usize::try_from(announced).unwrap_or(usize::MAX);
-        if size > wire::MAX_BODY_BYTES {
-            return Err(too_large());
-        }
-        if self.held_body_bytes.get() + size > MAX_HELD_BODY_BYTES {
-            let retry_after = Some(add_jitter(
-                UNKNOWN_RETRY_DELAY,
-                &mut self.state.borrow_mut().rng,
-            ));
-            return Ok((limit_reached(&head, retry_after), Bytes::new()));
-        }
-        self.held_body_bytes.set(self.held_body_bytes.get() + size);
-        let front = self;
+        body.set_group(group(&head.workspace));
         let guard = CallerGuard {
-            front,
+            front: self,
             sequence,
-            size,
         };
         let timeout = head.deadline.min(BODY_READ_TIMEOUT);
-        let body =
-            read(body, wire::MAX_BODY_BYTES, timeout)
-                .await
-                .map_err(|error| match error {
-                    ReadError::TooLarge { .. } => too_large(),
-                    error => RequestError::invalid(format!("body: {error}")),
-                })?;
+        let body = match read(body, wire::MAX_BODY_BYTES, timeout).await {
+            Ok(body) => body,
+            Err(ReadError::TooLarge { .. }) => return Err(too_large()),
+            Err(ReadError::Overloaded) => {
+                let rng = &mut self.state.borrow_mut().rng;
+                let retry_after = Some(add_jitter(UNKNOWN_RETRY_DELAY, rng));
+                return Ok((limit_reached(&head, retry_after), Bytes::new()));
+            }
+            Err(error @ (ReadError::Slow { .. } | ReadError::Stalled)) => {
+                let message = format!("body: {error}");
+                return Err(RequestError::new(error.status(), "slow", message));
+            }
+            Err(error @ ReadError::Broken(_)) => {
+                return Err(RequestError::invalid(format!("body: {error}")));
+            }
+        };
+        // The body is needed until the request has its outcome, as it may be sent to another target.
+        let (body, kept) = body.split();
         let result = self.submit(arrived, sequence, head, body).await;
-        drop(guard);
+        drop((guard, kept));
         Ok(result)
     }
 
@@ -176,6 +162,13 @@
     }
 }
 
+/// Returns the group by which memory for bodies is shared among workspaces.
+fn group(workspace: &WorkspaceId) -> Group {
+    let mut hasher = DefaultHasher::new();
+    workspace.hash(&mut hasher);
+    hasher.finish()
+}
+
 fn too_large() -> RequestError {
     let message = format!("body: exceeds {} bytes", wire::MAX_BODY_BYTES);
     RequestError::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
--- a/crates/godwitstep/src/http.rs
+++ b/crates/godwitstep/src/http.rs
@@ -30,6 +30,9 @@
 mod client;
 mod server;
 
-pub use body::{Body, BoxError, ReadError, empty, full, read, respond, stream};
+pub use body::{
+    Body, BoxError, Held, Kept, ReadError, RequestBody, Source, empty, full, read, refuse, respond,
+    stream,
+};
 pub use client::{Cause, Check, Checked, Client, Error, Options, Step};
-pub use server::{Limits, Shutdown, Signal, serve};
+pub use server::{Limits, Shutdown, Signal, serve, serve_within};
--- a/crates/godwitstep/src/http/body.rs
+++ b/crates/godwitstep/src/http/body.rs
@@ -3,39 +3,22 @@
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::StreamExt;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::Frame;
 use hyper::{Response, StatusCode};
-use smol::Timer;
-use smol::future::FutureExt;
 use std::pin::Pin;
-use std::time::Duration;
+
+mod read;
+mod request;
+
+pub use read::{Held, Kept, ReadError, read, refuse};
+pub use request::{RequestBody, Source};
 
 /// Error that any kind of body may return.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 /// Body that is buffered or streamed. Not `Send`: it stays on the thread that created it.
 pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BoxError>>>;
 
-/// Error of reading a whole body.
-#[derive(Debug, thiserror::Error)]
-pub enum ReadError {
-    /// The body is longer than allowed.
-    #[error("body exceeds {limit} bytes")]
-    TooLarge {
-        /// Maximum size. Unit: bytes.
-        limit: usize,
-    },
-    /// The body did not arrive in time.
-    #[error("body did not arrive within {} ms", .time.as_millis())]
-    Slow {
-        /// Time limit.
-        time: Duration,
-    },
-    /// The connection failed before the end of the body.
-    #[error("body was cut off: {0}")]
-    Broken(BoxError),
-}
-
 /// Returns a body without content.
 #[must_use]
 pub fn empty() -> Body {
@@ -63,32 +46,3 @@
         parts.map(|part| part.map(Frame::<Bytes>::data)),
     ))
 }
-
-/// Reads a whole body of at most `limit` bytes within `time`.
-///
-/// # Errors
-///
-/// Returns an error if the body is too long, too slow or cut off.
-pub async fn read<B>(body: B, limit: usize, time: Duration) -> Result<Bytes, ReadError>
-where
-    B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<BoxError>,
-{
-    let whole = async {
-        let collected = Limited::new(body, limit).collect().await;
-        collected
-            .map(http_body_util::Collected::to_bytes)
-            .map_err(|error| {
-                if error.is::<LengthLimitError>() {
-                    ReadError::TooLarge { limit }
-                } else {
-                    ReadError::Broken(error)
-                }
-            })
-    };
-    let timeout = async {
-        Timer::after(time).await;
-        Err(ReadError::Slow { time })
-    };
-    whole.or(timeout).await
-}
--- a/crates/godwitstep/src/http/server.rs
+++ b/crates/godwitstep/src/http/server.rs
@@ -1,36 +1,32 @@
 //! HTTP server: accept loop, limits and graceful shutdown.
 
-use super::body::{Body, respond};
-use futures_util::future::{Either, select};
+use super::body::{Body, RequestBody};
+use super::budget::{Budget, Gate, Part, Server};
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
+use rustix::net::sockopt;
 use smol::Timer;
 use smol::channel::{self, Receiver, Sender};
 use smol::future::{FutureExt, poll_once};
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+mod connection;
 mod write_timeout;
 
-use write_timeout::WriteTimeout;
-
 /// Delay after a failed accept. Without it, a process that has run out of file descriptors would
 /// retry in a busy loop.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
-/// Time limit for the first request of a connection that was open when the shutdown began.
-const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Maximum number of connections beyond the limit that are answered 503 at a time; further ones
 /// wait in the accept queue.
 const MAX_REFUSED: usize = 64;
+/// Size of the kernel's buffers of a caller's connection, of which the kernel uses twice as much. Bytes that a process
+/// does not read, and responses that a client does not read, take memory of the same machine. Unit: bytes.
+const CALLER_SOCKET_BUFFER: usize = 16 * 1024;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -94,20 +90,48 @@
     }
 }
 
-/// Serves connections until the shutdown starts and the requests in progress have been answered.
+/// Serves connections until the shutdown starts and the requests in progress have been answered. The memory of request
+/// bodies is not limited; see [`serve_within`].
 ///
 /// Dropping the returned future closes all connections at once. The future of a handler is dropped
 /// when its caller closes the connection.
 pub async fn serve<H>(listener: TcpListener, limits: Limits, signal: Signal, handler: H)
 where
-    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
+    H: AsyncFn(Request<RequestBody>) -> Response<Body> + 'static,
 {
-    let handler = Rc::new(handler);
+    let server = Budget::unlimited().server("server", Part::Reserved);
+    serve_within(listener, limits, server, signal, handler).await;
+}
+
+/// Serves connections like [`serve`], within the budget of a process.
+///
+/// At its limit, a new connection displaces the one with the least progress. If all have requests in progress, it is
+/// answered 503.
+pub async fn serve_within<H>(
+    listener: TcpListener,
+    limits: Limits,
+    server: Server,
+    signal: Signal,
+    handler: H,
+) where
+    H: AsyncFn(Request<RequestBody>) -> Response<Body> + 'static,
+{
+    if server.part() == Part::Callers {
+        limit_socket_buffers(&listener);
+    }
+    let server = server.at_most(limits.connections);
+    let entrance = Entrance {
+        gate: server.gate(),
+        limits,
+        signal: signal.clone(),
+        handler: Rc::new(handler),
+    };
     let mut connections = FuturesUnordered::new();
-    let (mut served, mut refused) = (0, 0);
+    let mut refused = 0;
     let mut stopped = pin!(signal.wait());
+    let mut retry: Option<Timer> = None;
     loop {
-        let accepting = refused < MAX_REFUSED;
+        let accepting = refused < MAX_REFUSED && entrance.gate.accepts();
         let event = {
             let stop = async {
                 stopped.as_mut().await;
@@ -120,8 +144,12 @@
                 }
             };
             let accept = async {
+                if let Some(timer) = &mut retry {
+                    timer.await;
+                }
+                retry = None;
                 if accepting {
-                    Event::Accepted(listener.accept().await.map(|(stream, _)| stream))
+                    Event::Accepted(listener.accept().await)
                 } else {
                     std::future::pending().await
                 }
@@ -130,48 +158,46 @@
         };
         match event {
             Event::Stop => break,
-            Event::Ended(Role::Served) => served -= 1,
+            Event::Ended(Role::Served) => {}
             Event::Ended(Role::Refused) => refused -= 1,
-            Event::Accepted(Ok(stream)) => {
-                let (handler, role) = if served < limits.connections {
-                    served += 1;
-                    (Some(handler.clone()), Role::Served)
-                } else {
-                    refused += 1;
-                    (None, Role::Refused)
-                };
-                connections.push(serve_with_role(
-                    stream,
-                    limits,
-                    signal.clone(),
-                    handler,
-                    role,
-                ));
+            Event::Accepted(Ok((stream, peer))) => {
+                let (role, connection) = entrance.enter(stream, peer);
+                refused += usize::from(role == Role::Refused);
+                retry = None;
+                connections.push(connection);
             }
             Event::Accepted(Err(error)) => {
                 tracing::warn!(%error, "cannot accept a connection; retrying");
-                Timer::after(ACCEPT_RETRY).await;
+                // The usual cause is that the process has no free descriptors.
+                entrance.gate.displace();
+                retry = Some(Timer::after(ACCEPT_RETRY));
             }
         }
     }
     // Callers that connected before the shutdown get a response; closing the listener would reset
-    // the connections in its accept queue.
-    while let Some(Ok((stream, _))) = poll_once(listener.accept()).await {
-        let handler = Some(handler.clone());
-        connections.push(serve_with_role(
-            stream,
-            limits,
-            signal.clone(),
-            handler,
-            Role::Served,
-        ));
+    // the connections in its accept queue. No more are accepted than the server may have, as a crowd
+    // that connects faster than it is accepted would otherwise prevent the end.
+    for _ in 0..server.connections() {
+        let Some(Ok((stream, peer))) = poll_once(listener.accept()).await else {
+            break;
+        };
+        connections.push(entrance.enter(stream, peer).1);
     }
     drop(listener);
     while connections.next().await.is_some() {}
 }
 
+/// Limits the kernel's buffers of all connections that a listener accepts.
+fn limit_socket_buffers(listener: &TcpListener) {
+    let result = sockopt::set_socket_recv_buffer_size(listener, CALLER_SOCKET_BUFFER)
+        .and_then(|()| sockopt::set_socket_send_buffer_size(listener, CALLER_SOCKET_BUFFER));
+    if let Err(error) = result {
+        tracing::warn!(%error, "cannot limit the buffers of callers' connections");
+    }
+}
+
 /// Whether a connection is served or answered 503 because of the limit.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq, Eq)]
 enum Role {
     Served,
     Refused,
@@ -180,86 +206,51 @@
 enum Event {
     Stop,
     Ended(Role),
-    Accepted(std::io::Result<TcpStream>),
-}
-
-fn too_many_connections() -> Response<Body> {
-    let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "too many connections\n");
-    let headers = response.headers_mut();
-    headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    response
+    Accepted(std::io::Result<(TcpStream, SocketAddr)>),
 }
 
-async fn serve_with_role<H>(
-    stream: TcpStream,
+/// What the connections of a server share.
+struct Entrance<H> {
+    gate: Rc<Gate>,
     limits: Limits,
     signal: Signal,
-    handler: Option<Rc<H>>,
-    role: Role,
-) -> Role
-where
-    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
-{
-    serve_connection(stream, limits, signal, handler).await;
-    role
+    handler: Rc<H>,
 }
 
-async fn serve_connection<H>(
-    stream: TcpStream,
-    limits: Limits,
-    signal: Signal,
-    handler: Option<Rc<H>>,
-) where
-    H: AsyncFn(Request<Incoming>) -> Response<Body> + 'static,
+impl<H> Entrance<H>
+where
+    H: AsyncFn(Request<RequestBody>) -> Response<Body> + 'static,
 {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "cannot set TCP_NODELAY on a connection");
-    }
-    let request_received = Rc::new(Cell::new(false));
-    let flag = request_received.clone();
-    let service = service_fn(move |request| {
-        let handler = handler.clone();
-        flag.set(true);
-        async move {
-            Ok::<_, Infallible>(match handler {
-                Some(handler) => handler(request).await,
-                None => too_many_connections(),
-            })
-        }
-    });
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(SmolTimer::new())
-        .header_read_timeout(limits.head_timeout)
-        .max_headers(limits.fields)
-        .max_header_size(limits.head)
-        .max_buf_size(limits.head.max(8 * 1024));
-    let io = FuturesIo::new(WriteTimeout::new(stream, limits.write_timeout));
-    let mut serving = pin!(builder.serve_connection(io, service));
-    let result = match select(serving.as_mut(), pin!(signal.wait())).await {
-        Either::Left((result, _)) => result,
-        Either::Right(((), _)) => {
-            // The first request of a new connection may be in transit and gets a response.
-            if !request_received.get() {
-                let wait = async {
-                    Timer::after(FIRST_REQUEST_TIMEOUT).await;
-                    None
-                };
-                let ended = async { Some(serving.as_mut().await) }.or(wait).await;
-                if let Some(result) = ended {
-                    return log_error(result);
+    /// Decides on an accepted connection and returns the future that serves or refuses it.
+    fn enter(
+        &self,
+        stream: TcpStream,
+        peer: SocketAddr,
+    ) -> (Role, impl Future<Output = Role> + use<H>) {
+        let scarce = self.gate.is_scarce();
+        let place = self.gate.open(Some(peer.ip()));
+        let role = match &place {
+            Some(_) => Role::Served,
+            None => Role::Refused,
+        };
+        let limits = if scarce {
+            connection::scarce(self.limits)
+        } else {
+            self.limits
+        };
+        let (signal, handler) = (self.signal.clone(), Rc::clone(&self.handler));
+        let serving = async move {
+            if let Err(error) = stream.set_nodelay(true) {
+                tracing::debug!(%error, "cannot set TCP_NODELAY on a connection");
+            }
+            match place {
+                Some(place) => {
+                    connection::serve_placed(stream, limits, signal, place, handler).await;
                 }
+                None => connection::refuse(stream, limits, signal).await,
             }
-            serving.as_mut().graceful_shutdown();
-            serving.await
-        }
-    };
-    log_error(result);
-}
-
-fn log_error(result: hyper::Result<()>) {
-    if let Err(error) = result {
-        tracing::debug!(%error, "connection closed by an error");
+            role
+        };
+        (role, serving)
     }
 }
--- a/crates/godwitstep/src/http/server/write_timeout.rs
+++ b/crates/godwitstep/src/http/server/write_timeout.rs
@@ -1,10 +1,12 @@
 //! Stream wrapper whose writes time out if the peer stops reading.
 
+use crate::http::budget::Place;
 use smol::Timer;
 use smol::io::{AsyncRead, AsyncWrite};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -18,14 +20,23 @@
     limit: Duration,
     /// Set while a write is pending.
     timer: Option<Timer>,
+    /// Place of the connection, which may be given to another one while writes are blocked.
+    place: Option<Rc<Place>>,
 }
 
 impl<S> WriteTimeout<S> {
-    pub const fn new(stream: S, limit: Duration) -> Self {
+    pub const fn new(stream: S, limit: Duration, place: Option<Rc<Place>>) -> Self {
         Self {
             stream,
             limit,
             timer: None,
+            place,
+        }
+    }
+
+    fn set_blocked(&self, blocked: bool) {
+        if let Some(place) = &self.place {
+            place.set_blocked(blocked);
         }
     }
 
@@ -36,9 +47,14 @@
         result: Poll<io::Result<T>>,
     ) -> Poll<io::Result<T>> {
         if result.is_ready() {
-            self.timer = None;
+            if self.timer.take().is_some() {
+                self.set_blocked(false);
+            }
             return result;
         }
+        if self.timer.is_none() {
+            self.set_blocked(true);
+        }
         let limit = self.limit;
         let timer = self.timer.get_or_insert_with(|| Timer::after(limit));
         match Pin::new(timer).poll(context) {
--- a/crates/godwitstep/src/resources.rs
+++ b/crates/godwitstep/src/resources.rs
@@ -22,7 +22,7 @@
 //! assert!(faults[0].allowed.contains("missing field `in_service`"));
 //! ```
 
-use crate::http::Body;
+use crate::http::{Body, Source};
 use hyper::{Method, Request, Response, StatusCode};
 use std::rc::Rc;
 
@@ -48,8 +48,7 @@
 pub async fn handle<S, B>(store: &Rc<S>, request: Request<B>) -> Response<Body>
 where
     S: Store,
-    B: hyper::body::Body<Data = bytes::Bytes>,
-    B::Error: Into<crate::http::BoxError>,
+    B: Source,
 {
     match route(store, request).await {
         Ok(response) => response,
@@ -60,8 +59,7 @@
 async fn route<S, B>(store: &Rc<S>, request: Request<B>) -> Result<Response<Body>, Refusal>
 where
     S: Store,
-    B: hyper::body::Body<Data = bytes::Bytes>,
-    B::Error: Into<crate::http::BoxError>,
+    B: Source,
 {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
--- a/crates/godwitstep/src/resources/reply.rs
+++ b/crates/godwitstep/src/resources/reply.rs
@@ -135,7 +135,15 @@
             http::ReadError::TooLarge { .. } => {
                 Self::new(StatusCode::PAYLOAD_TOO_LARGE, "too_large", message)
             }
-            http::ReadError::Slow { .. } => Self::new(StatusCode::REQUEST_TIMEOUT, "slow", message),
+            http::ReadError::Slow { .. } | http::ReadError::Stalled => {
+                Self::new(StatusCode::REQUEST_TIMEOUT, "slow", message)
+            }
+            http::ReadError::Overloaded => {
+                let mut refusal = Self::new(StatusCode::SERVICE_UNAVAILABLE, "not_run", message);
+                refusal.header = Some(Box::new((RETRY_AFTER, "1".to_owned())));
+                refusal.extra.push(("retry_after_ms", 1_000.into()));
+                refusal
+            }
             http::ReadError::Broken(_) => Self::bad_request(message),
         }
     }
--- a/crates/godwitstep/src/resources/write.rs
+++ b/crates/godwitstep/src/resources/write.rs
@@ -6,7 +6,6 @@
 use super::{ChangeError, Collection, Document, Proposal, Spec, Store, condition, read};
 use crate::http::{self, Body};
 use crate::settings;
-use bytes::Bytes;
 use godwitstep_core::id::{Name, Version};
 use godwitstep_core::record::{self, Event, Expect, Subject};
 use godwitstep_core::registry::Outcome;
@@ -34,8 +33,7 @@
 ) -> Result<Response<Body>, Refusal>
 where
     S: Store,
-    B: hyper::body::Body<Data = Bytes>,
-    B::Error: Into<http::BoxError>,
+    B: http::Source,
 {
     let (head, body) = request.into_parts();
     let bytes = http::read(body, MAX_BODY_BYTES, BODY_TIMEOUT).await?;
