feat(http): serve all ports of a process within one budget

Cause: the servers of callers, agents, registrations, readiness and metrics had no common limit, so callers could take the memory and descriptors that the process's own requests need.

The budget publishes its metrics before each scrape and every 5 s. A connection that has just been opened is no longer closed before bodies that make no progress.

--- a/crates/godwitstep/src/entry/run.rs
+++ b/crates/godwitstep/src/entry/run.rs
@@ -5,6 +5,7 @@
 use super::stream::Stream;
 use super::{State, follow, operating_mode, requests, serve};
 use crate::http::Shutdown;
+use crate::http::budget::Budget;
 use crate::incarnation::incarnation;
 use crate::link::{self, Event};
 use crate::log::{Client, Reader, Writer};
@@ -27,7 +28,7 @@
 const LINK_EVENT_CAPACITY: usize = 1_024;
 /// Time limit of one request to the log service.
 const LOG_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval between two clean-ups of metric samples.
+/// Interval between two clean-ups of metric samples, and between two reports of the budget.
 const METRICS_UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for the last responses, and then the last frames, to be sent while the entry stops.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -81,6 +82,7 @@
         front: OnceCell::new(),
         executor: Rc::downgrade(&executor),
         metrics,
+        budget: Budget::new(settings.resources()),
         signal: signal.clone(),
         stopping: Cell::new(false),
         settings,
@@ -180,6 +182,7 @@
     loop {
         Timer::after(METRICS_UPKEEP_INTERVAL).await;
         state.metrics.run_upkeep();
+        state.budget.publish();
     }
 }
 
--- a/crates/godwitstep/src/entry/serve.rs
+++ b/crates/godwitstep/src/entry/serve.rs
@@ -2,6 +2,7 @@
 
 use super::{State, peers, requests};
 use crate::decider;
+use crate::http::budget::Part;
 use crate::http::{self, Limits, Signal};
 use crate::link::LinkId;
 use crate::resources;
@@ -11,6 +12,9 @@
 use smol::net::TcpListener;
 use std::rc::Rc;
 
+/// Maximum number of operators' connections, including those that watch resources.
+const OPERATOR_CONNECTIONS: usize = 256;
+
 /// Starts the servers for callers and operators. The returned future ends once the shutdown has
 /// started and the requests in progress have been answered.
 pub(super) fn servers(
@@ -27,8 +31,19 @@
     let store = Rc::clone(state);
     let for_operators = async move |request| resources::handle(&store, request).await;
     let limits = Limits::default();
-    let callers = http::serve(callers, limits, signal.clone(), for_callers);
-    let operators = http::serve(operators, limits, signal.clone(), for_operators);
+    let caller_share = state.budget.server("callers", Part::Callers);
+    let operator_share = state
+        .budget
+        .server("operators", Part::Reserved)
+        .at_most(OPERATOR_CONNECTIONS);
+    let callers = http::serve_within(callers, limits, caller_share, signal.clone(), for_callers);
+    let operators = http::serve_within(
+        operators,
+        limits,
+        operator_share,
+        signal.clone(),
+        for_operators,
+    );
     let callers = spawn_server(state, callers);
     let operators = spawn_server(state, operators);
     async move {
--- a/crates/godwitstep/src/entry/state.rs
+++ b/crates/godwitstep/src/entry/state.rs
@@ -5,6 +5,7 @@
 use crate::caller::Frontend;
 use crate::decider::Decider;
 use crate::http::Signal;
+use crate::http::budget::Budget;
 use crate::settings;
 use godwitstep_core::authority::OperatingMode;
 use godwitstep_core::clock::Clock;
@@ -34,6 +35,8 @@
     pub(super) front: OnceCell<Rc<Frontend>>,
     pub(super) executor: Weak<LocalExecutor<'static>>,
     pub(super) metrics: PrometheusHandle,
+    /// Memory and connections of the servers.
+    pub(super) budget: Budget,
     /// Ends watch requests and servers on shutdown.
     pub(super) signal: Signal,
     pub(super) stopping: Cell<bool>,
--- a/crates/godwitstep/src/entry/store.rs
+++ b/crates/godwitstep/src/entry/store.rs
@@ -278,6 +278,7 @@
 
     fn metrics(&self) -> String {
         gauges::update(self);
+        self.budget.publish();
         self.metrics.render()
     }
 
--- a/crates/godwitstep/src/http/budget/connections.rs
+++ b/crates/godwitstep/src/http/budget/connections.rs
@@ -3,9 +3,9 @@
 //! Answers the load of many connections that stay open: without a request, with a head or body that does not end, or
 //! with a response that is not read. At the limit, a new connection displaces the one with the least progress:
 //!
-//! 1. one that waits for a head (its first or its next one), the longest wait first;
+//! 1. one that has waited for a head (its first or its next one) for [`HEAD_TIME`], the longest wait first;
 //! 2. one whose peer has read nothing of a response for [`BLOCKED_TIME`];
-//! 3. one that sends a body, the one with the least progress first.
+//! 3. one that sends a body or has just begun to wait for a head, the one with the least progress first.
 //!
 //! Within each kind, connections of peers beyond their equal share come first. A connection whose request was passed on
 //! is not displaced: the request may have run, and its caller needs the response.
@@ -23,6 +23,9 @@
 /// Time without any progress of a write after which a connection may be displaced. A client that reads at all makes
 /// progress within one round trip, even after a lost packet.
 pub const BLOCKED_TIME: Duration = Duration::from_secs(2);
+/// Time for the head of a request before its connection counts as waiting. Without it, a client that has just connected
+/// would be closed in favour of the next one while bodies that stop short of their end keep their places.
+pub const HEAD_TIME: Duration = Duration::from_millis(500);
 /// Maximum number of displaced connections that have not ended yet. Bounds the descriptors beyond the limit.
 pub const MAX_CLOSING: usize = 16;
 /// Number of connections that a peer may have without exceeding its share, as for a client with a pool.
@@ -185,7 +188,7 @@
         if let Some(connection) = self.kept.get_mut(&id) {
             connection.phase = phase;
             connection.since = now;
-            if phase == Phase::Reading {
+            if matches!(phase, Phase::Reading | Phase::Waiting) {
                 connection.progress = Progress::new(now);
             }
         }
@@ -231,7 +234,7 @@
                     let by_rank =
                         (rank, Reverse(exceeds)).cmp(&(other_rank, Reverse(other_exceeds)));
                     let by_progress = || match rank {
-                        Rank::Reading => {
+                        Rank::Sending => {
                             let progress = one.progress.value_at(now);
                             progress.total_cmp(&other.progress.value_at(now))
                         }
@@ -256,15 +259,17 @@
 enum Rank {
     Waiting,
     Blocked,
-    Reading,
+    Sending,
 }
 
 /// Returns the kind of a connection, or `None` if it may not be displaced.
 fn rank(connection: &Connection, now: Duration) -> Option<Rank> {
     let blocked = connection.blocked_since;
     match (connection.phase, blocked) {
-        (Phase::Waiting, None) => Some(Rank::Waiting),
-        (Phase::Reading, None) => Some(Rank::Reading),
+        (Phase::Waiting, None) if now.saturating_sub(connection.since) >= HEAD_TIME => {
+            Some(Rank::Waiting)
+        }
+        (Phase::Waiting | Phase::Reading, None) => Some(Rank::Sending),
         (Phase::Running, _) | (Phase::Responding, None) => None,
         (_, Some(since)) => (now.saturating_sub(since) >= BLOCKED_TIME).then_some(Rank::Blocked),
     }
