feat(http): charge responses to the budget until they are read

Cause: a response of up to 1 MiB stayed in hyper's write buffer for as long as its reader did not read, up to 30 s, without being charged.

Change: responses from 16 KiB on are charged, and passed to hyper in pieces of 16 KiB, so that the charge lasts until the peer has read nearly all of it. A response is not refused, as its request has run. While responses exceed the memory, connections whose peers do not read are closed, the longest wait first.

--- a/crates/godwitstep/src/http/body/read.rs
+++ b/crates/godwitstep/src/http/body/read.rs
@@ -164,6 +164,9 @@
     if let Some(placed) = &reader.placed {
         placed.place.enter(Phase::Running);
     }
+    if let (Err(ReadError::Overloaded), Some(placed)) = (&result, &reader.placed) {
+        placed.place.relieve();
+    }
     result?;
     Ok(Held {
         bytes: reader.buffer.take().into(),
--- a/crates/godwitstep/src/http/budget/admission.rs
+++ b/crates/godwitstep/src/http/budget/admission.rs
@@ -72,7 +72,18 @@
     /// Charged memory. Unit: bytes.
     charge: usize,
     progress: Progress,
-    passed_on: bool,
+    stage: Stage,
+}
+
+/// What a charge is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// A body that is being received.
+    Receiving,
+    /// A request that was passed on.
+    InProgress,
+    /// A response that is being sent.
+    Responding,
 }
 
 impl Holder {
@@ -84,8 +95,9 @@
 
 /// Charges of all bodies of a group of servers.
 ///
-/// Invariants: `held` is the sum of all charges and at most `capacity`; `excess` is the sum of the charges above
-/// [`ORDINARY`] and `in_progress` that of bodies passed on, each at most `capacity` less the part for ordinary requests.
+/// Invariants: `held` is the sum of all charges; `excess` is the sum of the charges above [`ORDINARY`] and `in_progress`
+/// that of bodies passed on. Without responses, `held` is at most `capacity`, and the others at most `capacity` less the
+/// part for ordinary requests.
 #[derive(Debug)]
 pub struct Admission {
     capacity: usize,
@@ -140,7 +152,7 @@
             sender,
             charge: 0,
             progress: Progress::new(now),
-            passed_on: false,
+            stage: Stage::Receiving,
         };
         self.holders.insert(id, holder);
         id
@@ -189,11 +201,27 @@
         if self.in_progress + holder.charge > limit {
             return Err(Refusal::RequestsInProgress);
         }
-        holder.passed_on = true;
+        holder.stage = Stage::InProgress;
         self.in_progress += holder.charge;
         Ok(())
     }
 
+    /// Charges a response that was registered by [`Admission::begin`]. It exists already, so it is not refused. It may
+    /// bring the charges beyond the capacity; until they are below it again, requests are refused, and readers that do
+    /// not read their responses are closed.
+    pub fn respond(&mut self, id: BodyId, charge: usize) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.stage = Stage::Responding;
+        }
+        self.set_charge(id, charge);
+    }
+
+    /// Returns whether responses have brought the charges beyond the capacity.
+    #[must_use]
+    pub const fn is_exceeded(&self) -> bool {
+        self.held > self.capacity
+    }
+
     /// Lowers the charge of a body of which only a part is still needed.
     pub fn shrink(&mut self, id: BodyId, charge: usize) {
         let present = self.holders.get(&id).map_or(0, |holder| holder.charge);
@@ -241,7 +269,7 @@
             .iter()
             .filter(|(other, victim)| {
                 **other != id
-                    && !victim.passed_on
+                    && victim.stage == Stage::Receiving
                     && match shortage {
                         Shortage::All => victim.charge > 0,
                         Shortage::Large => victim.excess() > 0,
@@ -281,7 +309,7 @@
         holder.charge = charge;
         self.held = self.held - before + charge;
         self.excess = self.excess - excess_before + holder.excess();
-        if holder.passed_on {
+        if holder.stage == Stage::InProgress {
             self.in_progress = self.in_progress - before + charge;
         }
         if let Some(group) = holder.sender.group {
--- a/crates/godwitstep/src/http/budget/connections.rs
+++ b/crates/godwitstep/src/http/budget/connections.rs
@@ -183,6 +183,19 @@
         Some(victim)
     }
 
+    /// Selects the connection whose peer has not read its response for the longest time, of at least `time`, and stops
+    /// keeping it like [`Connections::displace`].
+    pub fn displace_blocked(&mut self, now: Duration, time: Duration) -> Option<ConnectionId> {
+        let blocked = self.kept.iter().filter_map(|(id, connection)| {
+            let since = connection.blocked_since?;
+            (now.saturating_sub(since) >= time).then_some((since, *id))
+        });
+        let (_, victim) = blocked.min()?;
+        self.end(victim);
+        self.closing += 1;
+        Some(victim)
+    }
+
     /// Enters a phase.
     pub fn enter(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
         if let Some(connection) = self.kept.get_mut(&id) {
--- a/crates/godwitstep/src/http/budget/gate.rs
+++ b/crates/godwitstep/src/http/budget/gate.rs
@@ -2,7 +2,7 @@
 
 use super::admission::{Group, Sender};
 use super::clock::Clock;
-use super::connections::{ConnectionId, Connections, Entrance, Phase};
+use super::connections::{BLOCKED_TIME, ConnectionId, Connections, Entrance, Phase};
 use super::partition::CALLER_CONNECTION;
 use super::pool::{Buffer, Charge, Pool};
 use super::pressure::Pressure;
@@ -12,6 +12,11 @@
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
+use std::time::Duration;
+
+/// Size from which a response is charged. Smaller ones fit into the kernel's buffer and the memory of a connection. Unit:
+/// bytes.
+const MIN_CHARGED_RESPONSE: usize = 16 * 1024;
 
 /// Connections of one server.
 #[derive(Debug)]
@@ -97,6 +102,18 @@
         }
     }
 
+    /// Closes the connection whose peer has not read its response for the longest time, of at least `time`.
+    fn displace_blocked(&self, time: Duration) {
+        if !self.accepts() {
+            return;
+        }
+        let now = self.clock.now();
+        let victim = self.table.borrow_mut().displace_blocked(now, time);
+        if let Some(victim) = victim {
+            self.close(victim);
+        }
+    }
+
     /// Updates the metrics and logs the end of a shortage.
     pub fn publish(&self) {
         let now = self.clock.now();
@@ -169,6 +186,30 @@
         self.gate.table.borrow_mut().set_blocked(self.id, since);
     }
 
+    /// Frees memory that a response takes which is not read, after a request was refused for lack of memory.
+    pub fn relieve(&self) {
+        self.gate.displace_blocked(BLOCKED_TIME);
+    }
+
+    /// Begins to hold a response of at least [`MIN_CHARGED_RESPONSE`] bytes. If that exceeds the memory, peers that do
+    /// not read their responses are closed, two for each new one, so that the excess does not last.
+    pub fn begin_response(&self, bytes: usize) -> Option<Charge> {
+        if bytes < MIN_CHARGED_RESPONSE {
+            return None;
+        }
+        let sender = Sender {
+            peer: self.peer,
+            group: None,
+        };
+        let charge = self.gate.pool.begin_response(sender, bytes);
+        for _ in 0..2 {
+            if self.gate.pool.is_exceeded() {
+                self.gate.displace_blocked(Duration::ZERO);
+            }
+        }
+        Some(charge)
+    }
+
     /// Begins to hold the body of a request in `buffer`.
     pub fn begin_body(&self, group: Option<Group>, buffer: &Rc<Buffer>) -> Charge {
         let peer = self.peer;
--- a/crates/godwitstep/src/http/budget/partition.rs
+++ b/crates/godwitstep/src/http/budget/partition.rs
@@ -19,8 +19,9 @@
 const MAX_RESERVED: usize = 256 << 20;
 /// Memory of a caller's connection, by which the number of connections is limited. Unit: bytes.
 ///
-/// Consists of hyper's read buffer (up to 16 KiB), its state and the task (8 KiB), and the kernel's receive buffer
-/// (16 KiB), all of which a silent client can fill.
+/// Measured in a release build: 28 KiB for an idle connection (hyper's buffers and state, and the task) and 36 KiB for
+/// one with a head that does not end. The kernel's receive buffer (up to 32 KiB, if a client sends ahead of its
+/// response) is not included; the half of the memory that is not divided covers it.
 pub const CALLER_CONNECTION: usize = 40 * 1024;
 /// Memory of a connection of an agent or another entry, which sends complete requests. Unit: bytes.
 pub const RESERVED_CONNECTION: usize = 16 * 1024;
--- a/crates/godwitstep/src/http/budget/pool.rs
+++ b/crates/godwitstep/src/http/budget/pool.rs
@@ -60,6 +60,20 @@
         Charge { pool, id }
     }
 
+    /// Charges a response that is sent.
+    pub fn begin_response(self: &Rc<Self>, sender: Sender, bytes: usize) -> Charge {
+        let mut admission = self.admission.borrow_mut();
+        let id = admission.begin(self.clock.now(), sender);
+        admission.respond(id, bytes);
+        let pool = Rc::clone(self);
+        Charge { pool, id }
+    }
+
+    /// Returns whether responses have brought the charges beyond the capacity.
+    pub fn is_exceeded(&self) -> bool {
+        self.admission.borrow().is_exceeded()
+    }
+
     /// Updates the metrics and logs the end of a shortage.
     pub fn publish(&self) {
         let now = self.clock.now();
--- a/crates/godwitstep/src/http/server/connection.rs
+++ b/crates/godwitstep/src/http/server/connection.rs
@@ -3,8 +3,8 @@
 use super::write_timeout::WriteTimeout;
 use super::{Limits, Signal};
 use crate::http::body::{Body, RequestBody, respond};
-use crate::http::budget::Place;
 use crate::http::budget::connections::Phase;
+use crate::http::budget::{Charge, Place};
 use bytes::Bytes;
 use futures_util::future::{Either, select};
 use hyper::body::{Frame, Incoming, SizeHint};
@@ -27,6 +27,8 @@
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for a head while connections are scarce. Enough for a client whose packets are lost twice.
 const SCARCE_HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum size of a piece of a response. Unit: bytes.
+const PIECE: usize = 16 * 1024;
 /// Minimum of hyper's read buffer. Unit: bytes.
 const MIN_READ_BUFFER: usize = 8 * 1024;
 
@@ -48,9 +50,10 @@
             let response = handler(request).await;
             place.enter(Phase::Responding);
             let answering = Answering(Rc::clone(&place));
-            response.map(|body| ResponseBody {
-                body,
-                _answering: Some(answering),
+            response.map(|body| {
+                let size = body.size_hint().exact().unwrap_or(0);
+                let charge = place.begin_response(usize::try_from(size).unwrap_or(usize::MAX));
+                ResponseBody::new(body, charge, Some(answering))
             })
         }
     };
@@ -65,12 +68,7 @@
 
 /// Answers the first request of a connection with 503, because there is no place for it.
 pub(super) async fn refuse(stream: TcpStream, limits: Limits, signal: Signal) {
-    let respond = async |_| {
-        too_many_connections().map(|body| ResponseBody {
-            body,
-            _answering: None,
-        })
-    };
+    let respond = async |_| too_many_connections().map(|body| ResponseBody::new(body, None, None));
     let stream = WriteTimeout::new(stream, limits.write_timeout, None);
     let limits = Limits {
         head_timeout: limits.head_timeout.min(SCARCE_HEAD_TIMEOUT),
@@ -150,11 +148,33 @@
 }
 
 /// Body of a response, which hyper drops at its end.
+///
+/// Large parts are passed on in pieces of at most [`PIECE`] bytes, of which hyper takes the next only when its write
+/// buffer has room. Thus the body, and with it its charge, lasts until the peer has read nearly all of it.
 struct ResponseBody {
     body: Body,
+    /// Rest of a part of the body that is being passed on.
+    rest: Bytes,
+    _charge: Option<Charge>,
     _answering: Option<Answering>,
 }
 
+impl ResponseBody {
+    const fn new(body: Body, charge: Option<Charge>, answering: Option<Answering>) -> Self {
+        Self {
+            body,
+            rest: Bytes::new(),
+            _charge: charge,
+            _answering: answering,
+        }
+    }
+
+    fn next_piece(&mut self) -> Bytes {
+        let size = self.rest.len().min(PIECE);
+        self.rest.split_to(size)
+    }
+}
+
 impl hyper::body::Body for ResponseBody {
     type Data = Bytes;
     type Error = crate::http::BoxError;
@@ -163,14 +183,29 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        self.body.as_mut().poll_frame(context)
+        if self.rest.is_empty() {
+            let frame = match self.body.as_mut().poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => frame,
+                other => return other,
+            };
+            match frame.into_data() {
+                Ok(data) => self.rest = data,
+                Err(frame) => return Poll::Ready(Some(Ok(frame))),
+            }
+        }
+        Poll::Ready(Some(Ok(Frame::data(self.next_piece()))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.rest.is_empty() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        let (mut hint, rest) = (self.body.size_hint(), self.rest.len() as u64);
+        if let Some(upper) = hint.upper() {
+            hint.set_upper(upper + rest);
+        }
+        hint.set_lower(hint.lower() + rest);
+        hint
     }
 }
--- a/crates/godwitstep/tests/http.rs
+++ b/crates/godwitstep/tests/http.rs
@@ -162,6 +162,62 @@
     });
 }
 
+/// Guards against readers that never read their responses and hold the memory that other requests need.
+#[test]
+fn unread_responses_make_room_for_others() {
+    smol::block_on(async {
+        let (listener, address) = listen().await;
+        let (shutdown, signal) = Shutdown::new();
+        let budget = Budget::new(Resources {
+            memory: 16 << 20,
+            files: 1_024,
+        });
+        let share = budget.server("callers", Part::Callers);
+        let answer = async |request: Request<http::RequestBody>| match http::read(
+            request.into_body(),
+            1 << 20,
+            TIMEOUT,
+        )
+        .await
+        {
+            Ok(body) if body.is_empty() => Response::new(http::full(vec![7; 1 << 20])),
+            Ok(body) => Response::new(http::full(body)),
+            Err(error) => http::refuse(&error),
+        };
+        let server = http::serve_within(listener, Limits::default(), share, signal, answer);
+        let calls = async {
+            let mut crowd = Vec::new();
+            for _ in 0..30 {
+                let mut stream = TcpStream::connect(address).await.unwrap();
+                stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+                crowd.push(stream);
+            }
+            smol::Timer::after(Duration::from_millis(300)).await;
+            let response = Client::new(address).exchange(get("/"), TIMEOUT).await;
+            assert_eq!(response.unwrap().body().len(), 1 << 20);
+            let mut cut_off = 0;
+            for stream in &mut crowd {
+                let mut response = Vec::new();
+                let read = async {
+                    // A closed connection ends with an error or early.
+                    let _ = stream.read_to_end(&mut response).await;
+                    true
+                };
+                let timeout = async {
+                    smol::Timer::after(Duration::from_millis(500)).await;
+                    false
+                };
+                let ended = smol::future::or(read, timeout).await;
+                cut_off += usize::from(ended && response.len() < 1 << 20);
+            }
+            // Three responses fit into the memory for bodies.
+            assert!(cut_off >= 25, "{cut_off} of 30 were closed");
+            shutdown.start();
+        };
+        zip(server, calls).await;
+    });
+}
+
 /// Guards against an interrupted exchange whose request counts as not sent, and the reverse.
 #[test]
 fn errors_state_whether_the_request_was_sent() {
