fix(http): report reserved connections by their own cost

Cause: the metric of held bytes counted each connection of the reserved servers at the cost of a caller's (40 KiB), not at the 16 KiB by which they are limited.

Change: each gate has the cost of its part.

--- a/crates/godwitstep/src/http/budget.rs
+++ b/crates/godwitstep/src/http/budget.rs
@@ -138,11 +138,12 @@
     /// Starts to account for the server's connections.
     pub(super) fn gate(&self) -> Rc<Gate> {
         let inner = &self.budget.inner;
-        let pool = match self.part {
-            Part::Callers => &inner.callers,
-            Part::Reserved => &inner.reserved,
+        let (pool, memory) = match self.part {
+            Part::Callers => (&inner.callers, partition::CALLER_CONNECTION),
+            Part::Reserved => (&inner.reserved, partition::RESERVED_CONNECTION),
         };
-        let gate = Gate::new(self.name, inner.clock, Rc::clone(pool), self.connections);
+        let pool = Rc::clone(pool);
+        let gate = Gate::new(self.name, inner.clock, pool, self.connections, memory);
         inner.gates.borrow_mut().push(Rc::downgrade(&gate));
         gate
     }
--- a/crates/godwitstep/src/http/budget/gate.rs
+++ b/crates/godwitstep/src/http/budget/gate.rs
@@ -3,7 +3,6 @@
 use super::admission::{Group, Sender};
 use super::clock::Clock;
 use super::connections::{BLOCKED_TIME, ConnectionId, Connections, Entrance, Phase};
-use super::partition::CALLER_CONNECTION;
 use super::pool::{Buffer, Charge, Pool};
 use super::pressure::Pressure;
 use std::cell::{Cell, RefCell};
@@ -28,6 +27,8 @@
     table: RefCell<Connections>,
     signals: RefCell<HashMap<ConnectionId, Rc<CloseSignal>>>,
     pressure: RefCell<Pressure>,
+    /// Memory of one connection, for the metrics. Unit: bytes.
+    connection_memory: usize,
 }
 
 /// Signal that closes a displaced connection.
@@ -47,8 +48,14 @@
 }
 
 impl Gate {
-    /// Returns the gate of a server with at most `limit` connections.
-    pub fn new(server: &'static str, clock: Clock, pool: Rc<Pool>, limit: usize) -> Rc<Self> {
+    /// Returns the gate of a server with at most `limit` connections of `connection_memory` bytes each.
+    pub fn new(
+        server: &'static str,
+        clock: Clock,
+        pool: Rc<Pool>,
+        limit: usize,
+        connection_memory: usize,
+    ) -> Rc<Self> {
         Rc::new(Self {
             server,
             clock,
@@ -56,6 +63,7 @@
             table: RefCell::new(Connections::new(limit)),
             signals: RefCell::default(),
             pressure: RefCell::default(),
+            connection_memory,
         })
     }
 
@@ -124,7 +132,7 @@
         super::report::held(
             "connection",
             self.server,
-            table.len().saturating_mul(CALLER_CONNECTION),
+            table.len().saturating_mul(self.connection_memory),
         );
         let ended = self.pressure.borrow_mut().take_ended(now);
         if let Some(shortage) = ended {
