feat(batch): stop work that saves before work that does not

And urgent jobs that will be late by far stop others as if they were not.

stop_cost.rs weighs lost plain work three times, raises the limit of a job's cost to 1.5 times its own work in return, and reduces it to a fifth for a job whose expected end is beyond twice its objective. Claims keep no limit.

Tests: tests/stop_cost.rs (3); two fail without the change. All tests of godwitstep-batch pass, the linter for godwitstep-batch and godwitstep too.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -42,6 +42,7 @@
 mod share;
 mod speed;
 mod stall;
+mod stop_cost;
 mod waits;
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -2,15 +2,15 @@
 //!
 //! A job of priority 0 that finds no capacity waits as long as it can still be on time with
 //! capacity that is about to become free. Otherwise it preempts runs from queues of lower priority
-//! where the least work is lost. If its workspace exceeds its guarantee, the lost work may not
-//! exceed the job's own. The freed capacity is committed to the job until it starts. A job within its
+//! where the least work is lost. If its workspace exceeds its guarantee, the lost work is limited, see
+//! [`super::stop_cost`]. The freed capacity is committed to the job until it starts. A job within its
 //! guarantee also stops runs of priority 0 of workspaces beyond theirs, see [`super::reclaim`].
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::draft::Draft;
 use super::order::Urgency;
 use super::place::{self, PendingStep, Placement};
-use super::{Decision, Planner, PreemptionReason, Round};
+use super::{Decision, Planner, PreemptionReason, Round, stop_cost};
 use crate::demand::Demand;
 use crate::id::{Run, Task};
 use crate::ledger::JobState;
@@ -18,12 +18,9 @@
 use std::time::Duration;
 
 /// Time for preempted runs to end and their replacements to start.
-const SWITCH_TIME: Duration = Duration::from_millis(700);
+pub(super) const SWITCH_TIME: Duration = Duration::from_millis(700);
 /// Cost of a stop and a restart in addition to the lost work.
 const RESTART_COST: Duration = Duration::from_millis(800);
-/// Weights of lost work by priority, starting with priority 1. The last one applies to all further
-/// priorities.
-const LOSS_WEIGHTS: [f64; 2] = [3.0, 1.0];
 
 /// Work that is lost by stopping each run. Unit: core-seconds, weighted by priority.
 pub(super) type Losses = BTreeMap<(Task, Run), f64>;
@@ -68,11 +65,7 @@
         }
         let losses = self.losses(now, draft, cluster, pending);
         let own_work = pending.step.estimate.as_secs_f64() * pending.step.demand.cores();
-        let max_cost = if urgency.unguaranteed {
-            own_work
-        } else {
-            f64::INFINITY
-        };
+        let max_cost = self.max_stop_cost(now, urgency, job_state, own_work);
         let placements = self.cheapest_placements(cluster, pending, &losses);
         let placeable = placements.len();
         if placeable < pending.waiting.len()
@@ -159,11 +152,12 @@
             let Some(job_state) = draft.ledger().job(occupant.task.job) else {
                 continue;
             };
-            let priority = usize::from(job_state.job.queue.priority);
+            let priority = job_state.job.queue.priority;
             if priority == 0 || occupant.task.job == pending.job || self.is_stopping(occupant) {
                 continue;
             }
-            let weight = LOSS_WEIGHTS[(priority - 1).min(LOSS_WEIGHTS.len() - 1)];
+            let step = &job_state.job.steps[usize::from(occupant.task.step)];
+            let weight = stop_cost::loss_weight(priority, step);
             let lost = self.lost_work(now, job_state, occupant.task, occupant.run);
             losses.insert((occupant.task, occupant.run), lost * weight);
         }
