fix(batch): count on a stopped run only for the time that a stop may take

A run that is being stopped counts as capacity about to become free, for as long as it does not end. If its agent or worker hangs without being silent, the job waits for it while other runs could be stopped; a claim on a guarantee then misses its bound. Found by a test of a cancelled job's run that does not end.

Test: claim_takes_another_run_if_the_stopped_one_does_not_end in tests/reclaim.rs.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -34,6 +34,7 @@
 mod health;
 mod late;
 mod order;
+mod overdue;
 mod place;
 mod preempt;
 mod reclaim;
@@ -61,6 +62,7 @@
 use health::Health;
 use late::LateRuns;
 use order::WithinGuarantee;
+use overdue::StopTimes;
 use reports::AgentReports;
 use share::Shares;
 pub use share::WorkspaceShare;
@@ -262,6 +264,7 @@
     unexplained_since: HashMap<(Task, Run), Duration>,
     /// Runs that are being stopped although their jobs continue.
     stopping: HashSet<(Task, Run)>,
+    stop_times: StopTimes,
     /// Runs that were found to have ended, as long as the ledger places them: the record is under way to the log. They
     /// must not be ordered any more.
     ended: HashSet<(Task, Run)>,
@@ -299,6 +302,7 @@
             orphaned_at: HashMap::new(),
             unexplained_since: HashMap::new(),
             stopping: HashSet::new(),
+            stop_times: StopTimes::default(),
             ended: HashSet::new(),
             late: LateRuns::default(),
             waits: Waits::default(),
@@ -339,6 +343,7 @@
         self.record_ends(now, &mut draft, &mut plan);
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
+        self.track_stops(now);
         if view.permits_starts() {
             let mut cluster =
                 Cluster::new(now, &self.reports, &self.health, &self.late, &draft, view);
--- a/crates/godwitstep-batch/src/planner/borrowed.rs
+++ b/crates/godwitstep-batch/src/planner/borrowed.rs
@@ -131,7 +131,7 @@
                     index: (!gang).then_some(task.index),
                 };
                 let candidate = candidates.entry(key).or_default();
-                candidate.stopping |= self.is_stopping(occupant);
+                candidate.stopping |= self.is_told_to_stop(occupant);
                 candidate.runs.push(loan_run(occupant, node_index));
             }
         }
--- a/crates/godwitstep-batch/src/planner/earmark.rs
+++ b/crates/godwitstep-batch/src/planner/earmark.rs
@@ -12,7 +12,7 @@
 
 /// Time for which capacity stays earmarked beyond the time that a stop may take: the ends of the
 /// stopped runs have to be reported first.
-const REPORT_GRACE: Duration = Duration::from_millis(800);
+pub(super) const REPORT_GRACE: Duration = Duration::from_millis(800);
 
 /// Workers on which capacity is being freed for a job.
 #[derive(Debug)]
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -134,10 +134,6 @@
             .find(|placements| !placements.is_empty())
     }
 
-    pub(super) fn is_stopping(&self, occupant: &Occupant) -> bool {
-        self.stopping.contains(&(occupant.task, occupant.run))
-    }
-
     /// Returns the runs that may be preempted for a job, with the work that each of them would
     /// lose.
     fn losses(
@@ -153,7 +149,7 @@
                 continue;
             };
             let priority = job_state.job.queue.priority;
-            if priority == 0 || occupant.task.job == pending.job || self.is_stopping(occupant) {
+            if priority == 0 || occupant.task.job == pending.job || self.is_told_to_stop(occupant) {
                 continue;
             }
             let step = &job_state.job.steps[usize::from(occupant.task.step)];
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -194,3 +194,19 @@
     sim.run_for(seconds(4));
     assert!(reclaimed_from(&sim).is_empty());
 }
+
+/// Guards against a claim that waits for a stopped run on a worker that hangs, while others could be stopped.
+#[test]
+fn claim_takes_another_run_if_the_stopped_one_does_not_end() {
+    let mut sim = borrowed_cluster(vec![step(11, 8, seconds(30))]);
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(2))]);
+    sim.deliver_reports();
+    sim.decide();
+    let stops = |sim: &Simulation, host: &str| !sim.directives[host].stop.is_empty();
+    let hung = sim.hosts.keys().find(|host| stops(&sim, host));
+    let hung = hung.expect("a run is stopped at once").clone();
+    sim.hosts.get_mut(&hung).unwrap().executes_orders = false;
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert_eq!(reclaimed_from(&sim).len(), 2);
+}
