feat(batch): count runs of cancelled jobs as capacity that becomes free

The runs of a job that was cancelled or has failed are ordered to stop, but the planner counted them as running for the rest of their predicted time and stopped other work for an urgent job that their end would have served.

They count as stopping now, for the time that a stop may take (overdue.rs), so that a run that hangs is not waited for.

Tests: tests/stop_cost.rs, nothing_is_stopped_beside_the_runs_of_a_cancelled_job (fails without the change) and run_of_a_cancelled_job_that_hangs_is_not_waited_for. All tests of godwitstep-batch pass.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -343,6 +343,7 @@
         self.record_ends(now, &mut draft, &mut plan);
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
+        self.mark_ending(&draft);
         self.track_stops(now);
         if view.permits_starts() {
             let mut cluster =
--- a/crates/godwitstep-batch/src/planner/stop_cost.rs
+++ b/crates/godwitstep-batch/src/planner/stop_cost.rs
@@ -5,8 +5,10 @@
 //! several possible stops is made, and the limit whether any is.
 
 use super::Planner;
+use super::draft::Draft;
 use super::order::Urgency;
 use super::preempt::SWITCH_TIME;
+use crate::id::Task;
 use crate::job::Step;
 use crate::ledger::JobState;
 use crate::progress;
@@ -38,6 +40,19 @@
 }
 
 impl Planner {
+    /// Marks the runs of jobs that were cancelled or have failed as stopping, which they are ordered to. Otherwise they
+    /// would count as running for the rest of their time, and other runs would be stopped in their place.
+    pub(super) fn mark_ending(&mut self, draft: &Draft) {
+        let ending = draft
+            .open()
+            .filter(|(_, job_state, progress)| !job_state.active() || progress.outcome.is_some());
+        for (job, _, progress) in ending {
+            let runs = progress.placed();
+            let runs = runs.map(|(step, index, placed, _)| (Task { job, step, index }, placed.run));
+            self.stopping.extend(runs);
+        }
+    }
+
     /// Returns the maximum cost of stops for one task of a job. `own_work` is the work of that task in core-seconds.
     ///
     /// A claim within its guarantee has no limit. A job that will be late anyway by more than the late limit may only cost
--- a/crates/godwitstep-batch/tests/stop_cost.rs
+++ b/crates/godwitstep-batch/tests/stop_cost.rs
@@ -5,6 +5,7 @@
 use godwitstep_batch::id::JobId;
 use godwitstep_batch::job::Step;
 use godwitstep_batch::planner::Decision;
+use godwitstep_batch::record::Record;
 use simulation::{Simulation, seconds, step};
 use std::time::Duration;
 
@@ -74,3 +75,33 @@
     sim.run_for(seconds(1));
     assert_eq!(sim.hosts_running(9).len(), 1);
 }
+
+/// Guards against work that is stopped although that of a cancelled job, which ends anyway, makes room.
+#[test]
+fn nothing_is_stopped_beside_the_runs_of_a_cancelled_job() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "patient", "south", vec![step(1, 8, seconds(60))]);
+    sim.submit(2, "patient", "south", vec![saving(seconds(60))]);
+    sim.run_for(seconds(3));
+    sim.append(Record::Cancelled { job: 1 });
+    sim.submit(9, "urgent", "west", vec![step(1, 8, seconds(9))]);
+    sim.run_for(seconds(1));
+    assert!(stopped(&sim).is_empty());
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert_eq!(sim.hosts_running(2).len(), 1);
+}
+
+/// Guards against a job that waits for the run of a cancelled job that does not end, beside others that could be stopped.
+#[test]
+fn run_of_a_cancelled_job_that_hangs_is_not_waited_for() {
+    let mut sim = Simulation::new(2, 2);
+    sim.submit(1, "patient", "south", vec![step(1, 8, seconds(60))]);
+    sim.submit(2, "patient", "south", vec![saving(seconds(60))]);
+    sim.run_for(seconds(3));
+    let hung = sim.hosts_running(1)[0].clone();
+    sim.hosts.get_mut(&hung).unwrap().executes_orders = false;
+    sim.append(Record::Cancelled { job: 1 });
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(9))]);
+    sim.run_for(seconds(3));
+    assert_eq!(sim.hosts_running(9).len(), 1);
+}
