--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -37,6 +37,7 @@
 mod late;
 mod learn;
 mod order;
+mod overdue;
 mod pace;
 mod place;
 mod preempt;
@@ -46,6 +47,7 @@
 mod share;
 mod speed_fit;
 mod stall;
+mod stop_cost;
 mod waits;
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
@@ -65,6 +67,7 @@
 use health::Health;
 use late::LateRuns;
 use order::WithinGuarantee;
+use overdue::StopTimes;
 use reports::AgentReports;
 use share::Shares;
 pub use share::WorkspaceShare;
@@ -286,6 +289,7 @@
     unexplained_since: HashMap<(Task, Run), Duration>,
     /// Runs that are being stopped although their jobs continue.
     stopping: HashSet<(Task, Run)>,
+    stop_times: StopTimes,
     /// Runs that were found to have ended, as long as the ledger places them: the record is under way to the log. They
     /// must not be ordered any more.
     ended: HashSet<(Task, Run)>,
@@ -326,6 +330,7 @@
             orphaned_at: HashMap::new(),
             unexplained_since: HashMap::new(),
             stopping: HashSet::new(),
+            stop_times: StopTimes::default(),
             ended: HashSet::new(),
             late: LateRuns::default(),
             waits: Waits::default(),
@@ -367,6 +372,8 @@
         self.expectations.refresh();
         self.late.update(now, &self.reports, &draft);
         self.finish_jobs(now, &mut draft, &mut plan);
+        self.mark_ending(&draft);
+        self.track_stops(now);
         if view.permits_starts() {
             let mut cluster = Cluster::new(
                 now,
--- a/crates/godwitstep/src/http/budget/progress.rs
+++ b/crates/godwitstep/src/http/budget/progress.rs
@@ -9,7 +9,7 @@
 /// more than a small request that has just arrived. Unit: bytes.
 pub const ORDINARY: usize = 64 * 1024;
 
-/// Progress of a holder: the bytes that it has received, of which half are forgotten after each [`HALF_LIFE`].
+/// Progress of a holder: the bytes that it has received, of which half are forgotten after each half-life.
 ///
 /// A new holder begins with the full value, since it had no time to send anything yet.
 #[derive(Debug, Clone, Copy)]
