feat(batch): apply a cancellation only to submissions that did not know it

A submission names the offset up to which its entry had read the log (Job::known; 0 in earlier records, to which every cancellation applies as before). The ledger applies the newest cancellation to submissions that named less, and a later submission takes the place of one that is cancelled. The decider records nothing of a job that is cancelled before its first record, and stores a submission again if a late append of an earlier one has replaced its record.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -43,7 +43,7 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
-use crate::ledger::Ledger;
+use crate::ledger::{JobState, Ledger};
 use crate::message::Report;
 use crate::policy::Policy;
 use crate::progress::{Crashes, Outcome};
@@ -333,6 +333,9 @@
         plan.decisions.extend(self.health.take_quarantines());
         plan.records.extend(draft.into_records());
         self.drop_ended(now, ledger, &mut plan);
+        let overwritten = ledger.overwritten().take(MAX_DROPS_PER_ROUND);
+        let repeated = overwritten.map(|job| Record::Submitted((**job).clone()));
+        plan.records.extend(repeated);
         plan
     }
 
@@ -344,9 +347,12 @@
             let waited = Duration::from_millis(wall.saturating_sub(job_state.job.accepted));
             let accepted = now.saturating_sub(waited.min(MAX_BACKDATE));
             self.accepted_at.insert(id, accepted);
+            // A job that was cancelled before its first record may be open again under a later submission.
+            self.ended_at.remove(&id);
             self.headroom.record_arrival(accepted, job_state);
         }
-        if self.accepted_at.len() > 2 * ledger.open().count() + MAX_DROPS_PER_ROUND {
+        // A job that was cancelled before its first record leaves the open ones without an outcome.
+        if self.accepted_at.len() > ledger.open().count() {
             self.accepted_at.retain(|id, _| {
                 ledger
                     .job(*id)
@@ -448,7 +454,8 @@
             .collect();
         for job in expired {
             self.ended_at.remove(&job);
-            if ledger.job(job).is_some() {
+            // Otherwise the identifier was submitted again.
+            if ledger.job(job).is_some_and(JobState::settled) {
                 plan.records.push(Record::Dropped { job });
             }
         }
--- a/crates/godwitstep-batch/tests/ledger.rs
+++ b/crates/godwitstep-batch/tests/ledger.rs
@@ -15,6 +15,7 @@
         spec: "".into(),
         steps: vec![Step::default()],
         accepted: 0,
+        known: 0,
     })
 }
 
--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -29,6 +29,7 @@
         spec: "".into(),
         steps,
         accepted: 0,
+        known: 0,
     }
 }
 
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -202,6 +202,7 @@
             spec: self.spec.clone(),
             steps,
             accepted: 0,
+            known: 0,
         };
         self.append(Record::Submitted(job));
     }
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -44,6 +44,7 @@
         spec: "spec".into(),
         steps: vec![Step::default()],
         accepted: 0,
+        known: 0,
     }
 }
 
