fix(batch): accept a submission only if no unread cancellation bars it

The decider lists barred submissions in its reply to a relay, or answers 202 while records before its append are unread; an entry that appends itself reads up to its record unless nothing lies between.

--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -283,6 +283,14 @@
             log_decision(decision, decider.planner.epoch(), &view);
         }
         let mut records = plan.records;
+        for record in &records {
+            if let Record::Submitted(job) = record {
+                tracing::info!(
+                    job = format_args!("{:016x}", job.id),
+                    "storing a submission again: an earlier one that is cancelled was stored after it"
+                );
+            }
+        }
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
         }
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -7,11 +7,12 @@
 //! a record twice, which is harmless: a job is identified by its name, and a cancellation is idempotent.
 
 use super::Entry;
-use super::writer::Error;
+use super::barred::{Seen, barred_keys};
+use super::writer::{BarredKeys, Error};
 use crate::batch::log::{Item, Log};
 use crate::http::{self, Client};
 use bytes::Bytes;
-use godwitstep_batch::id::{Epoch, Offset};
+use godwitstep_batch::id::{Epoch, JobId, Offset};
 use godwitstep_batch::message::{self, Records, Value};
 use godwitstep_batch::record::Record;
 use hyper::body::Incoming;
@@ -46,11 +47,12 @@
 const MAX_KEY_BYTES: usize = 255;
 
 /// Outcome of relaying records to the decider.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Outcome {
-    /// The records are stored.
-    Stored,
-    /// The records are queued for the next append of a decider that responds.
+    /// The records are stored, and the decider knows all records before them.
+    Stored(BarredKeys),
+    /// The records are queued for the next append of a decider that responds, or stored after records of other processes
+    /// that it has not read.
     Waits,
     /// The records were rejected; this attempt does not store them.
     NotTaken,
@@ -118,7 +120,7 @@
     /// Rejects all queued records.
     pub fn reject_all(&self) {
         let requests = self.queue.take();
-        RelayBatch { requests }.report(Outcome::NotTaken);
+        RelayBatch { requests }.report(&Outcome::NotTaken);
     }
 }
 
@@ -134,10 +136,23 @@
     }
 
     /// Reports the outcome to the senders.
-    pub fn report(&self, outcome: Outcome) {
+    pub fn report(&self, outcome: &Outcome) {
         for request in &self.requests {
             // A sender that no longer waits has appended its records itself.
-            let _ = request.outcome.try_send(outcome);
+            let _ = request.outcome.try_send(outcome.clone());
+        }
+    }
+
+    /// Reports to each sender that its records are stored from offset `first` on, and which submissions `is_barred`
+    /// excludes.
+    fn report_stored(&self, first: Offset, is_barred: impl Fn(JobId, Offset) -> bool) {
+        let mut offsets = first..;
+        for request in &self.requests {
+            let stored = offsets.by_ref().zip(&request.items);
+            let stored = stored.take(request.items.len());
+            let _ = request
+                .outcome
+                .try_send(Outcome::Stored(barred_keys(stored, &is_barred)));
         }
     }
 }
@@ -178,12 +193,16 @@
     /// # Errors
     ///
     /// Returns [`Error::Refused`] if the records are not stored, and [`Error::Unknown`] if they may be.
-    pub(super) async fn store_items(&self, items: &[Item]) -> Result<(), Error> {
-        let outcome = self.relay_to_decider(items).await;
-        if outcome == Outcome::Stored
-            || (outcome == Outcome::Waits && self.wait_until_visible(items).await)
+    pub(super) async fn store_items(&self, items: &[Item]) -> Result<BarredKeys, Error> {
+        let known = self.known_end();
+        let outcome = match self.relay_to_decider(items).await {
+            Outcome::Stored(barred) => return Ok(barred),
+            outcome => outcome,
+        };
+        if outcome == Outcome::Waits
+            && let Some(barred) = self.wait_until_visible(items, known).await
         {
-            return Ok(());
+            return Ok(barred);
         }
         let started_at = self.clock.now();
         let result = self.log.append(items, None).await;
@@ -191,8 +210,9 @@
             .writer
             .record_append(started_at, self.clock.now(), result);
         match (result, outcome) {
+            (Ok(end), _) => self.barred_before(items, end).await.ok_or(Error::Unknown),
             (Err(Error::Refused), Outcome::Unknown | Outcome::Waits) => Err(Error::Unknown),
-            (result, _) => result,
+            (Err(error), _) => Err(error),
         }
     }
 
@@ -217,7 +237,7 @@
             let client = self.relay_client.client(claim.epoch, claim.address);
             send_records(&client, items).await
         };
-        if !matches!(outcome, Outcome::Stored | Outcome::Waits) {
+        if !matches!(outcome, Outcome::Stored(_) | Outcome::Waits) {
             let elapsed = self.clock.now().saturating_sub(now);
             tracing::info!(epoch = claim.epoch, host = %claim.host, records = items.len(), outcome = ?outcome, took_ms = elapsed.as_millis(), "relaying records to the decider failed");
             self.relay_client
@@ -254,20 +274,21 @@
         stored.or(timeout).await
     }
 
-    /// Waits until records that the decider has queued appear in the log. Returns false on timeout.
-    async fn wait_until_visible(&self, items: &[Item]) -> bool {
+    /// Waits until records that the decider has queued appear in the log. `known` is the offset up to which the log was read
+    /// before they were sent. Returns the submissions that are barred, or `None` on timeout.
+    async fn wait_until_visible(&self, items: &[Item], known: Offset) -> Option<BarredKeys> {
         let deadline = self.clock.now() + VISIBILITY_TIMEOUT;
         let decode = |item: &Item| Record::decode(&item.key, &item.value).ok().flatten();
         let records: Vec<Option<Record>> = items.iter().map(decode).collect();
-        let visible = |record: &Option<Record>| {
-            record
-                .as_ref()
-                .is_some_and(|record| self.is_visible(record))
-        };
         loop {
             let version = self.changes.version();
-            if records.iter().all(visible) {
-                return true;
+            let seen = |record: &Option<Record>| self.seen(record.as_ref()?, known);
+            if let Some(seen) = records.iter().map(seen).collect::<Option<Vec<_>>>() {
+                let barred = items
+                    .iter()
+                    .zip(seen)
+                    .filter(|(_, seen)| *seen == Seen::Barred);
+                return Some(barred.map(|(item, _)| item.key.clone()).collect());
             }
             let remaining = deadline.saturating_sub(self.clock.now());
             if remaining.is_zero() {
@@ -275,17 +296,20 @@
                     records = items.len(),
                     "relayed records did not appear in the log in time"
                 );
-                return false;
+                return None;
             }
             self.changes.changed(version, remaining).await;
         }
     }
 
-    /// Returns whether the ledger already reflects a caller's record.
-    fn is_visible(&self, record: &Record) -> bool {
-        match record {
-            Record::Submitted(job) => self.status(job.id).is_some(),
-            Record::Cancelled { job } => self.state.borrow().ledger.is_cancelled(*job),
+    /// Returns how the ledger reflects a caller's record; `None` if it does not yet.
+    pub(super) fn seen(&self, record: &Record, known: Offset) -> Option<Seen> {
+        let visible = match record {
+            Record::Submitted(job) => return self.seen_submission(job),
+            Record::Cancelled { job } => {
+                let state = self.state.borrow();
+                state.ledger.is_cancelled_since(*job, known)
+            }
             Record::Announced(entry) => {
                 let state = self.state.borrow();
                 state.ledger.entries().any(|known| known == entry)
@@ -294,7 +318,8 @@
             | Record::Dropped { .. }
             | Record::Claimed(_)
             | Record::Fragment(_) => false,
-        }
+        };
+        visible.then_some(Seen::Valid)
     }
 
     /// Handles a relay request of another entry.
@@ -325,7 +350,9 @@
             .accept_records(items.into_iter().map(item).collect())
             .await
         {
-            Outcome::Stored => StatusCode::OK,
+            Outcome::Stored(barred) => {
+                return http::respond(StatusCode::OK, message::encode(&barred));
+            }
             Outcome::Waits => StatusCode::ACCEPTED,
             Outcome::NotTaken => StatusCode::SERVICE_UNAVAILABLE,
             Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
@@ -333,11 +360,8 @@
         http::respond(status, Bytes::new())
     }
 
-    /// Applies relayed records right after the append, before they are read back, and reports them stored.
+    /// Applies relayed records right after the append, before they are read back.
     pub(super) fn apply_relayed(&self, first: Offset, batch: &RelayBatch) {
-        if batch.is_empty() {
-            return;
-        }
         let mut state = self.state.borrow_mut();
         for (offset, item) in (first..).zip(batch.items()) {
             match Record::decode(&item.key, &item.value) {
@@ -349,8 +373,20 @@
                 Err(error) => tracing::warn!(offset, %error, "skipped a malformed record"),
             }
         }
-        drop(state);
-        batch.report(Outcome::Stored);
+    }
+
+    /// Reports relayed records as stored from offset `first` on. If records before them are unread, the entries wait until
+    /// they have read these themselves: one of them may be a cancellation.
+    pub(super) fn report_relayed(&self, first: Offset, batch: &RelayBatch, complete: bool) {
+        if batch.is_empty() {
+            return;
+        }
+        if complete {
+            let state = self.state.borrow();
+            batch.report_stored(first, |job, offset| state.ledger.is_barred(job, offset));
+        } else {
+            batch.report(&Outcome::Waits);
+        }
         self.changes.notify();
     }
 }
@@ -377,7 +413,10 @@
     };
     match client.exchange(request, REQUEST_TIMEOUT).await {
         Ok(response) => match response.status() {
-            StatusCode::OK => Outcome::Stored,
+            // Deciders of earlier versions send no list, so the entry has to read the records before its own.
+            StatusCode::OK => {
+                message::decode(response.body()).map_or(Outcome::Waits, Outcome::Stored)
+            }
             StatusCode::ACCEPTED => Outcome::Waits,
             StatusCode::GATEWAY_TIMEOUT => Outcome::Unknown,
             _ => Outcome::NotTaken,
--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of a batch entry with a log service in memory.
 
+mod identifiers;
 mod log;
 mod sizes;
 
