fix(batch): count a submission's age from its own acceptance

A submission that takes the place of a cancelled one kept the acceptance time of the first, so it could count as late, and trimmed the times whenever a job had ended, after which the planner scans all retained jobs. That made rounds grow with jobs that have not changed.

All tests of godwitstep-batch pass.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -42,7 +42,7 @@
 mod waits;
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
-use crate::id::{Domain, Epoch, Incarnation, JobId, Run, Task};
+use crate::id::{Domain, Epoch, Incarnation, JobId, Offset, Run, Task};
 use crate::ledger::{JobState, Ledger};
 use crate::message::Report;
 use crate::policy::Policy;
@@ -217,6 +217,15 @@
     plan: &'r mut Plan,
 }
 
+/// When an open job was accepted.
+#[derive(Debug)]
+struct Arrival {
+    /// On the decider's clock. For a job accepted before the decider took over this is an estimate.
+    accepted: Duration,
+    /// Distinguishes a submission from the cancelled one that it replaced.
+    known: Offset,
+}
+
 /// Scheduling state of the decider that is not in the log. A successor starts without it.
 #[derive(Debug)]
 pub struct Planner {
@@ -226,9 +235,7 @@
     health: Health,
     failures: FailedWorkers,
     headroom: Headroom,
-    /// When each open job was accepted, on the decider's clock. For a job accepted before the
-    /// decider took over this is an estimate.
-    accepted_at: HashMap<JobId, Duration>,
+    accepted_at: HashMap<JobId, Arrival>,
     /// When a run of each job whose state does not say so yet was found to have begun.
     begun_at: HashMap<JobId, Duration>,
     /// When the decider first found each settled job in the ledger.
@@ -341,18 +348,19 @@
 
     fn record_arrivals(&mut self, now: Duration, wall: u64, ledger: &Ledger) {
         for (id, job_state) in ledger.open() {
-            if self.accepted_at.contains_key(&id) {
+            let known = job_state.job.known;
+            let arrival = self.accepted_at.get(&id);
+            if arrival.is_some_and(|arrival| arrival.known == known) {
                 continue;
             }
             let waited = Duration::from_millis(wall.saturating_sub(job_state.job.accepted));
             let accepted = now.saturating_sub(waited.min(MAX_BACKDATE));
-            self.accepted_at.insert(id, accepted);
-            // A job that was cancelled before its first record may be open again under a later submission.
+            self.accepted_at.insert(id, Arrival { accepted, known });
+            // A later submission may have taken the place of a cancelled one.
             self.ended_at.remove(&id);
             self.headroom.record_arrival(accepted, job_state);
         }
-        // A job that was cancelled before its first record leaves the open ones without an outcome.
-        if self.accepted_at.len() > ledger.open().count() {
+        if self.accepted_at.len() > 2 * ledger.open().count() + MAX_DROPS_PER_ROUND {
             self.accepted_at.retain(|id, _| {
                 ledger
                     .job(*id)
@@ -391,8 +399,8 @@
     fn age(&self, now: Duration, job: JobId) -> Duration {
         self.accepted_at
             .get(&job)
-            .map_or(Duration::ZERO, |accepted_at| {
-                now.saturating_sub(*accepted_at)
+            .map_or(Duration::ZERO, |arrival| {
+                now.saturating_sub(arrival.accepted)
             })
     }
 
