--- a/crates/godwitstep/tests/batch_entry/main.rs
+++ b/crates/godwitstep/tests/batch_entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a batch entry with a log service in memory.
 
 mod expectations;
+mod identifiers;
 mod log;
 mod sizes;
 
@@ -45,6 +46,7 @@
         spec: "spec".into(),
         steps: vec![Step::default()],
         accepted: 0,
+        known: 0,
     }
 }
 
