revert: apply a cancellation only to submissions that did not know it

By reading, a repeat of its submission, which may arrive seconds after the first answer, took its place: the rule tells a repeat from a new submission only by whether something was placed.

--- a/crates/godwitstep-batch/src/job.rs
+++ b/crates/godwitstep-batch/src/job.rs
@@ -11,7 +11,7 @@
 //! ```
 
 use crate::demand::Demand;
-use crate::id::{JobId, Offset, Workspace};
+use crate::id::{JobId, Workspace};
 use crate::policy::Queue;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -93,10 +93,6 @@
     /// Wall-clock time of acceptance at the entry, in Unix milliseconds. Used to order work; correctness does not
     /// depend on it.
     pub accepted: u64,
-    /// Offset up to which the entry had read the log when it received the submission. Cancellations from this offset on
-    /// apply to it, earlier ones do not. 0 in records of earlier versions: every stored cancellation applies.
-    #[serde(default)]
-    pub known: Offset,
 }
 
 /// Why the steps of a job are invalid.
--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -10,17 +10,12 @@
 //!     spec: "".into(),
 //!     steps: vec![Step::default()],
 //!     accepted: 0,
-//!     known: 0,
 //! };
 //! let mut ledger = Ledger::default();
 //! ledger.apply(0, Record::Submitted(job));
 //! assert_eq!(ledger.status(7), Some(Status::Queued));
 //! ```
 
-mod submissions;
-
-pub use submissions::Standing;
-
 use crate::expectation::Snapshot;
 use crate::id::{Epoch, Host, JobId, Offset};
 use crate::job::Job;
@@ -31,7 +26,6 @@
 };
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
-use submissions::Resubmission;
 
 /// Status of a job as reported to callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,15 +41,10 @@
 /// A job, its progress and whether it is cancelled.
 #[derive(Debug, Clone)]
 pub struct JobState {
-    /// The job as first submitted. A later submission with the same identifier counts only in place of one to which a
-    /// cancellation applies that the later one knew.
+    /// The job as first submitted; later submissions with the same identifier are ignored.
     pub job: Arc<Job>,
-    /// Offset of the newest applied record of this submission.
-    pub submitted: Offset,
     /// State of the job according to the decider's newest record; [matches](Progress::matches) the job's steps.
     pub progress: Progress,
-    /// Whether the decider has recorded a state of the job. Until then nothing of it has been placed.
-    pub decided: bool,
     /// Whether the caller has cancelled the job.
     pub cancelled: bool,
 }
@@ -78,12 +67,10 @@
         !self.cancelled && self.progress.outcome.is_none()
     }
 
-    /// Returns whether the job has ended and none of its tasks is placed any more. The decider records nothing of a job
-    /// that was cancelled before its first record, so that a later submission of the identifier starts anew.
+    /// Returns whether the job has ended and none of its tasks is placed any more.
     #[must_use]
     pub const fn settled(&self) -> bool {
-        let ended = self.progress.outcome.is_some() && self.progress.steps.is_empty();
-        ended || (self.cancelled && !self.decided)
+        self.progress.outcome.is_some() && self.progress.steps.is_empty()
     }
 }
 
@@ -111,11 +98,6 @@
     /// State and cancellations of jobs whose submission has not been read yet: pages of newest records are ordered by key
     /// instead of by offset, and a caller may cancel a job whose submission is not stored yet.
     unsubmitted: HashMap<JobId, (Option<Progress>, bool)>,
-    /// Submissions that replace the known one once the cancellation between the two is read. At most one for each job
-    /// without an outcome.
-    resubmitted: HashMap<JobId, Resubmission>,
-    /// Jobs whose newest record in the log is that of an earlier submission, stored late, which is cancelled.
-    overwritten: BTreeSet<JobId>,
     /// Offsets of the newest applied records of each job.
     offsets: HashMap<JobId, Offsets>,
     /// Newest claim of the decider role and its offset.
@@ -136,7 +118,7 @@
                     &mut self.offsets.entry(job.id).or_default().submitted,
                     offset,
                 );
-                self.apply_submission(offset, job);
+                self.apply_submission(job);
             }
             Record::Cancelled { job } => {
                 advance(&mut self.offsets.entry(job).or_default().cancelled, offset);
@@ -213,7 +195,6 @@
                 offsets.progress = None;
                 if let Some(job_state) = self.jobs.get_mut(id) {
                     job_state.progress = Progress::new(&job_state.job.steps);
-                    job_state.decided = false;
                 }
                 if let Some((progress, _)) = self.unsubmitted.get_mut(id) {
                     *progress = None;
@@ -238,6 +219,29 @@
         }
     }
 
+    fn apply_submission(&mut self, job: Job) {
+        let id = job.id;
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let (progress, cancelled) = self.unsubmitted.remove(&id).unwrap_or_default();
+        let progress = progress.filter(|progress| progress.matches(&job.steps));
+        let job_state = JobState {
+            progress: progress.unwrap_or_else(|| Progress::new(&job.steps)),
+            job: Arc::new(job),
+            cancelled,
+        };
+        self.jobs.insert(id, job_state);
+        self.update_open(id);
+    }
+
+    fn apply_cancellation(&mut self, job: JobId) {
+        match self.jobs.get_mut(&job) {
+            Some(job_state) => job_state.cancelled = true,
+            None => self.unsubmitted.entry(job).or_default().1 = true,
+        }
+    }
+
     /// Returns whether a state can be that of a job. Unknown jobs are checked when their submission is read.
     fn accepts_progress(&self, job: JobId, progress: &Progress) -> bool {
         self.jobs
@@ -247,13 +251,7 @@
 
     fn apply_progress(&mut self, job: JobId, progress: Progress) {
         match self.jobs.get_mut(&job) {
-            Some(job_state) => {
-                if progress.outcome.is_some() {
-                    self.resubmitted.remove(&job);
-                }
-                job_state.progress = progress;
-                job_state.decided = true;
-            }
+            Some(job_state) => job_state.progress = progress,
             None => self.unsubmitted.entry(job).or_default().0 = Some(progress),
         }
         self.update_open(job);
@@ -262,8 +260,6 @@
     fn remove(&mut self, job: JobId) {
         self.jobs.remove(&job);
         self.unsubmitted.remove(&job);
-        self.resubmitted.remove(&job);
-        self.overwritten.remove(&job);
         self.open.remove(&job);
         self.offsets.remove(&job);
     }
--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -52,8 +52,8 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::expectation::Expectations;
-use crate::id::{Domain, Epoch, Incarnation, JobId, Offset, Queue, Run, Task};
-use crate::ledger::{JobState, Ledger};
+use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task};
+use crate::ledger::Ledger;
 use crate::message::Report;
 use crate::policy::Policy;
 use crate::progress::{Crashes, Outcome};
@@ -261,15 +261,6 @@
     plan: &'r mut Plan,
 }
 
-/// When an open job was accepted.
-#[derive(Debug)]
-struct Arrival {
-    /// On the decider's clock. For a job accepted before the decider took over this is an estimate.
-    accepted: Duration,
-    /// Distinguishes a submission from the cancelled one that it replaced.
-    known: Offset,
-}
-
 /// Scheduling state of the decider that is not in the ledger.
 #[derive(Debug)]
 pub struct Planner {
@@ -285,7 +276,9 @@
     failures: FailedWorkers,
     headroom: Headroom,
     shares: Shares,
-    accepted_at: HashMap<JobId, Arrival>,
+    /// When each open job was accepted, on the decider's clock. For a job accepted before the
+    /// decider took over this is an estimate.
+    accepted_at: HashMap<JobId, Duration>,
     /// When a run of each job whose state does not say so yet was found to have begun.
     begun_at: HashMap<JobId, Duration>,
     /// When the decider first found each settled job in the ledger.
@@ -409,24 +402,17 @@
         plan.decisions.extend(self.health.take_quarantines());
         plan.records.extend(draft.into_records());
         self.drop_ended(now, ledger, &mut plan);
-        let overwritten = ledger.overwritten().take(MAX_DROPS_PER_ROUND);
-        let repeated = overwritten.map(|job| Record::Submitted((**job).clone()));
-        plan.records.extend(repeated);
         plan
     }
 
     fn record_arrivals(&mut self, now: Duration, wall: u64, ledger: &Ledger) {
         for (id, job_state) in ledger.open() {
-            let known = job_state.job.known;
-            let arrival = self.accepted_at.get(&id);
-            if arrival.is_some_and(|arrival| arrival.known == known) {
+            if self.accepted_at.contains_key(&id) {
                 continue;
             }
             let waited = Duration::from_millis(wall.saturating_sub(job_state.job.accepted));
             let accepted = now.saturating_sub(waited.min(MAX_BACKDATE));
-            self.accepted_at.insert(id, Arrival { accepted, known });
-            // A later submission may have taken the place of a cancelled one.
-            self.ended_at.remove(&id);
+            self.accepted_at.insert(id, accepted);
             self.headroom.record_arrival(accepted, job_state);
         }
         if self.accepted_at.len() > 2 * ledger.open().count() + MAX_DROPS_PER_ROUND {
@@ -468,8 +454,8 @@
     fn age(&self, now: Duration, job: JobId) -> Duration {
         self.accepted_at
             .get(&job)
-            .map_or(Duration::ZERO, |arrival| {
-                now.saturating_sub(arrival.accepted)
+            .map_or(Duration::ZERO, |accepted_at| {
+                now.saturating_sub(*accepted_at)
             })
     }
 
@@ -531,8 +517,7 @@
             .collect();
         for job in expired {
             self.ended_at.remove(&job);
-            // Otherwise the identifier was submitted again.
-            if ledger.job(job).is_some_and(JobState::settled) {
+            if ledger.job(job).is_some() {
                 plan.records.push(Record::Dropped { job });
             }
         }
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -1,7 +1,6 @@
 //! An entry: serves callers, follows the log, and schedules jobs while it holds the decider role.
 
 mod append;
-mod barred;
 mod decide;
 mod handover;
 mod probe;
@@ -69,9 +68,6 @@
     operator_reads: ReadTimes,
     /// Offset after the newest record that was applied.
     records_end: Offset,
-    /// Offset before which all callers' records and removals of their jobs were applied. Beyond [`Self::records_end`] if this
-    /// entry appended the records that follow, or read them to answer a caller.
-    known_end: Offset,
     detector: FailureDetector,
     /// Epoch in which this entry named a successor, and the successor's address.
     successor: Option<(Epoch, SocketAddr)>,
@@ -176,7 +172,6 @@
                 record_reads: ReadTimes::default(),
                 operator_reads: ReadTimes::default(),
                 records_end: 0,
-                known_end: 0,
                 detector: FailureDetector::new(jitter),
                 successor: None,
                 decider: None,
@@ -301,7 +296,6 @@
             }
             Event::CaughtUp { end, sent, source } => {
                 state.records_end = state.records_end.max(end);
-                state.known_end = state.known_end.max(end);
                 state.record_reads.record(sent, source);
                 drop(state);
                 self.changes.notify();
@@ -436,11 +430,6 @@
         planner.map(|planner| planner.expected_run_time(job, step).typical())
     }
 
-    /// Returns the offset before which all callers' records were applied.
-    fn known_end(&self) -> Offset {
-        self.state.borrow().known_end
-    }
-
     /// Returns whether this entry is the decider.
     #[must_use]
     pub fn is_decider(&self) -> bool {
--- a/crates/godwitstep/src/batch/entry/append.rs
+++ b/crates/godwitstep/src/batch/entry/append.rs
@@ -222,17 +222,16 @@
         if let Some(decider) = &mut self.state.borrow_mut().decider {
             decider.last_append_refused = true;
         }
-        relayed.report(&Outcome::NotTaken);
+        relayed.report(Outcome::NotTaken);
         self.relay_queue.reject_all();
     }
 
     /// Applies records right after the append that begins at offset `first`, before they are read back. Records that
     /// other processes wrote before them may still be unread; these are only new jobs and cancellations, and no
-    /// decision depends on applying those first. Answers to callers do, so they wait for these records.
+    /// decision depends on applying those first.
     fn apply_call(&self, first: Offset, call: Call) {
         self.apply_relayed(first, &call.relayed);
         let mut offset = first + call.relayed.items().count() as Offset;
-        let complete = first <= self.known_end();
         let mut state = self.state.borrow_mut();
         for group in call.groups {
             let stored = group.position + 1;
@@ -241,11 +240,6 @@
             offset += group.items.len() as Offset;
             state.ledger.apply(applied, group.record);
         }
-        if complete {
-            state.known_end = state.known_end.max(offset);
-        }
-        drop(state);
-        self.report_relayed(first, &call.relayed, complete);
     }
 
     fn log_append(
@@ -315,7 +309,7 @@
             size,
             "log does not accept a record; leaving it out"
         );
-        part.relayed.report(&Outcome::NotTaken);
+        part.relayed.report(Outcome::NotTaken);
     }
     parts
 }
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -319,14 +319,6 @@
                 .record(error.log_ratio);
         }
         let mut records = plan.records;
-        for record in &records {
-            if let Record::Submitted(job) = record {
-                tracing::info!(
-                    job = format_args!("{:016x}", job.id),
-                    "storing a submission again: an earlier one that is cancelled was stored after it"
-                );
-            }
-        }
         if records.is_empty() && now.saturating_sub(decider.renewed_at) > RENEWAL_INTERVAL {
             records.push(self.claim(decider.planner.epoch(), false));
         }
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -7,12 +7,11 @@
 //! a record twice, which is harmless: a job is identified by its name, and a cancellation is idempotent.
 
 use super::Entry;
-use super::barred::{Seen, barred_keys};
-use super::writer::{BarredKeys, Error};
+use super::writer::Error;
 use crate::batch::log::{Item, Log};
 use crate::http::{self, Client};
 use bytes::Bytes;
-use godwitstep_batch::id::{Epoch, JobId, Offset};
+use godwitstep_batch::id::{Epoch, Offset};
 use godwitstep_batch::message::{self, Records, Value};
 use godwitstep_batch::record::Record;
 use hyper::{Request, Response, StatusCode};
@@ -46,12 +45,11 @@
 const MAX_KEY_BYTES: usize = 255;
 
 /// Outcome of relaying records to the decider.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Outcome {
-    /// The records are stored, and the decider knows all records before them.
-    Stored(BarredKeys),
-    /// The records are queued for the next append of a decider that responds, or stored after records of other processes
-    /// that it has not read.
+    /// The records are stored.
+    Stored,
+    /// The records are queued for the next append of a decider that responds.
     Waits,
     /// The records were rejected; this attempt does not store them.
     NotTaken,
@@ -119,7 +117,7 @@
     /// Rejects all queued records.
     pub fn reject_all(&self) {
         let requests = self.queue.take();
-        RelayBatch { requests }.report(&Outcome::NotTaken);
+        RelayBatch { requests }.report(Outcome::NotTaken);
     }
 }
 
@@ -135,23 +133,10 @@
     }
 
     /// Reports the outcome to the senders.
-    pub fn report(&self, outcome: &Outcome) {
+    pub fn report(&self, outcome: Outcome) {
         for request in &self.requests {
             // A sender that no longer waits has appended its records itself.
-            let _ = request.outcome.try_send(outcome.clone());
-        }
-    }
-
-    /// Reports to each sender that its records are stored from offset `first` on, and which submissions `is_barred`
-    /// excludes.
-    fn report_stored(&self, first: Offset, is_barred: impl Fn(JobId, Offset) -> bool) {
-        let mut offsets = first..;
-        for request in &self.requests {
-            let stored = offsets.by_ref().zip(&request.items);
-            let stored = stored.take(request.items.len());
-            let _ = request
-                .outcome
-                .try_send(Outcome::Stored(barred_keys(stored, &is_barred)));
+            let _ = request.outcome.try_send(outcome);
         }
     }
 }
@@ -192,16 +177,12 @@
     /// # Errors
     ///
     /// Returns [`Error::Refused`] if the records are not stored, and [`Error::Unknown`] if they may be.
-    pub(super) async fn store_items(&self, items: &[Item]) -> Result<BarredKeys, Error> {
-        let known = self.known_end();
-        let outcome = match self.relay_to_decider(items).await {
-            Outcome::Stored(barred) => return Ok(barred),
-            outcome => outcome,
-        };
-        if outcome == Outcome::Waits
-            && let Some(barred) = self.wait_until_visible(items, known).await
+    pub(super) async fn store_items(&self, items: &[Item]) -> Result<(), Error> {
+        let outcome = self.relay_to_decider(items).await;
+        if outcome == Outcome::Stored
+            || (outcome == Outcome::Waits && self.wait_until_visible(items).await)
         {
-            return Ok(barred);
+            return Ok(());
         }
         let started_at = self.clock.now();
         let result = self.log.append(items, None).await;
@@ -209,9 +190,8 @@
             .writer
             .record_append(started_at, self.clock.now(), result);
         match (result, outcome) {
-            (Ok(end), _) => self.barred_before(items, end).await.ok_or(Error::Unknown),
             (Err(Error::Refused), Outcome::Unknown | Outcome::Waits) => Err(Error::Unknown),
-            (Err(error), _) => Err(error),
+            (result, _) => result,
         }
     }
 
@@ -236,7 +216,7 @@
             let client = self.relay_client.client(claim.epoch, claim.address);
             send_records(&client, items).await
         };
-        if !matches!(outcome, Outcome::Stored(_) | Outcome::Waits) {
+        if !matches!(outcome, Outcome::Stored | Outcome::Waits) {
             let elapsed = self.clock.now().saturating_sub(now);
             tracing::info!(epoch = claim.epoch, host = %claim.host, records = items.len(), outcome = ?outcome, took_ms = elapsed.as_millis(), "relaying records to the decider failed");
             self.relay_client
@@ -273,21 +253,20 @@
         stored.or(timeout).await
     }
 
-    /// Waits until records that the decider has queued appear in the log. `known` is the offset up to which the log was read
-    /// before they were sent. Returns the submissions that are barred, or `None` on timeout.
-    async fn wait_until_visible(&self, items: &[Item], known: Offset) -> Option<BarredKeys> {
+    /// Waits until records that the decider has queued appear in the log. Returns false on timeout.
+    async fn wait_until_visible(&self, items: &[Item]) -> bool {
         let deadline = self.clock.now() + VISIBILITY_TIMEOUT;
         let decode = |item: &Item| Record::decode(&item.key, &item.value).ok().flatten();
         let records: Vec<Option<Record>> = items.iter().map(decode).collect();
+        let visible = |record: &Option<Record>| {
+            record
+                .as_ref()
+                .is_some_and(|record| self.is_visible(record))
+        };
         loop {
             let version = self.changes.version();
-            let seen = |record: &Option<Record>| self.seen(record.as_ref()?, known);
-            if let Some(seen) = records.iter().map(seen).collect::<Option<Vec<_>>>() {
-                let barred = items
-                    .iter()
-                    .zip(seen)
-                    .filter(|(_, seen)| *seen == Seen::Barred);
-                return Some(barred.map(|(item, _)| item.key.clone()).collect());
+            if records.iter().all(visible) {
+                return true;
             }
             let remaining = deadline.saturating_sub(self.clock.now());
             if remaining.is_zero() {
@@ -295,20 +274,17 @@
                     records = items.len(),
                     "relayed records did not appear in the log in time"
                 );
-                return None;
+                return false;
             }
             self.changes.changed(version, remaining).await;
         }
     }
 
-    /// Returns how the ledger reflects a caller's record; `None` if it does not yet.
-    pub(super) fn seen(&self, record: &Record, known: Offset) -> Option<Seen> {
-        let visible = match record {
-            Record::Submitted(job) => return self.seen_submission(job),
-            Record::Cancelled { job } => {
-                let state = self.state.borrow();
-                state.ledger.is_cancelled_since(*job, known)
-            }
+    /// Returns whether the ledger already reflects a caller's record.
+    fn is_visible(&self, record: &Record) -> bool {
+        match record {
+            Record::Submitted(job) => self.status(job.id).is_some(),
+            Record::Cancelled { job } => self.state.borrow().ledger.is_cancelled(*job),
             Record::Announced(entry) => {
                 let state = self.state.borrow();
                 state.ledger.entries().any(|known| known == entry)
@@ -318,8 +294,7 @@
             | Record::Claimed(_)
             | Record::Expectations(_)
             | Record::Fragment(_) => false,
-        };
-        visible.then_some(Seen::Valid)
+        }
     }
 
     /// Handles a relay request of another entry.
@@ -353,9 +328,7 @@
             .accept_records(items.into_iter().map(item).collect())
             .await
         {
-            Outcome::Stored(barred) => {
-                return http::respond(StatusCode::OK, message::encode(&barred));
-            }
+            Outcome::Stored => StatusCode::OK,
             Outcome::Waits => StatusCode::ACCEPTED,
             Outcome::NotTaken => StatusCode::SERVICE_UNAVAILABLE,
             Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
@@ -363,8 +336,11 @@
         http::respond(status, Bytes::new())
     }
 
-    /// Applies relayed records right after the append, before they are read back.
+    /// Applies relayed records right after the append, before they are read back, and reports them stored.
     pub(super) fn apply_relayed(&self, first: Offset, batch: &RelayBatch) {
+        if batch.is_empty() {
+            return;
+        }
         let mut state = self.state.borrow_mut();
         for (offset, item) in (first..).zip(batch.items()) {
             match Record::decode(&item.key, &item.value) {
@@ -376,20 +352,8 @@
                 Err(error) => tracing::warn!(offset, %error, "skipped a malformed record"),
             }
         }
-    }
-
-    /// Reports relayed records as stored from offset `first` on. If records before them are unread, the entries wait until
-    /// they have read these themselves: one of them may be a cancellation.
-    pub(super) fn report_relayed(&self, first: Offset, batch: &RelayBatch, complete: bool) {
-        if batch.is_empty() {
-            return;
-        }
-        if complete {
-            let state = self.state.borrow();
-            batch.report_stored(first, |job, offset| state.ledger.is_barred(job, offset));
-        } else {
-            batch.report(&Outcome::Waits);
-        }
+        drop(state);
+        batch.report(Outcome::Stored);
         self.changes.notify();
     }
 }
@@ -416,10 +380,7 @@
     };
     match client.exchange(request, REQUEST_TIMEOUT).await {
         Ok(response) => match response.status() {
-            // Deciders of earlier versions send no list, so the entry has to read the records before its own.
-            StatusCode::OK => {
-                message::decode(response.body()).map_or(Outcome::Waits, Outcome::Stored)
-            }
+            StatusCode::OK => Outcome::Stored,
             StatusCode::ACCEPTED => Outcome::Waits,
             StatusCode::GATEWAY_TIMEOUT => Outcome::Unknown,
             _ => Outcome::NotTaken,
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -1,15 +1,14 @@
 //! Callers' requests: submitting a job, cancelling it and querying its status.
 
 use super::Entry;
-use super::barred::Seen;
 use super::writer::Error;
-use crate::batch::log::{Item, Log};
+use crate::batch::log::{Item, Log, ReadError, Stream};
 use godwitstep_batch::access::{MAX_COUNT_AGE, MAX_JOBS_AGE};
 use godwitstep_batch::demand::Demand;
-use godwitstep_batch::id::JobId;
+use godwitstep_batch::id::{JobId, Offset};
 use godwitstep_batch::job::Job;
-use godwitstep_batch::ledger::{Standing, Status};
-use godwitstep_batch::record::Record;
+use godwitstep_batch::ledger::Status;
+use godwitstep_batch::record::{Record, submitted_key};
 use smol::Timer;
 use smol::future::FutureExt;
 use std::sync::Arc;
@@ -44,23 +43,12 @@
 }
 
 impl<L: Log> Entry<L> {
-    /// Stores a job within `time_limit`. Submitting a job again under the same identifier has no further effect, unless a
-    /// cancellation that this entry knows has ended the job before anything of it was placed.
-    pub async fn submit(&self, mut job: Job, time_limit: Duration) -> Verdict {
+    /// Stores a job within `time_limit`. Submitting a job again under the same identifier has no further effect.
+    pub async fn submit(&self, job: Job, time_limit: Duration) -> Verdict {
         let id = job.id;
-        let deadline = self.clock.now() + time_limit;
-        job.known = self.known_end();
         let summary = JobSummary::new(&job);
-        match self.standing(id, job.known, time_limit).await {
-            Standing::New => {}
-            Standing::Accepted | Standing::CancelledLater => return Verdict::Stored,
-            Standing::Barred => {
-                tracing::info!(
-                    job = format_args!("{id:016x}"),
-                    "submission refused: a cancellation applies to it"
-                );
-                return Verdict::Refused;
-            }
+        if self.status(id).is_some() {
+            return Verdict::Stored;
         }
         if self.log_is_failing() {
             tracing::info!(
@@ -69,12 +57,13 @@
             );
             return Verdict::Refused;
         }
-        let record = Record::Submitted(job);
-        let size = Item::from(&record).record_size();
+        let record = Item::from(&Record::Submitted(job));
+        let size = record.record_size();
         let verdict = if size > self.settings.sizes.record_bytes {
             Verdict::TooLarge
         } else {
-            self.store(&record, deadline).await
+            let visible = || self.status(id).is_some();
+            self.store(record, time_limit, visible).await
         };
         tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, size, queue = %summary.queue, priority = summary.priority, workspace = %summary.workspace, steps = summary.steps, tasks = summary.tasks, gang = summary.gang, one_rack = summary.one_rack, saves = summary.checkpointable, cpu = summary.largest_task.cpu, accelerators = summary.largest_task.accelerators, chain_ms = summary.critical_path.as_millis(), objective_ms = summary.objective.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => verdict_label(verdict))
@@ -85,14 +74,14 @@
     /// Stores the cancellation of a job within `time_limit`, whether the job is known or not: another entry or the log may
     /// hold its submission, which is then cancelled when it is stored. Callers take the answer that the job does not exist
     /// for its end, so this answer rests on a read of the log that was sent after the cancellation was stored.
-    /// A known cancellation does not replace it, as it may be older than a submission that another entry has accepted.
     pub async fn cancel(&self, id: JobId, time_limit: Duration) -> Verdict {
         let deadline = self.clock.now() + time_limit;
-        let ended = self.state.borrow().ledger.has_outcome(id);
-        let verdict = if ended {
+        let cancelled = || self.state.borrow().ledger.is_cancelled(id);
+        let verdict = if cancelled() {
             Verdict::Stored
         } else {
-            self.store(&Record::Cancelled { job: id }, deadline).await
+            let record = Item::from(&Record::Cancelled { job: id });
+            self.store(record, time_limit, cancelled).await
         };
         let remaining = deadline.saturating_sub(self.clock.now());
         let unknown = verdict == Verdict::Stored && !self.may_exist(id, remaining).await;
@@ -114,11 +103,32 @@
         submitted.or(timeout).await
     }
 
-    /// Stores a record until `deadline`.
-    async fn store(&self, record: &Record, deadline: Duration) -> Verdict {
+    /// Returns whether the part of the log that the ledger does not include yet holds the submission of a job. Returns
+    /// `None` if it could not be read up to its end.
+    async fn is_submitted(&self, id: JobId) -> Option<bool> {
+        let from = self.state.borrow().records_end;
+        let page = match self.log.read(Stream::Records, from, Duration::ZERO).await {
+            Ok(page) => page,
+            // The partition is still empty.
+            Err(ReadError::Expired { start: 0 }) => return Some(false),
+            Err(_) => self.read_from_peer(Stream::Records, from).await?,
+        };
+        let key = submitted_key(id);
+        let mut items = page.items.iter().flatten();
+        let submitted = items.any(|item| item.key == key && !item.value.is_empty());
+        let complete = from + page.items.len() as Offset >= page.end;
+        (submitted || complete).then_some(submitted)
+    }
+
+    /// Stores a record within `time_limit`. `visible` returns whether the ledger already reflects it.
+    async fn store(
+        &self,
+        record: Item,
+        time_limit: Duration,
+        visible: impl Fn() -> bool,
+    ) -> Verdict {
         let started_at = self.clock.now();
-        let known = self.known_end();
-        let item = Item::from(record);
+        let deadline = started_at + time_limit;
         let mut in_doubt = false;
         loop {
             let remaining = deadline.saturating_sub(self.clock.now());
@@ -126,24 +136,14 @@
                 Timer::after(remaining).await;
                 Err(Error::Unknown)
             };
-            match self.writer.write(&item).or(timeout).await {
+            match self.writer.write(&record).or(timeout).await {
                 Ok(()) => return Verdict::Stored,
                 Err(Error::Refused) => {}
-                // It never runs, even if one of its appends is in doubt.
-                Err(Error::Barred) => {
-                    tracing::info!(
-                        key = item.key,
-                        "an unread cancellation applies to the submission"
-                    );
-                    return Verdict::Refused;
-                }
                 Err(Error::Invalid) => return Verdict::TooLarge,
                 Err(Error::Unknown) => in_doubt = true,
             }
-            match self.seen(record, known) {
-                Some(Seen::Valid) => return Verdict::Stored,
-                Some(Seen::Barred) => return Verdict::Refused,
-                None => {}
+            if visible() {
+                return Verdict::Stored;
             }
             let now = self.clock.now();
             let refused_long = !in_doubt && now > started_at + MAX_REFUSAL_RETRY;
@@ -159,7 +159,7 @@
     }
 
     /// Returns whether no read, or no append by this entry, has succeeded for longer than [`MAX_LOG_OUTAGE`].
-    pub(super) fn log_is_failing(&self) -> bool {
+    fn log_is_failing(&self) -> bool {
         let stale = self.with_view(|view| view.jobs_age > MAX_LOG_OUTAGE);
         stale || self.writer.failing_for(self.clock.now()) > MAX_LOG_OUTAGE
     }
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -4,7 +4,6 @@
 
 use crate::batch::change_notifier::ChangeNotifier;
 use crate::batch::log::{AppendError, Item};
-use godwitstep_batch::id::Offset;
 use smol::channel::{Sender, bounded};
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
@@ -27,18 +26,11 @@
     /// The log never accepts the record.
     #[error("the log does not accept the record")]
     Invalid,
-    /// The record is written, or may be, but never counts: a cancellation applies to the submission that its entry did
-    /// not know when it received the request.
-    #[error("a cancellation applies to the submission")]
-    Barred,
     /// The record may have been written, or may be written later.
     #[error("it is not known whether the record was written")]
     Unknown,
 }
 
-/// Keys of the submissions in a stored batch to which a cancellation applies that their entry did not know.
-pub(super) type BarredKeys = Vec<String>;
-
 type PendingRecord = (Item, Sender<Result<(), Error>>);
 
 /// Queue of records, and the state of this entry's appends.
@@ -76,7 +68,7 @@
     }
 
     /// Stores batches with `store`. Never returns.
-    pub async fn run(&self, store: impl AsyncFn(&[Item]) -> Result<BarredKeys, Error>) {
+    pub async fn run(&self, store: impl AsyncFn(&[Item]) -> Result<(), Error>) {
         loop {
             let version = self.arrivals.version();
             let batch = self.next_batch();
@@ -89,15 +81,11 @@
             let (items, senders): (Vec<Item>, Vec<_>) = batch.into_iter().unzip();
             let result = store(&items).await;
             for (item, sender) in items.iter().zip(senders) {
-                let result = match &result {
+                let result = match result {
                     Err(Error::Invalid) if items.len() > 1 => {
                         store(std::slice::from_ref(item)).await
                     }
-                    result => result.clone(),
-                };
-                let result = match result {
-                    Ok(barred) if barred.contains(&item.key) => Err(Error::Barred),
-                    result => result.map(drop),
+                    result => result,
                 };
                 // The caller may have stopped waiting.
                 let _ = sender.try_send(result);
@@ -124,16 +112,16 @@
         &self,
         started_at: Duration,
         now: Duration,
-        result: Result<Offset, AppendError>,
-    ) -> Result<Offset, Error> {
+        result: Result<u64, AppendError>,
+    ) -> Result<(), Error> {
         metrics::histogram!("godwitstep_log_append_seconds").record(now.saturating_sub(started_at));
         match result {
-            Ok(end) => {
+            Ok(_) => {
                 if let Some(since) = self.failing_since.take() {
                     let failed = started_at.saturating_sub(since);
                     tracing::info!(failed_ms = failed.as_millis(), "log accepts appends again");
                 }
-                Ok(end)
+                Ok(())
             }
             Err(AppendError::Invalid(reason)) => {
                 tracing::error!(reason, "log does not accept a caller's record");
