fix(batch): find hung runs whose estimate is enormous

Cause: a run that has shown no pace to this decider, as after a take-over or a resumption, was judged by 12 % of its expected time.

Change: the age of its job limits the pace too.

A run at 0 % is judged by its expectation as before.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -363,6 +363,7 @@
         ledger: &Ledger,
         view: &OperatorView,
     ) -> Plan {
+        self.health.set_wall_clock(wall);
         self.record_arrivals(now, wall, ledger);
         let mut plan = Plan::default();
         let mut draft = Draft::new(ledger);
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -206,9 +206,8 @@
         draft: &Draft,
         view: &OperatorView,
     ) -> Self {
-        let stall_times = health.worker_stalls(now, |task| {
-            expect::of_task(expectations, draft, task).typical()
-        });
+        let stall_times =
+            health.worker_stalls(now, |task| expect::pace_of_task(expectations, draft, task));
         let nodes: Vec<Node> = reports
             .workers(now)
             .map(|(age, worker)| Node {
--- a/crates/godwitstep-batch/src/planner/expect.rs
+++ b/crates/godwitstep-batch/src/planner/expect.rs
@@ -5,6 +5,7 @@
 use super::Planner;
 use super::cluster::{Node, Occupant};
 use super::draft::Draft;
+use super::pace::PacePrior;
 use super::speed_fit::RunBudget;
 use crate::expectation::{Class, Expectation, Expectations};
 use crate::id::{Run, Task};
@@ -42,6 +43,15 @@
     })
 }
 
+/// Returns what is known of the pace of a task's runs before they show it.
+pub(super) fn pace_of_task(expectations: &Expectations, draft: &Draft, task: Task) -> PacePrior {
+    let job_state = draft.ledger().job(task.job);
+    PacePrior {
+        expected_run_time: of_task(expectations, draft, task).typical(),
+        accepted: job_state.map_or(0, |job_state| job_state.job.accepted),
+    }
+}
+
 impl Planner {
     /// Returns the expected run time of a step's tasks on a worker of average speed.
     pub(super) fn expected(&self, job: &Job, step: &Step) -> Expectation {
--- a/crates/godwitstep-batch/src/planner/health.rs
+++ b/crates/godwitstep-batch/src/planner/health.rs
@@ -5,7 +5,7 @@
 //! long until a run succeeds there. Failures of a single job point to the job instead.
 
 use super::Decision;
-use super::pace::Pace;
+use super::pace::{Pace, PacePrior};
 use super::reports::EndCause;
 use crate::expectation::Expectation;
 use crate::id::{Host, Incarnation, JobId, Run, Task};
@@ -90,9 +90,16 @@
     runs: HashMap<(Task, Run), RunProgress>,
     /// Quarantines that have begun and are not yet logged.
     quarantines: Vec<Decision>,
+    /// Wall clock of the present round. Unit: Unix milliseconds.
+    wall: u64,
 }
 
 impl Health {
+    /// Sets the wall clock of the round that begins.
+    pub const fn set_wall_clock(&mut self, wall: u64) {
+        self.wall = wall;
+    }
+
     pub fn record_report(&mut self, now: Duration, report: &Report) {
         let Some(worker) = &report.worker else {
             return;
@@ -267,19 +274,19 @@
         Some(rate / 100.0 * longest < 1.0)
     }
 
-    /// Returns the time since a run last made progress, if its progress is known; zero while the next progress of a run of
-    /// this expected time is not overdue.
+    /// Returns the time since a run last made progress, if its progress is known; zero while its next progress is not
+    /// overdue.
     pub fn stalled_for(
         &self,
         now: Duration,
         task: Task,
         run: Run,
-        expected: Duration,
+        prior: PacePrior,
     ) -> Option<Duration> {
         let run_progress = self.runs.get(&(task, run))?;
         let pace = &run_progress.pace;
         run_progress.expects_progress().then(|| {
-            if pace.is_overdue(now, expected) {
+            if pace.is_overdue(now, self.wall, prior) {
                 pace.unchanged_for(now)
             } else {
                 Duration::ZERO
@@ -317,7 +324,7 @@
 
     /// Returns the time since the last progress of any run on each host where the progress of some run is overdue. Runs
     /// that are not overdue show only by their last progress whether the worker hangs.
-    pub fn worker_stalls(&self, now: Duration, expected: impl Fn(Task) -> Duration) -> StallTimes {
+    pub fn worker_stalls(&self, now: Duration, prior: impl Fn(Task) -> PacePrior) -> StallTimes {
         let mut stall_times = StallTimes::new();
         let mut overdue: HashSet<&Host> = HashSet::new();
         for ((task, _), run_progress) in &self.runs {
@@ -329,7 +336,7 @@
                 .entry(run_progress.host.clone())
                 .and_modify(|shortest| *shortest = unchanged_for.min(*shortest))
                 .or_insert(unchanged_for);
-            if run_progress.pace.is_overdue(now, expected(*task)) {
+            if run_progress.pace.is_overdue(now, self.wall, prior(*task)) {
                 overdue.insert(&run_progress.host);
             }
         }
--- a/crates/godwitstep-batch/src/planner/stall.rs
+++ b/crates/godwitstep-batch/src/planner/stall.rs
@@ -6,6 +6,7 @@
 
 use super::draft::Draft;
 use super::expect;
+use super::pace::PacePrior;
 use super::{Decision, Plan, Planner};
 use crate::id::{Run, Task};
 use crate::ledger::JobState;
@@ -58,7 +59,7 @@
     pub(super) fn stop_stalled(&mut self, now: Duration, draft: &Draft, plan: &mut Plan) {
         let mut stalled = Vec::new();
         let stall_times = self.health.worker_stalls(now, |task| {
-            expect::of_task(&self.expectations, draft, task).typical()
+            expect::pace_of_task(&self.expectations, draft, task)
         });
         for (job, job_state, progress) in draft.open() {
             for (step, index, placed, incarnation) in progress.placed() {
@@ -103,11 +104,10 @@
             return (elapsed > GANG_START_LIMIT).then_some(elapsed);
         }
         let redo_time = self.redo_time(now, job_state, task, run);
-        let expected = self.expected(&job_state.job, step).typical();
         let stalled_for = if step.gang {
             // The members of a gang make progress together.
             self.gang_stalled_for(now, job_state, task, run)?
-        } else if let Some(stalled_for) = self.health.stalled_for(now, task, run, expected) {
+        } else if let Some(stalled_for) = self.run_stalled_for(now, job_state, task, run) {
             stalled_for
         } else {
             // The run reports no progress, but other runs on the worker may.
@@ -127,12 +127,29 @@
         run: Run,
     ) -> Option<Duration> {
         let step = &job_state.job.steps[usize::from(task.step)];
-        let expected = self.expected(&job_state.job, step).typical();
         (0..step.tasks)
             .filter_map(|index| {
                 let member = Task { index, ..task };
-                self.health.stalled_for(now, member, run, expected)
+                self.run_stalled_for(now, job_state, member, run)
             })
             .min()
     }
+
+    /// Returns the time since a run last made progress, if that is known; zero while the next one is not overdue.
+    fn run_stalled_for(
+        &self,
+        now: Duration,
+        job_state: &JobState,
+        task: Task,
+        run: Run,
+    ) -> Option<Duration> {
+        let job = &job_state.job;
+        let prior = PacePrior {
+            expected_run_time: self
+                .expected(job, &job.steps[usize::from(task.step)])
+                .typical(),
+            accepted: job.accepted,
+        };
+        self.health.stalled_for(now, task, run, prior)
+    }
 }
--- a/crates/godwitstep-batch/tests/long_runs.rs
+++ b/crates/godwitstep-batch/tests/long_runs.rs
@@ -110,3 +110,30 @@
         |decision| matches!(decision, Decision::Stalled { task, .. } if task.job == LONG_JOB)
     ));
 }
+
+/// Guards against a hung run that a new decider never finds because its estimate is enormous, and against one of a day
+/// that it stops.
+#[test]
+fn new_decider_goes_by_the_age_of_the_job() {
+    let day = seconds(24 * 60 * MINUTE);
+    for (run_time, hangs) in [(seconds(10), true), (day, false)] {
+        let mut sim = long_runs(1, run_time, day);
+        while sim
+            .hosts
+            .values()
+            .all(|host| host.worker.running.iter().all(|run| run.percent < 50))
+        {
+            // A day of rounds would take minutes.
+            sim.round();
+            sim.advance(run_time / 100);
+        }
+        sim.planner = Planner::new(
+            2 << 20,
+            sim.now.saturating_sub(seconds(15)),
+            Bounds::default(),
+        );
+        (0..usize::from(WORKERS)).for_each(|number| sim.host(number).makes_progress = !hangs);
+        sim.run_for(seconds(60));
+        assert_eq!(sim.has_decision(is_stall), hangs, "run of {run_time:?}");
+    }
+}
--- a/crates/godwitstep-batch/tests/simulation/mod.rs
+++ b/crates/godwitstep-batch/tests/simulation/mod.rs
@@ -204,7 +204,7 @@
             queue,
             spec: self.spec.clone(),
             steps,
-            accepted: 0,
+            accepted: self.wall(),
         };
         self.append(Record::Submitted(job));
     }
@@ -223,6 +223,11 @@
         self.advance(ROUND_INTERVAL);
     }
 
+    /// Returns the wall clock in Unix milliseconds.
+    fn wall(&self) -> u64 {
+        u64::try_from(self.now.as_millis()).expect("the time is short")
+    }
+
     pub fn run_for(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -251,7 +256,9 @@
             age: self.view_age,
             jobs_age: self.jobs_age,
         };
-        let plan = self.planner.decide(self.now, 0, &self.ledger, &view);
+        let plan = self
+            .planner
+            .decide(self.now, self.wall(), &self.ledger, &view);
         self.decisions.extend(plan.decisions);
         self.shares.extend(plan.shares);
         for record in plan.records {
