fix(batch): keep completed samples of a class when runs are stopped

Cause: the sample of a stopped run replaced the mean of the completed tasks of its step, and filled the 64 places of its class. With fewer than five completed samples left, the class fell back to the estimates: eight steps of 38 tasks of 6 s with one task of each stopped at 7 s went from 4.8 s to 2 s.

Change: a stopped run does not replace a completed sample of its step, and evicts only other stopped ones while the class has no more than five completed ones.

Result: the typical time stays at 4.8 s, and 200 stopped runs do not lower it.

--- a/crates/godwitstep-batch/src/expectation/regression.rs
+++ b/crates/godwitstep-batch/src/expectation/regression.rs
@@ -180,14 +180,18 @@
 }
 
 impl Regression {
-    /// Adds the sample of a step, or replaces its earlier one: the tasks of a step are equal, so they count once.
+    /// Adds the sample of a step, or replaces its earlier one: the tasks of a step are equal, so they count once. A
+    /// stopped run says less than the completed ones of its step and does not replace them.
     pub fn record(&mut self, source: Source, sample: Sample) {
-        self.changed = true;
         let mut newest_first = self.samples.iter_mut().rev();
         if let Some((_, known)) = newest_first.find(|(other, _)| *other == Some(source)) {
-            *known = sample;
+            if known.censored || !sample.censored {
+                *known = sample;
+                self.changed = true;
+            }
             return;
         }
+        self.changed = true;
         self.push(Some(source), sample);
     }
 
@@ -199,11 +203,23 @@
 
     fn push(&mut self, source: Option<Source>, sample: Sample) {
         if self.samples.len() >= MAX_SAMPLES {
-            self.samples.pop_front();
+            self.samples.remove(self.evicted_by(&sample));
         }
         self.samples.push_back((source, sample));
     }
 
+    /// Returns the index of the sample that makes room for a new one: the oldest, but stopped runs leave the class the
+    /// [`MIN_SAMPLES`] completed ones without which it has no fit.
+    fn evicted_by(&self, sample: &Sample) -> usize {
+        let completed = self.samples().filter(|known| !known.censored).count();
+        if !sample.censored || completed > MIN_SAMPLES {
+            return 0;
+        }
+        self.samples()
+            .position(|known| known.censored)
+            .unwrap_or_default()
+    }
+
     /// Fits the samples if they have changed.
     pub fn refresh(&mut self) {
         if std::mem::take(&mut self.changed) {
--- a/crates/godwitstep-batch/tests/expectation.rs
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -408,3 +408,38 @@
     assert!((known.sum::<f64>() / 8.0).abs() < 1e-9);
     assert!(slowdown("host-8").abs() < 1e-9);
 }
+
+/// Guards against a class that forgets its typical time because the last tasks of its steps were stopped, or because many
+/// runs in a row were.
+#[test]
+fn stopped_runs_do_not_replace_completed_ones() {
+    let mut expectations = Expectations::default();
+    let stopped = |job, run_time| FinishedRun {
+        end: End::Stopped,
+        equals: 39,
+        ..run(job, 2.0, run_time)
+    };
+    for job in 0..8 {
+        for number in 0..38 {
+            expectations.record(&FinishedRun {
+                machines: vec![machine(number)],
+                equals: 39,
+                ..run(job, 2.0, 6.0)
+            });
+        }
+    }
+    expectations.refresh();
+    let before = expected(&expectations, 2.0).typical();
+    assert!(before > Duration::from_secs(4), "{before:?}");
+    for job in 0..8 {
+        expectations.record(&stopped(job, 7.0));
+    }
+    expectations.refresh();
+    assert_eq!(expected(&expectations, 2.0).typical(), before);
+    for job in 100..300 {
+        expectations.record(&stopped(job, 100.0));
+        expectations.refresh();
+        let typical = expected(&expectations, 2.0).typical();
+        assert!(typical >= before, "{typical:?} after job {job}");
+    }
+}
