fix(batch): replace expectations of an epoch that nobody has claimed

Cause: a record of a future epoch was kept as the known one, and all valid records after it were dropped for their lower epoch, without a line.

Change: a newer record replaces the known one if that is of an epoch above the claimed one. It is still stored first, as pages of newest records may list a record before the claim of its epoch. Entries log a record that is dropped for its epoch.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -154,10 +154,10 @@
                 }
             }
             Record::Expectations(snapshot) => {
-                let is_newer = |(newest, known): &(Offset, Snapshot)| {
-                    offset >= *newest && snapshot.epoch >= known.epoch
-                };
-                if self.expectations.as_ref().is_none_or(is_newer) {
+                let known = self.expectations.as_ref();
+                if known.is_none_or(|(newest, _)| offset >= *newest)
+                    && !self.knows_later_expectations(offset, snapshot.epoch)
+                {
                     self.expectations = Some((offset, snapshot));
                 }
             }
@@ -357,6 +357,19 @@
             .filter(|snapshot| snapshot.epoch <= epoch)
     }
 
+    /// Returns whether the known record of what deciders have learned is of a later epoch than a newer one, which is then
+    /// not used.
+    ///
+    /// A known one of an epoch that has not been claimed is that of no decider, and any newer one replaces it. It is not
+    /// dropped at once, as pages of newest records may list it before its claim.
+    #[must_use]
+    pub fn knows_later_expectations(&self, offset: Offset, epoch: Epoch) -> bool {
+        self.expectations.as_ref().is_some_and(|(newest, known)| {
+            let of_no_decider = self.claim().is_some_and(|claim| known.epoch > claim.epoch);
+            offset >= *newest && epoch < known.epoch && !of_no_decider
+        })
+    }
+
     /// Returns the announcements of all entries.
     pub fn entries(&self) -> impl Iterator<Item = &Announcement> {
         self.entries.values().map(|(_, announcement)| announcement)
--- a/crates/godwitstep-batch/tests/expectation_record.rs
+++ b/crates/godwitstep-batch/tests/expectation_record.rs
@@ -5,7 +5,7 @@
     Class, End, Expectations, FinishedRun, MAX_RECORD_BYTES, Machine, Snapshot, Source,
 };
 use godwitstep_batch::ledger::Ledger;
-use godwitstep_batch::record::{EXPECTATIONS_KEY, Record};
+use godwitstep_batch::record::{Claim, EXPECTATIONS_KEY, Record};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -46,6 +46,15 @@
     }
 }
 
+fn claim(epoch: u64) -> Claim {
+    Claim {
+        epoch,
+        host: "entry".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        released: false,
+    }
+}
+
 fn snapshot_of_epoch(epoch: u64) -> Snapshot {
     Expectations::default().snapshot(epoch, MAX_RECORD_BYTES)
 }
@@ -129,6 +138,26 @@
     }
 }
 
+/// Guards against a record of a future epoch that hides all valid ones that follow.
+#[test]
+fn a_record_of_a_future_epoch_is_replaced() {
+    let mut ledger = Ledger::default();
+    let learned = |epoch| Record::Expectations(snapshot_of_epoch(epoch));
+    ledger.apply(1, learned(1 << 52));
+    ledger.apply(2, Record::Claimed(claim(10)));
+    assert!(!ledger.knows_later_expectations(3, 10));
+    ledger.apply(3, learned(10));
+    let epoch = |ledger: &Ledger| ledger.expectations(10).map(|snapshot| snapshot.epoch);
+    assert_eq!(epoch(&ledger), Some(10));
+    assert!(ledger.knows_later_expectations(4, 9));
+    ledger.apply(4, learned(9));
+    assert_eq!(epoch(&ledger), Some(10), "an older epoch");
+    assert!(
+        !ledger.knows_later_expectations(2, 9),
+        "a record read again"
+    );
+}
+
 /// Guards against expectations of a replaced decider, or of one that does not exist, in place of the newest ones.
 #[test]
 fn records_of_older_and_future_epochs_are_not_used() {
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -286,6 +286,19 @@
                         {
                             tracing::info!(epoch = claim.epoch, host = %claim.host, offset, "decider changed");
                         }
+                        if let Record::Expectations(snapshot) = &record
+                            && state
+                                .ledger
+                                .knows_later_expectations(offset, snapshot.epoch)
+                        {
+                            let (learned_in, epoch) = (snapshot.epoch, state.ledger.epoch());
+                            tracing::warn!(
+                                offset,
+                                learned_in,
+                                epoch,
+                                "skipped run-time expectations of an older epoch"
+                            );
+                        }
                         state.ledger.apply(offset, record);
                     }
                     Ok(None) => {}
