fix(batch): bound the tasks that wait to be compared

Cause: each of 4,096 steps could hold 64 tasks until half of its tasks had ended: 8 to 13 MB at worst, which neither the design nor the capacity page counted.

Change: at most 32,768 tasks of all steps wait. Beyond that those of the steps that have been without a sample for longest are given up; their means stay.

Result: 1 to 2 MB by calculation, 3.6 MB if nothing else holds the hosts' names.

--- a/crates/godwitstep-batch/src/expectation/worker.rs
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -37,8 +37,11 @@
 const CLEAR_DIFFERENCE: f64 = 0.1;
 /// Maximum number of workers that are remembered, of about 100 bytes each.
 const MAX_WORKERS: usize = 40_000;
-/// Maximum number of steps with means of their own, of about 70 bytes each, and 50 bytes for a task to be compared.
+/// Maximum number of steps with means of their own, of about 70 bytes each.
 const MAX_STEPS: usize = 4_096;
+/// Maximum number of tasks of all steps that wait to be compared, of 32 to 64 bytes each, or about 110 if nothing else
+/// holds the name of the host.
+const MAX_WAITING: usize = 32_768;
 
 /// Digest of what a worker provides: its capacity and its labels. Other toolchains may compute another one, in which
 /// case workers start without history.
@@ -133,6 +136,8 @@
 pub(super) struct Workers {
     steps: HashMap<Source, StepMean>,
     by_host: HashMap<Host, Speed>,
+    /// Number of tasks that wait to be compared in all steps, at most [`MAX_WAITING`].
+    waiting: usize,
     /// Sum of the slowness of all workers in `by_host`.
     total: f64,
     /// Number of samples so far.
@@ -189,6 +194,7 @@
         step.add(corrected);
         step.used = used;
         step.waiting.push((machine.clone(), log_run_time));
+        self.waiting += 1;
         let needed = (tasks / 2).clamp(MIN_TASKS, MAX_TASKS);
         step.compared |= step.waiting.len() >= usize::from(needed);
         let mean = step.mean();
@@ -197,11 +203,13 @@
         } else {
             Vec::new()
         };
+        self.waiting -= comparable.len();
         for (machine, log_run_time) in comparable {
             let corrected = log_run_time - self.log_slowdown(&machine.host, machine.hardware);
             self.update(&machine, corrected - mean, 1.0);
         }
         self.limit_steps();
+        self.limit_waiting();
         mean
     }
 
@@ -258,9 +266,26 @@
         if self.steps.len() > MAX_STEPS {
             let oldest = middle(self.steps.values().map(|step| step.used));
             self.steps.retain(|_, step| step.used > oldest);
+            self.count_waiting();
         }
     }
 
+    /// Gives up comparing the tasks of the steps that have been without a sample for longest. Their means stay.
+    fn limit_waiting(&mut self) {
+        if self.waiting > MAX_WAITING {
+            let waiting = self.steps.values().filter(|step| !step.waiting.is_empty());
+            let oldest = middle(waiting.map(|step| step.used));
+            for step in self.steps.values_mut().filter(|step| step.used <= oldest) {
+                step.waiting = Vec::new();
+            }
+            self.count_waiting();
+        }
+    }
+
+    fn count_waiting(&mut self) {
+        self.waiting = self.steps.values().map(|step| step.waiting.len()).sum();
+    }
+
     /// Restores a worker from a record.
     pub fn restore(&mut self, host: Host, speed: Speed) {
         self.samples = self.samples.max(speed.used);
--- a/crates/godwitstep-batch/tests/expectation.rs
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -443,3 +443,28 @@
         assert!(typical >= before, "{typical:?} after job {job}");
     }
 }
+
+/// Guards against memory that grows with the steps of which less than half of the tasks have ended: those of the oldest
+/// ones are no longer compared, those of the newest ones are.
+#[test]
+fn tasks_that_wait_to_be_compared_are_bounded() {
+    const STEPS: usize = 600;
+    let mut expectations = Expectations::default();
+    let mut run_task = |step: usize, number: usize, run_time| {
+        expectations.record(&FinishedRun {
+            machines: vec![machine(64 * step + number)],
+            equals: 128,
+            ..run(u64::try_from(step).unwrap(), 1.0, run_time)
+        });
+        expectations.log_slowdown(&format!("host-{}", 64 * step), 1)
+    };
+    for step in 0..STEPS {
+        for number in 0..63 {
+            run_task(step, number, if number == 0 { 2.0 } else { 1.0 });
+        }
+    }
+    let oldest = run_task(0, 63, 1.0);
+    assert!(oldest.abs() < 1e-9, "compared: {oldest}");
+    let newest = run_task(STEPS - 1, 63, 1.0);
+    assert!(newest > 0.1, "not compared: {newest}");
+}
