fix(batch): write expectations again if the log refused their record

Cause: the samples counted as saved when their record was made. If the log refused it, it came again only with the next sample.

Change: they count as saved once the append has been stored. Corrects texts about when tasks of a step are compared and what slowness is relative to, and renames the flag of the gang choice to what it means.

--- a/crates/godwitstep-batch/src/expectation.rs
+++ b/crates/godwitstep-batch/src/expectation.rs
@@ -134,8 +134,10 @@
     workers: Workers,
     /// Number of samples so far.
     samples: u64,
-    /// Whether there are samples that no [`Snapshot`] has.
-    unsaved: bool,
+    /// Number of samples when the last [`Snapshot`] was taken.
+    in_snapshot: u64,
+    /// Number of samples in the last snapshot that was stored.
+    stored: u64,
 }
 
 impl Expectations {
@@ -179,7 +181,6 @@
 
     fn add_sample(&mut self, run: &FinishedRun, sample: Sample) {
         self.samples += 1;
-        self.unsaved = true;
         let queue = match self.queues.get_mut(run.class.queue) {
             Some(queue) => queue,
             None => self.queues.entry(run.class.queue.into()).or_default(),
--- a/crates/godwitstep-batch/src/expectation/snapshot.rs
+++ b/crates/godwitstep-batch/src/expectation/snapshot.rs
@@ -196,17 +196,22 @@
 }
 
 impl Expectations {
-    /// Returns whether there are samples that no snapshot has.
+    /// Returns whether there are samples that no stored snapshot has.
     #[must_use]
     pub const fn is_unsaved(&self) -> bool {
-        self.unsaved
+        self.samples > self.stored
+    }
+
+    /// Notes that the last snapshot was stored.
+    pub const fn mark_stored(&mut self) {
+        self.stored = self.in_snapshot;
     }
 
     /// Returns a snapshot for a record of at most `limit` bytes, without the least recently used queues and workers if
     /// there are too many.
     #[must_use]
     pub fn snapshot(&mut self, epoch: Epoch, limit: usize) -> Snapshot {
-        self.unsaved = false;
+        self.in_snapshot = self.samples;
         let available = limit.min(MAX_RECORD_BYTES).saturating_sub(HEADER_BYTES);
         let mut unused = available / QUEUE_SHARE;
         let queues = self.stored_queues(&mut unused);
@@ -283,6 +288,7 @@
             };
             expectations.workers.restore(worker.host.clone(), speed);
         }
+        expectations.stored = expectations.samples;
         expectations.refresh();
         expectations
     }
--- a/crates/godwitstep-batch/src/expectation/worker.rs
+++ b/crates/godwitstep-batch/src/expectation/worker.rs
@@ -149,8 +149,8 @@
 }
 
 impl Workers {
-    /// Returns the mean slowness of all known workers. Samples are compared with the first ones of their step, which are
-    /// those of fast workers, so the mean is above 0 where workers are unequal.
+    /// Returns the mean slowness of all known workers. It need not be 0, as tasks are compared with those that other
+    /// workers happened to run of the same step.
     #[allow(clippy::cast_precision_loss)] // At most [`MAX_WORKERS`].
     pub fn mean(&self) -> f64 {
         if self.by_host.is_empty() {
--- a/crates/godwitstep-batch/src/planner/learn.rs
+++ b/crates/godwitstep-batch/src/planner/learn.rs
@@ -40,8 +40,8 @@
         self.expected(job, step)
     }
 
-    /// Returns a record of at most `limit` bytes with what has been learned, if there is anything new and the last one is
-    /// old enough. It is written together with other records, as an append of its own would cost a call.
+    /// Returns a record of at most `limit` bytes with what has been learned, if there is anything that is not stored and
+    /// the last one is old enough. It is written together with other records, as an append of its own would cost a call.
     pub fn save_expectations(&mut self, now: Duration, limit: usize) -> Option<Record> {
         let age = now.saturating_sub(self.expectations_saved_at);
         if age < SAVE_INTERVAL || !self.expectations.is_unsaved() {
@@ -52,6 +52,11 @@
         Some(Record::Expectations(snapshot))
     }
 
+    /// Notes that the log has stored the last record of what has been learned.
+    pub const fn expectations_stored(&mut self) {
+        self.expectations.mark_stored();
+    }
+
     /// Learns from the end of a run, before it is applied to the state of its job. Returns the error of the expectation if
     /// the run completed.
     pub(super) fn learn(
--- a/crates/godwitstep-batch/src/planner/speed_fit.rs
+++ b/crates/godwitstep-batch/src/planner/speed_fit.rs
@@ -228,9 +228,9 @@
     let fastest = candidates.iter().map(|candidate| candidate.slowest).min()?;
     let expected_end = |class| budget.expected_end(classes.log_slowdown(class));
     let in_time = |class| budget.in_time(classes.log_slowdown(class));
-    let frugal = !urgent || gangs_within(fastest) < MIN_GANGS;
+    let saves_fast_workers = !urgent || gangs_within(fastest) < MIN_GANGS;
     // If the fastest placement is late, all are.
-    if frugal && in_time(fastest) {
+    if saves_fast_workers && in_time(fastest) {
         candidates.retain(|candidate| in_time(candidate.slowest));
     } else if urgent {
         let latest = expected_end(fastest).mul_f64(END_TOLERANCE);
--- a/crates/godwitstep-batch/tests/expectation.rs
+++ b/crates/godwitstep-batch/tests/expectation.rs
@@ -469,3 +469,17 @@
     let newest = run_task(STEPS - 1, 63, 1.0);
     assert!(newest > 0.1, "not compared: {newest}");
 }
+
+/// Guards against a successor without the newest samples because the log refused their record, and none has come since.
+#[test]
+fn a_record_that_was_not_stored_is_written_again() {
+    let mut sim = experienced("normal", |_| 1.0);
+    let save = |sim: &mut Simulation| {
+        sim.now += seconds(2);
+        sim.planner.save_expectations(sim.now, 32 * 1024).is_some()
+    };
+    assert!(save(&mut sim));
+    assert!(save(&mut sim), "the record was not stored");
+    sim.planner.expectations_stored();
+    assert!(!save(&mut sim), "nothing new has been learned");
+}
--- a/crates/godwitstep-batch/tests/expectation_record.rs
+++ b/crates/godwitstep-batch/tests/expectation_record.rs
@@ -66,6 +66,8 @@
     record(&mut before, "nest", 30, 0, 1.5);
     assert!(before.is_unsaved());
     let stored = Record::Expectations(before.snapshot(7, MAX_RECORD_BYTES));
+    assert!(before.is_unsaved(), "it may not be stored");
+    before.mark_stored();
     assert!(!before.is_unsaved());
     let after = Expectations::restore(&decoded(&stored));
     let ratio = typical(&after, "nest") / typical(&before, "nest");
--- a/crates/godwitstep/src/batch/entry/append.rs
+++ b/crates/godwitstep/src/batch/entry/append.rs
@@ -238,6 +238,9 @@
             state.assembler.deleted(&group.record.key(), stored);
             let applied = offset + group.position as Offset;
             offset += group.items.len() as Offset;
+            if let (Record::Expectations(_), Some(decider)) = (&group.record, &mut state.decider) {
+                decider.planner.expectations_stored();
+            }
             state.ledger.apply(applied, group.record);
         }
     }
