fix(batch): count what parallel steps use as borrowed and as claimed

A workspace counted as within its guarantee if the largest steps of its jobs fit it. A job with several parallel steps uses more than that: a borrower with two steps of 2 x 8 accelerators on a guarantee of 16 returned nothing, and a claim of six steps of 1 x 8 took back 32 accelerators on a guarantee of 16.

What is borrowed is now the use beyond the guarantee alone. A claim takes back only if what its workspace uses, what was committed to its tasks in the round and the waiting tasks of the step are at most its guarantee. Without the second rule, two such workspaces would stop each other in turn.

The random trials now have jobs with parallel steps. Their check that only workspaces which need no more than their guarantee claim remains, by the largest steps; a check of the claimant's use is new.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -52,8 +52,9 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::expectation::Expectations;
-use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task};
-use crate::ledger::Ledger;
+use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task, Workspace};
+use crate::job::Step;
+use crate::ledger::{JobState, Ledger};
 use crate::message::Report;
 use crate::policy::Policy;
 use crate::progress::{Crashes, Outcome};
@@ -256,11 +257,24 @@
     cluster: &'r mut Cluster,
     policy: &'r Policy,
     within_guarantee: WithinGuarantee,
+    /// Accelerators of priority 0 that were committed to waiting tasks in this round.
+    pledged: HashMap<Workspace, u64>,
     /// Workers that lower-priority jobs leave empty, by pool; filled on first use.
     headroom_workers: headroom::HeadroomWorkers,
     plan: &'r mut Plan,
 }
 
+impl Round<'_, '_> {
+    /// Counts capacity that was committed to waiting tasks of a step.
+    fn pledge(&mut self, job_state: &JobState, step: &Step, tasks: usize) {
+        if let Some(workspace) = &job_state.job.workspace {
+            let pledged = self.pledged.entry(workspace.clone()).or_default();
+            let demand = step.demand.saturating_mul(tasks as u64);
+            *pledged = pledged.saturating_add(demand.accelerators);
+        }
+    }
+}
+
 /// Scheduling state of the decider that is not in the ledger.
 #[derive(Debug)]
 pub struct Planner {
@@ -391,6 +405,7 @@
                 cluster: &mut cluster,
                 policy: view.policy,
                 within_guarantee,
+                pledged: HashMap::new(),
                 headroom_workers: headroom::HeadroomWorkers::new(),
                 plan: &mut plan,
             };
--- a/crates/godwitstep-batch/src/planner/borrowed.rs
+++ b/crates/godwitstep-batch/src/planner/borrowed.rs
@@ -2,7 +2,7 @@
 //!
 //! A workspace that does not use its guarantee lends it, and may claim it at any time. This module determines which runs
 //! may be stopped then. Stopping them never takes a workspace below its own guarantee: a gang is counted with all its
-//! members, and a workspace whose open jobs need no more than its guarantee has borrowed nothing.
+//! members. What counts is use and not need, because a job with parallel steps may use more than the largest of them needs.
 //!
 //! Only workers with recent reports count. Runs on a silent worker may have ended, so they are neither counted as used nor
 //! stopped, and a decider that has just taken over underestimates what is borrowed until the agents have reported.
@@ -10,7 +10,6 @@
 use super::Planner;
 use super::cluster::{Cluster, Occupant};
 use super::draft::Draft;
-use super::order::WithinGuarantee;
 use crate::demand::Demand;
 use crate::id::{JobId, Run, Task, Workspace};
 use crate::ledger::JobState;
@@ -71,6 +70,26 @@
 }
 
 impl Planner {
+    /// Returns the accelerators that a workspace uses at priority 0 and keeps, on any workers.
+    pub(super) fn accelerators_kept(&self, draft: &Draft, workspace: &Workspace) -> u64 {
+        let jobs = draft.open().filter(|(_, job_state, _)| {
+            let job = &job_state.job;
+            let is_own = job.workspace.as_ref() == Some(workspace);
+            is_own && job.queue.priority == 0 && job_state.active()
+        });
+        let mut kept: u64 = 0;
+        for (job, job_state, progress) in jobs {
+            for (step, index, placed, _) in progress.placed() {
+                let task = Task { job, step, index };
+                if !self.stopping.contains(&(task, placed.run)) {
+                    let demand = &job_state.job.steps[usize::from(step)].demand;
+                    kept = kept.saturating_add(demand.accelerators);
+                }
+            }
+        }
+        kept
+    }
+
     /// Returns what is borrowed at priority 0 on workers with recent reports.
     pub(super) fn borrowed(
         &self,
@@ -78,7 +97,6 @@
         draft: &Draft,
         cluster: &Cluster,
         policy: &Policy,
-        within_guarantee: &WithinGuarantee,
     ) -> Borrowed {
         let candidates = self.loan_candidates(draft, cluster);
         let mut used: HashMap<Option<Workspace>, u64> = HashMap::new();
@@ -97,7 +115,7 @@
         let excess: Excess = used
             .into_iter()
             .filter_map(|(workspace, used)| {
-                let excess = excess(workspace.as_ref(), used, policy, within_guarantee);
+                let excess = excess(workspace.as_ref(), used, policy);
                 (excess > 0).then_some((workspace, excess))
             })
             .collect();
@@ -170,17 +188,7 @@
 }
 
 /// Returns how many of the accelerators that a workspace uses are beyond its guarantee.
-fn excess(
-    workspace: Option<&Workspace>,
-    used: u64,
-    policy: &Policy,
-    within_guarantee: &WithinGuarantee,
-) -> u64 {
-    let Some(workspace) = workspace else {
-        return used;
-    };
-    if within_guarantee.get(workspace) == Some(&true) {
-        return 0;
-    }
-    used.saturating_sub(policy.guaranteed(workspace))
+fn excess(workspace: Option<&Workspace>, used: u64, policy: &Policy) -> u64 {
+    let guaranteed = workspace.map_or(0, |workspace| policy.guaranteed(workspace));
+    used.saturating_sub(guaranteed)
 }
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -74,7 +74,8 @@
                     }
                     self.shares.note_waiting(&job_state.job);
                     if urgency.priority == 0 {
-                        self.secure_capacity(round, urgency, job_state, &blocked);
+                        let tasks = self.secure_capacity(round, urgency, job_state, &blocked);
+                        round.pledge(job_state, blocked.step, tasks);
                     } else if reservations < MAX_RESERVATIONS && self.reserve(round, &blocked) {
                         reservations += 1;
                     }
--- a/crates/godwitstep-batch/src/planner/preempt.rs
+++ b/crates/godwitstep-batch/src/planner/preempt.rs
@@ -39,16 +39,16 @@
 
 impl Planner {
     /// Commits capacity to an urgent job: capacity that becomes free in time, or else capacity that
-    /// is freed by preemption.
+    /// is freed by preemption. Returns the number of tasks that get capacity.
     pub(super) fn secure_capacity(
         &mut self,
         round: &mut Round,
         urgency: Urgency,
         job_state: &JobState,
         pending: &PendingStep,
-    ) {
+    ) -> usize {
         if self.commit_earmark(round, pending) {
-            return;
+            return pending.waiting.len();
         }
         let Round {
             now,
@@ -63,7 +63,7 @@
                 self.placements_within(now, draft, cluster, pending, remaining_wait)
         {
             commit_capacity(cluster, pending, &placements);
-            return;
+            return placements.len();
         }
         let losses = self.losses(now, draft, cluster, pending);
         let own_work = pending.run_time.as_secs_f64() * pending.step.demand.cores();
@@ -71,9 +71,10 @@
         let placements = self.cheapest_placements(cluster, pending, &losses);
         let placeable = placements.len();
         if placeable < pending.waiting.len()
-            && self.reclaim(round, urgency, job_state, pending, &losses, placeable)
+            && let Some(placed) =
+                self.reclaim(round, urgency, job_state, pending, &losses, placeable)
         {
-            return;
+            return placed;
         }
         let needed = place::count_by_node(
             affordable(pending, &placements, max_cost)
@@ -104,6 +105,7 @@
             self.earmark(round, pending, &placements);
         }
         commit_capacity(round.cluster, pending, &placements);
+        placements.len()
     }
 
     /// Returns how long a job may still wait before it must preempt others.
--- a/crates/godwitstep-batch/src/planner/reclaim.rs
+++ b/crates/godwitstep-batch/src/planner/reclaim.rs
@@ -2,7 +2,7 @@
 //!
 //! Without this, a claim waits until a task of another workspace ends by itself if all workers run urgent tasks of
 //! workspaces that are beyond their own guarantees. Runs of lower priority are stopped where they suffice. A claim never
-//! stops runs of a workspace that is within its guarantee, so two claims cannot stop each other in turn.
+//! takes its own workspace beyond its guarantee, nor another one below, so two claims cannot stop each other in turn.
 //!
 //! The search is greedy: task by task, on the worker where the least borrowed work is lost. As each workspace has only so
 //! much to return, the cheapest stops may use that up; a second search then prefers stops that return few accelerators.
@@ -98,7 +98,7 @@
 
 impl Planner {
     /// Takes back borrowed capacity for a claim if that places more of its tasks than stopping runs of lower priority,
-    /// which places `placeable` of them. Returns whether it does.
+    /// which places `placeable` of them. Returns how many tasks it places if it does.
     pub(super) fn reclaim(
         &mut self,
         round: &mut Round,
@@ -107,35 +107,51 @@
         pending: &PendingStep,
         losses: &Losses,
         placeable: usize,
-    ) -> bool {
+    ) -> Option<usize> {
         let progress = round.draft.progress(pending.job, job_state);
         let claims = !urgency.unguaranteed
             && !pending.is_isolated()
-            && order::accelerators_needed(job_state, progress) > 0;
+            && order::accelerators_needed(job_state, progress) > 0
+            && self.stays_within_guarantee(round, job_state, pending);
         if !claims {
-            return false;
+            return None;
         }
-        let borrowed = self.borrowed(
-            round.now,
-            round.draft,
-            round.cluster,
-            round.policy,
-            &round.within_guarantee,
-        );
+        let borrowed = self.borrowed(round.now, round.draft, round.cluster, round.policy);
         if borrowed.loans.is_empty() {
-            return false;
+            return None;
         }
         let search = Search::new(self, round.cluster, pending, losses, &borrowed);
-        let Some(proposal) = search.best_proposal(placeable) else {
-            return false;
-        };
+        let proposal = search.best_proposal(placeable)?;
         let stops_any = self.stop_victims(round, pending, &borrowed, &proposal.victims);
         if stops_any {
             // Until it starts, the claim comes before gangs for which other runs are being stopped.
             self.earmark(round, pending, &proposal.placements);
         }
         commit_capacity(round.cluster, pending, &proposal.placements);
-        true
+        Some(proposal.placements.len())
+    }
+
+    /// Returns whether a workspace uses no more than its guarantee once the waiting tasks of a step run too. Whether its
+    /// jobs are within the guarantee does not show that, as parallel steps of one job count by the largest.
+    fn stays_within_guarantee(
+        &self,
+        round: &Round,
+        job_state: &JobState,
+        pending: &PendingStep,
+    ) -> bool {
+        let Some(workspace) = &job_state.job.workspace else {
+            return false;
+        };
+        let pledged = round.pledged.get(workspace).copied().unwrap_or(0);
+        let waiting = pending
+            .step
+            .demand
+            .saturating_mul(pending.waiting.len() as u64);
+        let used = self
+            .accelerators_kept(round.draft, workspace)
+            .saturating_add(pledged)
+            .saturating_add(waiting.accelerators);
+        used <= round.policy.guaranteed(workspace)
     }
 
     /// Stops the victims. Returns whether there are any.
--- a/crates/godwitstep-batch/tests/random_claims.rs
+++ b/crates/godwitstep-batch/tests/random_claims.rs
@@ -25,7 +25,8 @@
 /// Which urgent jobs arrive.
 #[derive(Clone, Copy, PartialEq)]
 enum Load {
-    /// Tasks that take a whole worker; only jobs that fit a guarantee are gangs. Every claim can start.
+    /// Tasks that take a whole worker; only jobs that fit a guarantee are gangs, a few have parallel steps. Every claim
+    /// can start.
     WholeWorkers,
     /// Gangs and small tasks of any size. Some claims cannot start, because a gang is stopped as a whole.
     Mixed,
@@ -84,6 +85,8 @@
                 let fits = u64::from(tasks) * 8 <= guaranteed;
                 if fits && self.random.bool() {
                     vec![gang(tasks, 8, estimate)]
+                } else if self.random.u32(..3) == 0 {
+                    vec![step(self.random.u16(1..3), 8, estimate); self.random.usize(2..5)]
                 } else {
                     vec![step(tasks, 8, estimate)]
                 }
@@ -93,7 +96,7 @@
                 let tasks = self.random.u16(1..6);
                 let one_rack = self.random.bool();
                 let base = [step, gang][self.random.usize(..2)](tasks, accelerators, estimate);
-                vec![Step { one_rack, ..base }]
+                vec![Step { one_rack, ..base }; self.random.usize(1..4)]
             }
         }
     }
@@ -130,40 +133,67 @@
         })
     }
 
-    /// Returns the accelerators that the open urgent jobs of a workspace need.
-    fn needed(&self, workspace: &str) -> u64 {
+    /// Returns the accelerators that the open urgent jobs of a workspace need. `of_steps` combines those of a job's steps.
+    fn needed(&self, workspace: &str, of_steps: fn(Vec<u64>) -> u64) -> u64 {
         let jobs = self.urgent_jobs(workspace);
         let jobs = jobs.filter(|job_state| job_state.active() && !job_state.progress.done());
         jobs.map(|job_state| {
-            let step = &job_state.job.steps[0];
-            step.demand.accelerators * u64::from(step.tasks)
+            let steps = job_state.job.steps.iter().zip(&job_state.progress.steps);
+            let open = steps.filter(|(_, state)| !state.done());
+            of_steps(
+                open.map(|(step, _)| step.demand.accelerators * u64::from(step.tasks))
+                    .collect(),
+            )
         })
         .sum()
     }
 
     /// Returns the accelerators that runs of a workspace's urgent jobs use and that are not being stopped.
     fn used(&self, workspace: &str) -> u64 {
+        self.used_by(workspace, |_| true)
+    }
+
+    /// The same for the runs that are selected.
+    fn used_by(&self, workspace: &str, selects: impl Fn(&(Task, Run)) -> bool) -> u64 {
         let jobs = self.urgent_jobs(workspace).filter(|state| state.active());
         jobs.map(|job_state| {
             let job = job_state.job.id;
             let runs = job_state.progress.placed();
             let kept = runs.filter(|(step, index, placed, _)| {
                 let (step, index) = (*step, *index);
-                !self
-                    .stopped
-                    .contains(&(Task { job, step, index }, placed.run))
+                let key = (Task { job, step, index }, placed.run);
+                !self.stopped.contains(&key) && selects(&key)
             });
-            kept.count() as u64 * job_state.job.steps[0].demand.accelerators
+            kept.map(|(step, ..)| job_state.job.steps[usize::from(step)].demand.accelerators)
+                .sum::<u64>()
         })
         .sum()
     }
 
+    /// Returns whether the jobs of a workspace fit its guarantee even if all their steps run at once.
     fn is_within(&self, workspace: &str) -> bool {
-        let (_, guaranteed) = GUARANTEES
-            .into_iter()
-            .find(|(name, _)| *name == workspace)
-            .expect("the workspace exists");
-        self.needed(workspace) <= guaranteed
+        let needed = self.needed(workspace, |steps| steps.into_iter().sum());
+        needed <= self.guaranteed(workspace)
+    }
+
+    /// Returns whether the jobs of a workspace fit its guarantee if their steps run one after the other.
+    fn may_claim(&self, workspace: &str) -> bool {
+        let needed = self.needed(workspace, |steps| steps.into_iter().max().unwrap_or(0));
+        needed <= self.guaranteed(workspace)
+    }
+
+    /// Returns the runs that the ledger places.
+    fn placed(&self) -> BTreeSet<(Task, Run)> {
+        let jobs = self.sim.ledger.open();
+        jobs.flat_map(|(job, job_state)| {
+            let runs = job_state.progress.placed();
+            runs.map(move |(step, index, placed, _)| (Task { job, step, index }, placed.run))
+        })
+        .collect()
+    }
+
+    fn guaranteed(&self, workspace: &str) -> u64 {
+        self.sim.policy.guaranteed(workspace)
     }
 
     fn workspace(&self, job: JobId) -> String {
@@ -172,8 +202,10 @@
         workspace.expect("each job has a workspace").to_string()
     }
 
-    /// Panics unless the round took back only what was borrowed, and gangs as a whole.
-    fn check_stops(&mut self, seed: u64) {
+    /// Panics unless the round took back only what was borrowed, and gangs as a whole. `placed_before` are the runs that
+    /// were placed before the round.
+    fn check_stops(&mut self, seed: u64, placed_before: &BTreeSet<(Task, Run)>) {
+        let mut claimants = BTreeSet::new();
         let mut reclaimed: BTreeSet<(Task, Run)> = BTreeSet::new();
         for decision in &self.sim.decisions[self.checked..] {
             let Decision::Preempted {
@@ -190,23 +222,33 @@
                 reclaimed.insert((*task, *run));
                 let (from, claimant) = (self.workspace(task.job), self.workspace(*by));
                 assert!(!self.is_within(&from), "seed {seed}: {from} is within");
-                assert!(self.is_within(&claimant), "seed {seed}: {claimant} is not");
+                assert!(
+                    self.may_claim(&claimant),
+                    "seed {seed}: {claimant} needs more"
+                );
+                let step = &self.sim.ledger.job(*by).expect("the job exists").job.steps[0];
+                claimants.insert((claimant, step.demand.accelerators));
             }
         }
         self.checked = self.sim.decisions.len();
+        for (claimant, accelerators) in claimants {
+            let used = self.used_by(&claimant, |key| placed_before.contains(key));
+            assert!(
+                used + accelerators <= self.guaranteed(&claimant),
+                "seed {seed}: {claimant} takes back more than its guarantee"
+            );
+        }
         for (task, run) in &reclaimed {
             let job_state = self.sim.ledger.job(task.job).expect("the job exists");
-            let (name, guaranteed) = GUARANTEES
-                .into_iter()
-                .find(|(name, _)| *name == self.workspace(task.job))
-                .expect("the workspace exists");
+            let name = self.workspace(task.job);
+            let (used, guaranteed) = (self.used(&name), self.guaranteed(&name));
             assert!(
-                self.used(name) >= guaranteed,
-                "seed {seed}: {name} has {} of {guaranteed}",
-                self.used(name)
+                used >= guaranteed,
+                "seed {seed}: {name} has {used} of {guaranteed}"
             );
-            if job_state.job.steps[0].gang {
-                let members = 0..job_state.job.steps[0].tasks;
+            let step = &job_state.job.steps[usize::from(task.step)];
+            if step.gang {
+                let members = 0..step.tasks;
                 let all = members
                     .map(|index| (Task { index, ..*task }, *run))
                     .all(|member| reclaimed.contains(&member));
@@ -260,8 +302,9 @@
                 }
             }
             self.sim.deliver_reports();
+            let placed_before = self.placed();
             self.sim.decide();
-            self.check_stops(seed);
+            self.check_stops(seed, &placed_before);
             self.check_claims(seed);
             self.sim.execute_orders();
             self.sim.assert_capacity();
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -210,3 +210,31 @@
     assert_eq!(sim.hosts_running(9).len(), 1);
     assert_eq!(reclaimed_from(&sim).len(), 2);
 }
+
+/// Guards against parallel steps that use more than a guarantee and do not count as borrowed.
+#[test]
+fn parallel_steps_return_what_they_use_beyond_the_guarantee() {
+    let mut sim = Simulation::new(4, 4);
+    let part = step(2, 8, seconds(30));
+    sim.submit(1, "urgent", "south", vec![part.clone(), part]);
+    sim.run_for(seconds(2));
+    assert_eq!(sim.hosts_running(1).len(), 4);
+    sim.submit(9, "urgent", "north", vec![step(2, 8, seconds(40))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    sim.run_for(seconds(10));
+    assert_eq!(reclaimed_from(&sim), [1, 1], "neither takes more");
+}
+
+/// Guards against a claim whose parallel steps take back more than its guarantee.
+#[test]
+fn parallel_steps_claim_no_more_than_the_guarantee() {
+    let mut sim = Simulation::new(6, 3);
+    sim.submit(1, "urgent", "south", vec![step(6, 8, seconds(30))]);
+    sim.run_for(seconds(2));
+    let part = step(1, 8, seconds(20));
+    sim.submit(9, "urgent", "north", vec![part; 6]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    assert_eq!(reclaimed_from(&sim), [1, 1]);
+}
