perf(batch): make the search for a blocked claim cheap and rare

A claim that nothing could be stopped for was searched for in each round, over members x workers x two preferences with allocations for each.

A gang is rejected first if the capacity that could be freed is too small in total. The stops on a worker are determined once and again only where a choice has changed something. A search that failed is not repeated until runs, stops, workers or commitments change, or for 0.5 s.

The search moves to modules of its own; the test guards against a failed search that is remembered for too long.

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -32,6 +32,7 @@
 mod earmark;
 mod ends;
 mod expect;
+mod failed_search;
 mod headroom;
 mod health;
 mod late;
@@ -42,6 +43,8 @@
 mod place;
 mod preempt;
 mod reclaim;
+mod reclaim_cost;
+mod reclaim_search;
 mod reports;
 mod reserve;
 mod share;
@@ -64,6 +67,7 @@
 use directive::Assignment;
 use draft::Draft;
 use earmark::Earmark;
+use failed_search::FailedSearches;
 use headroom::Headroom;
 use health::Health;
 use late::LateRuns;
@@ -309,6 +313,7 @@
     ended: HashSet<(Task, Run)>,
     late: LateRuns,
     waits: Waits,
+    failed_searches: FailedSearches,
     /// Workers whose capacity is being freed for a gang, by job.
     earmarks: HashMap<JobId, Earmark>,
     /// Runs that the ledger places on each host.
@@ -348,6 +353,7 @@
             ended: HashSet::new(),
             late: LateRuns::default(),
             waits: Waits::default(),
+            failed_searches: FailedSearches::default(),
             earmarks: HashMap::new(),
             assignments: BTreeMap::new(),
         }
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -8,7 +8,7 @@
 use godwitstep_batch::job::Step;
 use godwitstep_batch::planner::{Decision, Planner, PreemptionReason};
 use godwitstep_batch::policy::Workspace;
-use simulation::{Simulation, gang, seconds, step};
+use simulation::{ROUND_INTERVAL, Simulation, gang, seconds, step};
 use std::time::Duration;
 
 /// Number of workers in the day on which a claim was first seen to wait.
@@ -238,3 +238,29 @@
     assert_eq!(sim.hosts_running(9).len(), 2);
     assert_eq!(reclaimed_from(&sim), [1, 1]);
 }
+
+/// Guards against a claim that waits on after a failed search although a run has ended meanwhile.
+#[test]
+fn blocked_claim_is_searched_for_again_when_a_run_ends() {
+    let mut sim = Simulation::new(6, 6);
+    sim.policy.workspaces.push(Workspace {
+        name: "east".into(),
+        guaranteed: 8,
+        ..Workspace::default()
+    });
+    sim.submit(1, "urgent", "south", vec![gang(4, 8, seconds(60))]);
+    sim.submit(2, "urgent", "south", vec![step(1, 8, seconds(60))]);
+    sim.submit(3, "urgent", "east", vec![step(1, 8, seconds(60))]);
+    // Between two searches that are due anyway.
+    sim.run_times.insert(3, Duration::from_millis(5_200));
+    sim.run_for(seconds(2));
+    sim.submit(9, "urgent", "north", vec![gang(2, 8, seconds(60))]);
+    while !sim.hosts_running(3).is_empty() {
+        sim.round();
+        assert!(reclaimed_from(&sim).is_empty(), "one worker is too few");
+    }
+    sim.run_for(ROUND_INTERVAL);
+    assert_eq!(reclaimed_from(&sim), [2]);
+    sim.run_for(ROUND_INTERVAL * 3);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+}
