--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -32,6 +32,7 @@
 mod earmark;
 mod ends;
 mod expect;
+mod failed_search;
 mod headroom;
 mod health;
 mod late;
@@ -42,6 +43,8 @@
 mod place;
 mod preempt;
 mod reclaim;
+mod reclaim_cost;
+mod reclaim_search;
 mod reports;
 mod reserve;
 mod share;
@@ -52,8 +55,9 @@
 
 use crate::bounds::{Bounds, MAX_START_JOBS_AGE, MAX_START_VIEW_AGE};
 use crate::expectation::Expectations;
-use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task};
-use crate::ledger::Ledger;
+use crate::id::{Domain, Epoch, Incarnation, JobId, Queue, Run, Task, Workspace};
+use crate::job::Step;
+use crate::ledger::{JobState, Ledger};
 use crate::message::Report;
 use crate::policy::Policy;
 use crate::progress::{Crashes, Outcome};
@@ -63,6 +67,7 @@
 use directive::Assignment;
 use draft::Draft;
 use earmark::Earmark;
+use failed_search::FailedSearches;
 use headroom::Headroom;
 use health::Health;
 use late::LateRuns;
@@ -256,11 +261,24 @@
     cluster: &'r mut Cluster,
     policy: &'r Policy,
     within_guarantee: WithinGuarantee,
+    /// Accelerators of priority 0 that were committed to waiting tasks in this round.
+    pledged: HashMap<Workspace, u64>,
     /// Workers that lower-priority jobs leave empty, by pool; filled on first use.
     headroom_workers: headroom::HeadroomWorkers,
     plan: &'r mut Plan,
 }
 
+impl Round<'_, '_> {
+    /// Counts capacity that was committed to waiting tasks of a step.
+    fn pledge(&mut self, job_state: &JobState, step: &Step, tasks: usize) {
+        if let Some(workspace) = &job_state.job.workspace {
+            let pledged = self.pledged.entry(workspace.clone()).or_default();
+            let demand = step.demand.saturating_mul(tasks as u64);
+            *pledged = pledged.saturating_add(demand.accelerators);
+        }
+    }
+}
+
 /// Scheduling state of the decider that is not in the ledger.
 #[derive(Debug)]
 pub struct Planner {
@@ -295,6 +313,7 @@
     ended: HashSet<(Task, Run)>,
     late: LateRuns,
     waits: Waits,
+    failed_searches: FailedSearches,
     /// Workers whose capacity is being freed for a gang, by job.
     earmarks: HashMap<JobId, Earmark>,
     /// Runs that the ledger places on each host.
@@ -334,6 +353,7 @@
             ended: HashSet::new(),
             late: LateRuns::default(),
             waits: Waits::default(),
+            failed_searches: FailedSearches::default(),
             earmarks: HashMap::new(),
             assignments: BTreeMap::new(),
         }
@@ -392,6 +412,7 @@
                 cluster: &mut cluster,
                 policy: view.policy,
                 within_guarantee,
+                pledged: HashMap::new(),
                 headroom_workers: headroom::HeadroomWorkers::new(),
                 plan: &mut plan,
             };
