fix(batch): wait for the stops of the former decider before reclaiming

Stops are not in the ledger. A decider that took over while a run was ending still counted it as used and could choose another victim for the same claim, which took the borrower below its guarantee.

For the time that a stop may take and its report, a new decider takes nothing back. The random trials now remember what former deciders have stopped when they check that nobody falls below a guarantee.

--- a/crates/godwitstep-batch/src/planner/overdue.rs
+++ b/crates/godwitstep-batch/src/planner/overdue.rs
@@ -19,6 +19,12 @@
 }
 
 impl Planner {
+    /// Returns whether a run may still be ending that the former decider ordered to stop. Such orders are not in the
+    /// ledger, so the run looks as if it went on.
+    pub(super) fn earlier_stops_may_last(&self, now: Duration) -> bool {
+        now < self.started_at + self.bounds.max_stop_time + REPORT_GRACE
+    }
+
     /// Updates the times of all stops. Called once at the start of a round.
     pub(super) fn track_stops(&mut self, now: Duration) {
         let stopping = &self.stopping;
--- a/crates/godwitstep-batch/src/planner/reclaim.rs
+++ b/crates/godwitstep-batch/src/planner/reclaim.rs
@@ -11,12 +11,13 @@
 use super::failed_search::SearchState;
 use super::order::{self, Urgency};
 use super::place::PendingStep;
-use super::preempt::{Losses, commit_capacity};
+use super::preempt::{Losses, SWITCH_TIME, commit_capacity};
 use super::reclaim_search::{Search, Victim};
 use super::{Decision, Planner, PreemptionReason, Round};
-use crate::id::{Run, Task};
+use crate::id::{JobId, Run, Task};
 use crate::ledger::JobState;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 impl Planner {
     /// Takes back borrowed capacity for a claim if that places more of its tasks than stopping runs of lower priority,
@@ -34,7 +35,8 @@
         let claims = !urgency.unguaranteed
             && !pending.is_isolated()
             && order::accelerators_needed(job_state, progress) > 0
-            && self.stays_within_guarantee(round, job_state, pending);
+            && self.stays_within_guarantee(round, job_state, pending)
+            && !self.waits_for_earlier_stops(round.now, pending.job);
         if !claims {
             return None;
         }
@@ -84,6 +86,16 @@
         used <= round.policy.guaranteed(workspace)
     }
 
+    /// Returns whether a claim waits until stops that the former decider may have ordered are over. Another victim would
+    /// take its workspace below the guarantee. The claim does not wait if that would make it miss its bound.
+    fn waits_for_earlier_stops(&self, now: Duration, job: JobId) -> bool {
+        let bound = self.bounds.guaranteed_start_time;
+        let latest = bound.saturating_sub(self.bounds.max_stop_time + SWITCH_TIME);
+        let age = self.age(now, job);
+        let must_decide = (latest..bound).contains(&age);
+        self.earlier_stops_may_last(now) && !must_decide
+    }
+
     /// Stops the victims. Returns whether there are any.
     fn stop_victims(
         &mut self,
--- a/crates/godwitstep-batch/tests/random_claims.rs
+++ b/crates/godwitstep-batch/tests/random_claims.rs
@@ -298,7 +298,6 @@
                 if self.random.u32(..100) == 0 {
                     let epoch = self.sim.planner.epoch() + (1 << 20);
                     self.sim.planner = Planner::new(epoch, self.sim.now, Bounds::default());
-                    self.stopped.clear();
                 }
             }
             self.sim.deliver_reports();
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -6,6 +6,7 @@
 use godwitstep_batch::demand::Demand;
 use godwitstep_batch::id::JobId;
 use godwitstep_batch::job::Step;
+use godwitstep_batch::message::EndReason;
 use godwitstep_batch::planner::{Decision, Planner, PreemptionReason};
 use godwitstep_batch::policy::Workspace;
 use simulation::{ROUND_INTERVAL, Simulation, gang, seconds, step};
@@ -264,3 +265,28 @@
     sim.run_for(ROUND_INTERVAL * 3);
     assert_eq!(sim.hosts_running(9).len(), 2);
 }
+
+/// Guards against a successor that stops another run while one that the former decider has stopped is ending.
+#[test]
+fn new_decider_waits_for_stops_that_were_ordered_before() {
+    let mut sim = Simulation::new(3, 3);
+    sim.submit(1, "urgent", "south", vec![step(2, 8, seconds(60))]);
+    sim.run_for(seconds(5));
+    sim.submit(2, "urgent", "south", vec![step(1, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    sim.submit(9, "urgent", "north", vec![step(1, 8, seconds(60))]);
+    sim.host(2).executes_orders = false;
+    sim.run_for(ROUND_INTERVAL);
+    assert_eq!(reclaimed_from(&sim), [2], "loses least");
+    let epoch = sim.planner.epoch() + (1 << 20);
+    sim.planner = Planner::new(epoch, sim.now, Bounds::default());
+    sim.run_for(Bounds::default().max_stop_time);
+    let host = sim.host(2);
+    let run = host.worker.running[0].clone();
+    host.end_run(run.task, run.run, EndReason::Stopped);
+    host.executes_orders = true;
+    sim.run_for(seconds(3));
+    assert_eq!(sim.hosts_running(9).len(), 1);
+    assert_eq!(reclaimed_from(&sim), [2]);
+    assert_eq!(sim.hosts_running(1).len(), 2, "the guarantee of the other");
+}
