fix(batch): take capacity for short only if some worker could run the job

A job that fits no worker waits for ever, and jobs of its pool and priority were ranked by use as if capacity were short all that time. Such a job no longer counts.

The capacity, the total and the number of workspaces were computed for each account, over all workers and accounts; now once for each pool and priority. That pair is called a tier in place of a market.

--- a/crates/godwitstep-batch/src/planner/order.rs
+++ b/crates/godwitstep-batch/src/planner/order.rs
@@ -3,8 +3,9 @@
 //! Jobs whose result has become worthless because it is too late come last: they run on spare
 //! capacity, as accepted work is never dropped. The others are ordered by the priority of their
 //! queue, then by whether their workspace is within its guarantee, then by whether they can still
-//! be on time, then by the recent use of their workspace if several compete, then by slack. A job for which others are being preempted comes before all others of
-//! its priority, so that it gets the freed capacity.
+//! be on time, then by the recent use of their workspace if several compete, then by slack. A job for
+//! which others are being preempted comes before all others of its priority, so that it gets the freed
+//! capacity.
 
 use super::Planner;
 use super::draft::Draft;
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -72,7 +72,9 @@
                     if urgency.worthless && neighbours == Neighbours::Any {
                         continue;
                     }
-                    self.shares.note_waiting(&job_state.job);
+                    if blocked.fits_empty_worker(round.cluster) {
+                        self.shares.note_waiting(&job_state.job);
+                    }
                     if urgency.priority == 0 {
                         let tasks = self.secure_capacity(round, urgency, job_state, &blocked);
                         round.pledge(job_state, blocked.step, tasks);
@@ -229,6 +231,16 @@
         node.serves(self.pool, self.step.label.as_ref()) && node.admits(self.job)
     }
 
+    /// Returns whether some worker, also one that accepts no tasks at present, could run a task if it were empty.
+    fn fits_empty_worker(&self, cluster: &Cluster) -> bool {
+        let label = self.step.label.as_ref();
+        cluster.nodes.iter().any(|node| {
+            &*node.pool == self.pool
+                && label.is_none_or(|label| node.labels.contains(label))
+                && self.step.demand.fits(&node.full_capacity)
+        })
+    }
+
     /// Returns whether workers have crashed under the tasks.
     pub fn is_suspect(&self) -> bool {
         self.neighbours != Neighbours::Any
--- a/crates/godwitstep-batch/src/planner/share.rs
+++ b/crates/godwitstep-batch/src/planner/share.rs
@@ -34,9 +34,9 @@
 /// Change of a share that is reported to operators.
 const REPORTED_CHANGE: f64 = 0.005;
 
-/// Jobs that compete for the same capacity.
+/// Jobs of one priority in one pool, which compete for the same capacity.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-struct Market {
+struct Tier {
     pool: Pool,
     priority: u8,
 }
@@ -44,11 +44,23 @@
 /// Whose use is counted together.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Account {
-    market: Market,
+    tier: Tier,
     /// `None` for jobs without a workspace, which share one account.
     workspace: Option<Workspace>,
 }
 
+/// Workspaces whose jobs compete in each tier.
+type Competitors = HashMap<Tier, HashSet<Option<Workspace>>>;
+
+/// Use of a tier in a round, computed once for all jobs that compete there.
+struct TierUse {
+    capacity: Demand,
+    /// Summed shares of all workspaces.
+    total: f64,
+    /// Workspaces that compete or have used something.
+    workspaces: HashSet<Option<Workspace>>,
+}
+
 /// Average use, decayed by [`HALF_LIFE`].
 #[derive(Debug, Default, Clone, Copy)]
 struct Usage {
@@ -88,13 +100,13 @@
     /// At most [`MAX_ACCOUNTS`].
     accounts: HashMap<Account, Usage>,
     recorded_at: Option<Duration>,
-    /// Markets in which jobs were left waiting by the last round.
-    short: HashSet<Market>,
+    /// Tiers in which jobs were left waiting by the last round.
+    short: HashSet<Tier>,
     /// The same for the round in progress.
-    waiting: HashSet<Market>,
+    waiting: HashSet<Tier>,
 }
 
-impl Market {
+impl Tier {
     fn of(job: &Job) -> Self {
         Self {
             pool: job.queue.pool.clone(),
@@ -112,7 +124,7 @@
 impl Account {
     fn of(job: &Job) -> Self {
         Self {
-            market: Market::of(job),
+            tier: Tier::of(job),
             workspace: job.workspace.clone(),
         }
     }
@@ -146,6 +158,22 @@
     }
 }
 
+impl TierUse {
+    /// Returns the position of a workspace by its own use.
+    fn rank(&self, usage: &Usage) -> UseRank {
+        let count = u32::try_from(self.workspaces.len()).unwrap_or(u32::MAX);
+        let equal = self.total / f64::from(count);
+        if equal <= 0.0 {
+            return UseRank::default();
+        }
+        let steps = (usage.share_of(&self.capacity) / (equal * EQUAL_WITHIN))
+            .round()
+            .clamp(0.0, f64::from(u8::MAX - 1));
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped just before.
+        UseRank(steps as u8)
+    }
+}
+
 impl Shares {
     /// Records what runs now. A new decider takes the use that the ledger shows for that of the past.
     pub fn record(&mut self, now: Duration, draft: &Draft, policy: &Policy) {
@@ -169,62 +197,51 @@
         }
     }
 
-    /// Records that a job was left waiting for capacity.
+    /// Records that a job was left waiting for capacity that some worker has.
     pub fn note_waiting(&mut self, job: &Job) {
-        self.waiting.insert(Market::of(job));
+        self.waiting.insert(Tier::of(job));
     }
 
-    /// Returns the position of a workspace in a market, given the workspaces that compete there.
-    fn rank(
-        &self,
-        market: &Market,
-        capacity: &Demand,
-        competitors: &HashSet<Option<Workspace>>,
-        workspace: Option<&Workspace>,
-    ) -> UseRank {
-        let mut total = 0.0;
-        let mut own = 0.0;
-        let mut count = competitors.len();
+    /// Returns the use of each tier in which workspaces compete.
+    fn tier_use(&self, cluster: &Cluster, competitors: Competitors) -> HashMap<Tier, TierUse> {
+        let mut uses: HashMap<Tier, TierUse> = competitors
+            .into_iter()
+            .map(|(tier, workspaces)| {
+                let tier_use = TierUse {
+                    capacity: tier.capacity(cluster),
+                    total: 0.0,
+                    workspaces,
+                };
+                (tier, tier_use)
+            })
+            .collect();
         for (account, usage) in &self.accounts {
-            if account.market != *market {
-                continue;
-            }
-            let share = usage.share_of(capacity);
-            total += share;
-            count += usize::from(!competitors.contains(&account.workspace));
-            if account.workspace.as_ref() == workspace {
-                own = share;
+            if let Some(tier_use) = uses.get_mut(&account.tier) {
+                tier_use.total += usage.share_of(&tier_use.capacity);
+                tier_use.workspaces.insert(account.workspace.clone());
             }
         }
-        let equal = total / f64::from(u32::try_from(count).unwrap_or(u32::MAX));
-        if equal <= 0.0 {
-            return UseRank::default();
-        }
-        let steps = (own / (equal * EQUAL_WITHIN))
-            .round()
-            .clamp(0.0, f64::from(u8::MAX - 1));
-        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // Clamped just before.
-        UseRank(steps as u8)
+        uses
     }
 
     /// Returns the shares that have changed since they were last returned, and drops accounts beyond the bound and those
     /// without use.
     fn take_changes(&mut self, cluster: &Cluster) -> Vec<WorkspaceShare> {
-        let mut capacities: HashMap<Market, Demand> = HashMap::new();
+        let mut capacities: HashMap<Tier, Demand> = HashMap::new();
         let mut changes = Vec::new();
         let threshold = self.least_tracked_use();
         self.accounts.retain(|account, usage| {
             let kept = usage.cores() >= threshold;
             let capacity = capacities
-                .entry(account.market.clone())
-                .or_insert_with(|| account.market.capacity(cluster));
+                .entry(account.tier.clone())
+                .or_insert_with(|| account.tier.capacity(cluster));
             let share = if kept { usage.share_of(capacity) } else { 0.0 };
             let dropped = !kept && usage.reported > 0.0;
             if dropped || (share - usage.reported).abs() >= REPORTED_CHANGE {
                 usage.reported = share;
                 changes.push(WorkspaceShare {
-                    pool: account.market.pool.clone(),
-                    priority: account.market.priority,
+                    pool: account.tier.pool.clone(),
+                    priority: account.tier.priority,
                     workspace: account.workspace.clone(),
                     share,
                 });
@@ -272,7 +289,7 @@
 /// Returns the part of an account's use that its workspace's guarantee does not cover.
 fn share_beyond_guarantee(account: &Account, used: &Demand, policy: &Policy) -> f64 {
     let guaranteed = match &account.workspace {
-        Some(workspace) if account.market.priority == 0 => policy.guaranteed(workspace),
+        Some(workspace) if account.tier.priority == 0 => policy.guaranteed(workspace),
         _ => 0,
     };
     if guaranteed == 0 || used.accelerators == 0 {
@@ -297,7 +314,7 @@
 
     fn rank_competitors(&self, round: &Round, queue: &mut [Urgency]) {
         let ledger = round.draft.ledger();
-        let mut competitors: HashMap<Market, HashSet<Option<Workspace>>> = HashMap::new();
+        let mut competitors = Competitors::new();
         let mut competing = Vec::new();
         for urgency in queue.iter_mut().filter(|urgency| !urgency.late) {
             let Some(job_state) = ledger.job(urgency.job) else {
@@ -305,31 +322,26 @@
             };
             let account = Account::of(&job_state.job);
             let progress = round.draft.progress(urgency.job, job_state);
-            if self.shares.short.contains(&account.market)
+            if self.shares.short.contains(&account.tier)
                 && !ready_steps(job_state, progress).is_empty()
             {
-                let workspaces = competitors.entry(account.market.clone()).or_default();
+                let workspaces = competitors.entry(account.tier.clone()).or_default();
                 workspaces.insert(account.workspace.clone());
                 competing.push((urgency, account));
             }
         }
         competitors.retain(|_, workspaces| workspaces.len() > 1);
-        let mut ranks: HashMap<Account, UseRank> = HashMap::new();
+        let uses = self.shares.tier_use(round.cluster, competitors);
         for (urgency, account) in competing {
-            let Some(workspaces) = competitors.get(&account.market) else {
+            let Some(tier_use) = uses.get(&account.tier) else {
                 continue;
             };
-            if urgency.slack > AT_RISK_SLACK {
-                urgency.use_rank = UseRank::CAN_WAIT;
-                continue;
-            }
-            let market = account.market.clone();
-            let workspace = account.workspace.clone();
-            urgency.use_rank = *ranks.entry(account).or_insert_with(|| {
-                let capacity = market.capacity(round.cluster);
-                self.shares
-                    .rank(&market, &capacity, workspaces, workspace.as_ref())
-            });
+            urgency.use_rank = if urgency.slack > AT_RISK_SLACK {
+                UseRank::CAN_WAIT
+            } else {
+                let usage = self.shares.accounts.get(&account);
+                tier_use.rank(&usage.copied().unwrap_or_default())
+            };
         }
     }
 }
--- a/crates/godwitstep-batch/tests/shares.rs
+++ b/crates/godwitstep-batch/tests/shares.rs
@@ -114,6 +114,20 @@
     assert!(sim.hosts_running(4).is_empty(), "16 beyond its guarantee");
 }
 
+/// Guards against capacity that counts as short for good because of a job that no worker can run.
+#[test]
+fn job_that_fits_no_worker_does_not_make_capacity_short() {
+    let mut sim = Simulation::new(1, 1);
+    sim.submit(1, "urgent", "west", vec![step(1, 8, seconds(10))]);
+    sim.submit(2, "urgent", "coast", vec![step(1, 16, seconds(60))]);
+    sim.run_for(seconds(11));
+    assert!(sim.hosts_running(1).is_empty());
+    sim.submit(3, "urgent", "west", vec![step(1, 8, LEAST_SLACK)]);
+    sim.submit(4, "urgent", "coast", vec![step(1, 8, LITTLE_SLACK)]);
+    sim.round();
+    assert_eq!(sim.hosts_running(3).len(), 1, "it has less slack");
+}
+
 /// Guards against a metric that shows a share of which nothing is left.
 #[test]
 fn shares_are_reported_until_nothing_is_left() {
