fix(batch): prefer the proposal that places more of a claim's tasks

The comparison of two proposals for independent tasks was reversed: the one with fewer tasks won. If the stops with the least loss used up what a workspace can return, a part of the claim waited although other stops placed all of it.

--- a/crates/godwitstep-batch/src/planner/reclaim_search.rs
+++ b/crates/godwitstep-batch/src/planner/reclaim_search.rs
@@ -125,7 +125,7 @@
                 let is_better = best.as_ref().is_none_or(|best| {
                     let fewer = best.placements.len().cmp(&count);
                     let cheaper = proposal.cost.compare(&best.cost, Preference::LeastLoss);
-                    fewer.reverse().then(cheaper) == Ordering::Less
+                    fewer.then(cheaper) == Ordering::Less
                 });
                 if is_possible && is_better {
                     best = Some(proposal);
--- a/crates/godwitstep-batch/tests/reclaim.rs
+++ b/crates/godwitstep-batch/tests/reclaim.rs
@@ -290,3 +290,24 @@
     assert_eq!(reclaimed_from(&sim), [2]);
     assert_eq!(sim.hosts_running(1).len(), 2, "the guarantee of the other");
 }
+
+/// Guards against stops that use up what a workspace can return for a part of a claim, while others suffice for all of it.
+#[test]
+fn all_tasks_of_a_claim_come_before_the_least_loss() {
+    let mut sim = Simulation::new(4, 4);
+    sim.host(3).worker.info.labels.clear();
+    let labelled = |base: Step| Step {
+        label: Some("a".into()),
+        ..base
+    };
+    let long = labelled(step(2, 8, seconds(60)));
+    sim.submit(1, "urgent", "south", vec![long]);
+    sim.run_for(seconds(10));
+    // Its stop loses least, but takes back 16 accelerators for one worker with the label.
+    sim.submit(2, "urgent", "south", vec![gang(2, 8, seconds(60))]);
+    sim.run_for(seconds(1));
+    sim.submit(9, "urgent", "north", vec![labelled(step(2, 8, seconds(9)))]);
+    run_until_bound(&mut sim);
+    assert_eq!(sim.hosts_running(9).len(), 2);
+    assert_eq!(reclaimed_from(&sim), [1, 1]);
+}
