perf(batch): renew all impossible stops of a search at once

When a workspace could return no more, the best stops of each worker became impossible one by one, and the search for the best was repeated for each: quadratic in the workers.

--- a/crates/godwitstep-batch/src/planner/reclaim_search.rs
+++ b/crates/godwitstep-batch/src/planner/reclaim_search.rs
@@ -219,7 +219,14 @@
             if self.is_possible(proposal, &stops) {
                 return Some(stops);
             }
-            self.renew(proposal, candidates, node);
+            // All at once, as the search for the best would otherwise be repeated for each of them.
+            let impossible = candidates
+                .values()
+                .filter(|stops| !self.is_possible(proposal, stops));
+            let impossible: Vec<usize> = impossible.map(|stops| stops.node).collect();
+            for other in impossible.into_iter().chain([node]) {
+                self.renew(proposal, candidates, other);
+            }
         }
     }
 
