--- a/crates/godwitstep-batch/src/planner/reclaim_search.rs
+++ b/crates/godwitstep-batch/src/planner/reclaim_search.rs
@@ -125,7 +125,7 @@
                 let is_better = best.as_ref().is_none_or(|best| {
                     let fewer = best.placements.len().cmp(&count);
                     let cheaper = proposal.cost.compare(&best.cost, Preference::LeastLoss);
-                    fewer.reverse().then(cheaper) == Ordering::Less
+                    fewer.then(cheaper) == Ordering::Less
                 });
                 if is_possible && is_better {
                     best = Some(proposal);
@@ -219,7 +219,14 @@
             if self.is_possible(proposal, &stops) {
                 return Some(stops);
             }
-            self.renew(proposal, candidates, node);
+            // All at once, as the search for the best would otherwise be repeated for each of them.
+            let impossible = candidates
+                .values()
+                .filter(|stops| !self.is_possible(proposal, stops));
+            let impossible: Vec<usize> = impossible.map(|stops| stops.node).collect();
+            for other in impossible.into_iter().chain([node]) {
+                self.renew(proposal, candidates, other);
+            }
         }
     }
 
