fix(metrics): render the text of the metrics ten times a second at most

Callers saw no answer while 48 clients requested an entry's metrics without reading the responses: the process used a whole core for rendering. Each of the 16 connections of the metrics server had its next text rendered as soon as the kernel took the former one, and a connection that was displaced after 2 s was replaced by the next client.

Change: a text is served again for 100 ms. The crowds of the tests gain clients that send requests without end (`Behaviour::Flood`), at all five addresses.

--- a/crates/godwitstep-standin/src/crowd/client.rs
+++ b/crates/godwitstep-standin/src/crowd/client.rs
@@ -32,6 +32,10 @@
 const ENDLESS_HEAD_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of requests on a connection whose responses are not read.
 const UNREAD_REQUESTS: usize = 2_000;
+/// Number of requests that are written at a time by a client that sends them without end.
+const REQUESTS_PER_WRITE: usize = 256;
+/// Time without progress after which the server's machine takes no more.
+const BLOCKED_TIME: Duration = Duration::from_secs(1);
 /// Receive buffer of a connection whose responses are not read.
 const UNREAD_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -50,10 +54,12 @@
     EndlessHead,
     /// Many requests whose responses are not read.
     NonReader,
+    /// Requests without end whose responses are not read, as fast as the server's machine takes them.
+    Flood,
 }
 
 impl Behaviour {
-    /// All behaviours.
+    /// The behaviours of random crowds.
     pub const ALL: [Self; 6] = [
         Self::WholeBody,
         Self::Pieces,
@@ -115,7 +121,8 @@
     let stream = TcpStream::connect(server).await?;
     counters.connections.fetch_add(1, Ordering::Relaxed);
     stream.set_nodelay(true)?;
-    if client.behaviour == Behaviour::NonReader {
+    let reads = !matches!(client.behaviour, Behaviour::NonReader | Behaviour::Flood);
+    if !reads {
         set_socket_recv_buffer_size(&stream, UNREAD_BUFFER_BYTES)?;
     }
     let mut connection = Connection {
@@ -127,7 +134,7 @@
         arrive();
         connection.stay(client).await
     };
-    if client.behaviour == Behaviour::NonReader {
+    if !reads {
         return send.await;
     }
     send.or(read_to_end(stream, counters)).await
@@ -188,6 +195,20 @@
                 }
                 Ok(())
             }
+            Behaviour::Flood => {
+                let request = format!("{head}content-length: 0\r\n\r\n");
+                let requests = request.repeat(REQUESTS_PER_WRITE);
+                loop {
+                    let blocked = async {
+                        Timer::after(BLOCKED_TIME).await;
+                        Ok(false)
+                    };
+                    let written = async { self.write(requests.as_bytes()).await.map(|()| true) };
+                    if !written.or(blocked).await? {
+                        return Ok(());
+                    }
+                }
+            }
         }
     }
 
--- a/crates/godwitstep/src/telemetry.rs
+++ b/crates/godwitstep/src/telemetry.rs
@@ -11,10 +11,13 @@
 
 mod sink;
 
+use bytes::Bytes;
 use metrics_exporter_prometheus::{BuildError, Matcher, PrometheusBuilder, PrometheusHandle};
 use serde::Deserialize;
+use std::cell::RefCell;
 use std::io::IsTerminal;
 use std::sync::Mutex;
+use std::time::{Duration, Instant};
 use tracing_subscriber::EnvFilter;
 
 /// Upper bounds of the histogram buckets. Unit: seconds. They are dense around the service-level
@@ -29,6 +32,10 @@
     -3.0, -2.0, -1.5, -1.0, -0.5, -0.25, 0.0, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0,
 ];
 
+/// Time for which the text of the metrics is served again. Rendering takes milliseconds, in which the process serves
+/// nothing else, so that clients that request the text without pause would leave no time for callers.
+const TEXT_LIFETIME: Duration = Duration::from_millis(100);
+
 /// Output format of log messages.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -137,3 +144,36 @@
     *handle = Some(new.clone());
     Ok(new)
 }
+
+/// Text of the metrics of this process, as scrapers read it.
+#[derive(Debug)]
+pub struct Exposition {
+    handle: PrometheusHandle,
+    /// Newest text, and when it was rendered.
+    text: RefCell<Option<(Instant, Bytes)>>,
+}
+
+impl Exposition {
+    /// Returns the text of the metrics of a recorder.
+    #[must_use]
+    pub const fn new(handle: PrometheusHandle) -> Self {
+        Self {
+            handle,
+            text: RefCell::new(None),
+        }
+    }
+
+    /// Returns the text, which is up to 100 ms old. `update` sets the metrics that are computed for each text.
+    pub fn text(&self, update: impl FnOnce()) -> Bytes {
+        let mut text = self.text.borrow_mut();
+        if let Some((rendered_at, text)) = &*text
+            && rendered_at.elapsed() < TEXT_LIFETIME
+        {
+            return text.clone();
+        }
+        update();
+        let rendered = Bytes::from(self.handle.render());
+        *text = Some((Instant::now(), rendered.clone()));
+        rendered
+    }
+}
