fix(batch): limit the memory of accepted jobs

Callers saw all entries run out of memory, and again after each restart: bodies of 120 bytes describe jobs of 4,000 tasks, of which each entry holds 290 KB until the job has ended, and every entry holds every job. Cancellations of unknown jobs were recorded in the same way, without a bound.

Change: `godwitstep_batch::backlog` charges each job by an upper bound of its memory and decides whether another one is accepted: a workspace may hold as much as it leaves free, a quarter is closed to large jobs, and cancellations of unknown jobs have a part of their own. Jobs have a quarter of `memory_mb`; each entry announces its own in the log, and the smallest one holds for all. The decider checks the records that it stores, including those that it has queued; an entry that stores records itself accepts no more than a share beyond its view.

--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -16,6 +16,7 @@
 //! assert_eq!(ledger.status(7), Some(Status::Queued));
 //! ```
 
+use crate::backlog::Usage;
 use crate::expectation::Snapshot;
 use crate::id::{Epoch, Host, JobId, Offset};
 use crate::job::Job;
@@ -95,6 +96,8 @@
     jobs: HashMap<JobId, JobState>,
     /// Index of the jobs that are not settled.
     open: BTreeSet<JobId>,
+    /// Memory that the jobs take; updated with `open`.
+    usage: Usage,
     /// State and cancellations of jobs whose submission has not been read yet: pages of newest records are ordered by key
     /// instead of by offset, and a caller may cancel a job whose submission is not stored yet.
     unsubmitted: HashMap<JobId, (Option<Progress>, bool)>,
@@ -261,15 +264,17 @@
         self.jobs.remove(&job);
         self.unsubmitted.remove(&job);
         self.open.remove(&job);
+        self.usage.remove(job);
         self.offsets.remove(&job);
     }
 
-    /// Updates a job in the index of open jobs.
+    /// Updates a job in the index of open jobs, and its memory.
     fn update_open(&mut self, job: JobId) {
-        let open = self
-            .jobs
-            .get(&job)
-            .is_some_and(|job_state| !job_state.settled());
+        let job_state = self.jobs.get(&job);
+        if let Some(job_state) = job_state {
+            self.usage.update(job, job_state);
+        }
+        let open = job_state.is_some_and(|job_state| !job_state.settled());
         if open {
             self.open.insert(job);
         } else {
@@ -312,6 +317,18 @@
         self.unsubmitted.contains_key(&job)
     }
 
+    /// Returns the number of jobs of which records but no submission have been read.
+    #[must_use]
+    pub fn orphan_count(&self) -> usize {
+        self.unsubmitted.len()
+    }
+
+    /// Returns the memory that the jobs take.
+    #[must_use]
+    pub const fn usage(&self) -> &Usage {
+        &self.usage
+    }
+
     /// Returns all jobs in no particular order.
     #[must_use]
     pub fn jobs(&self) -> impl ExactSizeIterator<Item = (JobId, &JobState)> {
--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -6,7 +6,7 @@
 //!
 //! * [`ledger`] holds the authoritative state, derived from the log's [`record`]s, of which a long one is stored in
 //!   [`fragment`]s.
-//! * [`claim`] elects the decider; [`access`] authorizes callers.
+//! * [`claim`] elects the decider; [`access`] authorizes callers; [`backlog`] limits the memory of accepted jobs.
 //! * [`planner`] decides where tasks run; [`expectation`] learns how long they take.
 //! * [`agent`] renews one worker's lease and executes orders.
 //! * [`address`] checks the addresses that other processes name.
@@ -16,6 +16,7 @@
 pub mod access;
 pub mod address;
 pub mod agent;
+pub mod backlog;
 pub mod bounds;
 pub mod claim;
 pub mod demand;
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -73,6 +73,10 @@
     pub host: Host,
     /// Address on which the entry serves agents.
     pub address: SocketAddr,
+    /// Memory that the entry has for jobs, at least [`MIN_JOB_MEMORY`]; `None` from entries of earlier versions. The
+    /// smallest one limits what all entries accept, since each of them holds all jobs. Unit: bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub job_memory: Option<u64>,
 }
 
 /// Error of a record that can't be decoded.
@@ -86,6 +90,9 @@
 /// Maximum epoch of a claim. Epochs that follow it stay far below the largest number, so that entries can replace any
 /// decider; claims reach it after 2^31 changes of the decider.
 pub const MAX_EPOCH: Epoch = 1 << 52;
+/// Minimum memory for jobs that an entry announces. A smaller value, which no entry has, would keep all callers out.
+/// Unit: bytes.
+pub const MIN_JOB_MEMORY: u64 = 1 << 20;
 /// Maximum number of a run, of a task's failures and of the crashes under it, so that the next one is valid.
 const MAX_RUN: Run = Run::MAX / 2;
 
@@ -166,6 +173,12 @@
             {
                 Err(format!("address {address} is not usable"))
             }
+            Self::Announced(Announcement {
+                job_memory: Some(bytes),
+                ..
+            }) if *bytes < MIN_JOB_MEMORY => {
+                Err(format!("memory of {bytes} bytes for jobs is out of range"))
+            }
             Self::Claimed(_)
             | Self::Announced(_)
             | Self::Cancelled { .. }
--- a/crates/godwitstep-batch/tests/ledger.rs
+++ b/crates/godwitstep-batch/tests/ledger.rs
@@ -39,6 +39,7 @@
     Record::Announced(Announcement {
         host: host.into(),
         address: ([127, 0, 0, 1], port).into(),
+        job_memory: None,
     })
 }
 
--- a/crates/godwitstep-batch/tests/record.rs
+++ b/crates/godwitstep-batch/tests/record.rs
@@ -45,6 +45,7 @@
     Record::Announced(Announcement {
         host: "edge-0".into(),
         address: address.parse().unwrap(),
+        job_memory: None,
     })
 }
 
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -1,6 +1,7 @@
 //! An entry: serves callers, follows the log, and schedules jobs while it holds the decider role.
 
 mod append;
+mod backlog;
 mod decide;
 mod handover;
 mod probe;
@@ -19,6 +20,7 @@
 use super::operator::{OperatorRecord, OperatorState};
 use super::settings::Settings;
 use super::wall_millis;
+use crate::http::budget::Partition;
 use futures_util::future::join_all;
 use godwitstep_batch::access::{self, Grant, Refusal, View};
 use godwitstep_batch::bounds::Bounds;
@@ -131,6 +133,12 @@
     writer: Writer,
     /// Callers' records that this entry appends while it is the decider.
     relay_queue: relay::RelayQueue,
+    /// Jobs of the records in `relay_queue`, and of those that are being appended.
+    queued_jobs: backlog::Queued,
+    /// Jobs that this entry has accepted and not read from the log yet.
+    unseen: RefCell<backlog::Unseen>,
+    /// Memory of this entry for jobs. Unit: bytes.
+    job_memory: usize,
     /// Client that relays the records of this entry's callers to the decider.
     relay_client: relay::RelayClient,
     /// Newest known epoch and this entry's own one when the log last fenced a claim.
@@ -176,9 +184,12 @@
                 successor: None,
                 decider: None,
             }),
+            job_memory: Partition::new(settings.limits.resources()).jobs,
             settings,
             writer: Writer::default(),
             relay_queue: relay::RelayQueue::default(),
+            queued_jobs: backlog::Queued::default(),
+            unseen: RefCell::default(),
             relay_client: relay::RelayClient::default(),
             fenced_claim: Cell::new(None),
             peer_index: Cell::new(0),
@@ -361,6 +372,7 @@
         let entry = godwitstep_batch::record::Announcement {
             host: self.settings.host.clone(),
             address: self.settings.agents,
+            job_memory: u64::try_from(self.job_memory).ok(),
         };
         let record = Item::from(&Record::Announced(entry));
         while self.writer.write(&record).await.is_err() {
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -7,6 +7,7 @@
 //! a record twice, which is harmless: a job is identified by its name, and a cancellation is idempotent.
 
 use super::Entry;
+use super::backlog::Reservation;
 use super::writer::Error;
 use crate::batch::log::{Item, Log};
 use crate::http::{self, Client};
@@ -53,6 +54,8 @@
     Waits,
     /// The records were rejected; this attempt does not store them.
     NotTaken,
+    /// The decider refuses one of the records, because the memory for jobs is short. None of them is stored.
+    Full,
     /// The records may have been stored, or may be stored later.
     Unknown,
 }
@@ -61,6 +64,8 @@
 struct RelayRequest {
     items: Vec<Item>,
     outcome: Sender<Outcome>,
+    /// Memory of the jobs among the records, until the ledger has them.
+    _reservation: Reservation,
 }
 
 impl RelayRequest {
@@ -88,9 +93,13 @@
 
 impl RelayQueue {
     /// Queues records. Returns a receiver for their outcome, or `None` if the queue is full.
-    fn enqueue(&self, items: Vec<Item>) -> Option<Receiver<Outcome>> {
+    fn enqueue(&self, items: Vec<Item>, reservation: Reservation) -> Option<Receiver<Outcome>> {
         let (outcome, receiver) = bounded(1);
-        let request = RelayRequest { items, outcome };
+        let request = RelayRequest {
+            items,
+            outcome,
+            _reservation: reservation,
+        };
         let mut queue = self.queue.borrow_mut();
         let size: usize = queue.iter().map(RelayRequest::size).sum();
         if size + request.size() > MAX_QUEUED_BYTES {
@@ -184,6 +193,9 @@
         {
             return Ok(());
         }
+        if outcome == Outcome::Full {
+            return Err(Error::Full);
+        }
         let started_at = self.clock.now();
         let result = self.log.append(items, None).await;
         let result = self
@@ -216,7 +228,7 @@
             let client = self.relay_client.client(claim.epoch, claim.address);
             send_records(&client, items).await
         };
-        if !matches!(outcome, Outcome::Stored | Outcome::Waits) {
+        if !matches!(outcome, Outcome::Stored | Outcome::Waits | Outcome::Full) {
             let elapsed = self.clock.now().saturating_sub(now);
             tracing::info!(epoch = claim.epoch, host = %claim.host, records = items.len(), outcome = ?outcome, took_ms = elapsed.as_millis(), "relaying records to the decider failed");
             self.relay_client
@@ -238,7 +250,10 @@
         if !accepts {
             return Outcome::NotTaken;
         }
-        let Some(outcome) = self.relay_queue.enqueue(items) else {
+        let Some(reservation) = self.reserve_records(&items) else {
+            return Outcome::Full;
+        };
+        let Some(outcome) = self.relay_queue.enqueue(items, reservation) else {
             return Outcome::NotTaken;
         };
         self.changes.notify();
@@ -331,6 +346,7 @@
             Outcome::Stored => StatusCode::OK,
             Outcome::Waits => StatusCode::ACCEPTED,
             Outcome::NotTaken => StatusCode::SERVICE_UNAVAILABLE,
+            Outcome::Full => StatusCode::INSUFFICIENT_STORAGE,
             Outcome::Unknown => StatusCode::GATEWAY_TIMEOUT,
         };
         http::respond(status, Bytes::new())
@@ -383,6 +399,7 @@
             StatusCode::OK => Outcome::Stored,
             StatusCode::ACCEPTED => Outcome::Waits,
             StatusCode::GATEWAY_TIMEOUT => Outcome::Unknown,
+            StatusCode::INSUFFICIENT_STORAGE => Outcome::Full,
             _ => Outcome::NotTaken,
         },
         Err(error) if error.sent => Outcome::Unknown,
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -57,6 +57,9 @@
             );
             return Verdict::Refused;
         }
+        if !self.reserve(&job) {
+            return Verdict::Refused;
+        }
         let record = Item::from(&Record::Submitted(job));
         let size = record.record_size();
         let verdict = if size > self.settings.sizes.record_bytes {
@@ -65,6 +68,9 @@
             let visible = || self.status(id).is_some();
             self.store(record, time_limit, visible).await
         };
+        if matches!(verdict, Verdict::Refused | Verdict::TooLarge) {
+            self.release(id);
+        }
         tracing::info!(job = format_args!("{id:016x}"), verdict = ?verdict, size, queue = %summary.queue, priority = summary.priority, workspace = %summary.workspace, steps = summary.steps, tasks = summary.tasks, gang = summary.gang, one_rack = summary.one_rack, saves = summary.checkpointable, cpu = summary.largest_task.cpu, accelerators = summary.largest_task.accelerators, chain_ms = summary.critical_path.as_millis(), objective_ms = summary.objective.as_millis(), "submission answered");
         metrics::counter!("godwitstep_submissions_total", "verdict" => verdict_label(verdict))
             .increment(1);
@@ -79,6 +85,8 @@
         let cancelled = || self.state.borrow().ledger.is_cancelled(id);
         let verdict = if cancelled() {
             Verdict::Stored
+        } else if self.status(id).is_none() && !self.admits_cancellation() {
+            return Verdict::Refused;
         } else {
             let record = Item::from(&Record::Cancelled { job: id });
             self.store(record, time_limit, cancelled).await
@@ -140,6 +148,8 @@
                 Ok(()) => return Verdict::Stored,
                 Err(Error::Refused) => {}
                 Err(Error::Invalid) => return Verdict::TooLarge,
+                Err(Error::Full) if in_doubt => return Verdict::InDoubt,
+                Err(Error::Full) => return Verdict::Refused,
                 Err(Error::Unknown) => in_doubt = true,
             }
             if visible() {
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -1,6 +1,6 @@
 //! Queue of callers' records for the log. Records are stored one batch at a time; a batch holds the records that
-//! arrived while the previous one was being stored, up to 64 or 256 KiB. If the log does not accept a batch, its records
-//! are stored one by one, so that one of them does not hold up the others.
+//! arrived while the previous one was being stored, up to 64 or 256 KiB. If the log or the decider does not accept a
+//! batch, its records are stored one by one, so that one of them does not hold up the others.
 
 use crate::batch::change_notifier::ChangeNotifier;
 use crate::batch::log::{AppendError, Item};
@@ -26,6 +26,9 @@
     /// The log never accepts the record.
     #[error("the log does not accept the record")]
     Invalid,
+    /// The decider refused the record, because the memory for jobs is short. It was not written and will not be.
+    #[error("the memory for jobs is short")]
+    Full,
     /// The record may have been written, or may be written later.
     #[error("it is not known whether the record was written")]
     Unknown,
@@ -82,7 +85,7 @@
             let result = store(&items).await;
             for (item, sender) in items.iter().zip(senders) {
                 let result = match result {
-                    Err(Error::Invalid) if items.len() > 1 => {
+                    Err(Error::Invalid | Error::Full) if items.len() > 1 => {
                         store(std::slice::from_ref(item)).await
                     }
                     result => result,
--- a/crates/godwitstep/src/http/budget/partition.rs
+++ b/crates/godwitstep/src/http/budget/partition.rs
@@ -2,13 +2,16 @@
 //!
 //! Answers the load of many callers at once on a host of 120 MB: what callers can make the process hold is fixed
 //! before the first of them connects, and agents, other entries, `/ready` and metrics have a part that callers cannot
-//! take. The remaining half of the memory belongs to the process itself (jobs, ledger, buffers of the log).
+//! take. The remaining half of the memory belongs to the process itself: one half of it to accepted jobs, which callers
+//! fill as well, the other to the program and the buffers of the log and the kernel.
 
 /// Part of the memory that is available to callers, as a divisor. A process with many jobs takes up to 60 MB of the
 /// smallest host's 120 MB.
 const CALLERS_DIVISOR: usize = 3;
 /// Part of the memory that is reserved for the process's own requests, as a divisor.
 const RESERVED_DIVISOR: usize = 6;
+/// Part of the memory for accepted jobs, as a divisor. The smallest host's 30 MB hold 150,000 tasks.
+const JOBS_DIVISOR: usize = 4;
 /// Minimum of the callers' part: connections, and one body of 1 MiB beside ordinary requests. Unit: bytes.
 const MIN_CALLERS: usize = 6 << 20;
 /// Maximum of the callers' part. 4,096 connections with bodies of 262,144 bytes need no more. Unit: bytes.
@@ -60,11 +63,13 @@
     pub callers: Share,
     /// Servers of agents, workers, other entries and operators.
     pub reserved: Share,
+    /// Maximum memory of the accepted jobs. Unit: bytes.
+    pub jobs: usize,
 }
 
 impl Partition {
-    /// Divides the resources of a process. The sum of all parts is at most half of the memory, except on machines of less
-    /// than 72 MiB, where the minimums apply.
+    /// Divides the resources of a process. The sum of all parts is at most three quarters of the memory, except on machines
+    /// of less than 72 MiB, where the minimums apply.
     #[must_use]
     pub fn new(resources: Resources) -> Self {
         let Resources { memory, files } = resources;
@@ -92,6 +97,7 @@
                 ),
                 bodies: (reserved / 2).max(MIN_RESERVED_BODIES),
             },
+            jobs: memory / JOBS_DIVISOR,
         }
     }
 
@@ -105,6 +111,7 @@
         Self {
             callers: share,
             reserved: share,
+            jobs: usize::MAX / 4,
         }
     }
 }
