fix(batch): bound the queue of callers' records by size

Callers saw submissions answered 504 and 503 after an outage of the log's appends had ended: records whose callers had long been answered 504 stayed in the queue, up to 1,024 of 45 KB each, and had to be stored first. The memory of the bodies does not bound the queue, because it is released with the answer.

Change: the queue holds at most 4 MiB. Records whose callers no longer wait make room for others, and are stored after them; they were answered 504, so either outcome is true.

--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -16,6 +16,9 @@
 const FAILURE_EXPIRY: Duration = Duration::from_millis(300);
 /// Maximum number of records in the queue.
 const MAX_QUEUED_RECORDS: usize = 1_024;
+/// Maximum size of the records in the queue, unless there is only one. While the log stores nothing, callers end their
+/// requests and send others, so the memory of their bodies does not bound the queue. Eight appends empty it. Unit: bytes.
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a record was not written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
@@ -50,7 +53,7 @@
 impl Writer {
     /// Queues a record and waits for the outcome. Refuses it if the queue is full.
     pub async fn write(&self, item: &Item) -> Result<(), Error> {
-        if self.queue.borrow().len() >= MAX_QUEUED_RECORDS {
+        if !self.make_room(item) {
             return Err(Error::Refused);
         }
         let (sender, receiver) = bounded(1);
@@ -59,6 +62,29 @@
         receiver.recv().await.unwrap_or(Err(Error::Unknown))
     }
 
+    /// Makes room in the queue for a record, if necessary by removing records whose callers no longer wait, oldest first:
+    /// these have been told that it is not known whether their records are stored. Returns false if there is no room.
+    fn make_room(&self, item: &Item) -> bool {
+        let mut queue = self.queue.borrow_mut();
+        let mut size: usize = queue.iter().map(|(queued, _)| queued.size()).sum();
+        let mut count = queue.len();
+        let is_full = |count: usize, size: usize| {
+            count >= MAX_QUEUED_RECORDS || (count > 0 && size + item.size() > MAX_QUEUED_BYTES)
+        };
+        if !is_full(count, size) {
+            return true;
+        }
+        queue.retain(|(queued, outcome)| {
+            let removed = outcome.is_closed() && is_full(count, size);
+            if removed {
+                size -= queued.size();
+                count -= 1;
+            }
+            !removed
+        });
+        !is_full(count, size)
+    }
+
     /// Returns for how long all appends have failed. Zero if the last failure is older than [`FAILURE_EXPIRY`],
     /// so that the next record tries the log again.
     pub fn failing_for(&self, now: Duration) -> Duration {
@@ -96,8 +122,11 @@
         }
     }
 
+    /// Removes and returns the next records, oldest first. Those whose callers no longer wait come last, so that a log that
+    /// answers again serves the others before their timeouts.
     fn next_batch(&self) -> Vec<PendingRecord> {
         let mut queue = self.queue.borrow_mut();
+        queue.sort_by_key(|(_, outcome)| outcome.is_closed());
         let mut size = 0;
         let within_limit = queue
             .iter()
