fix(http): copy the chunks of a response into one buffer

A response of 1 MiB in chunks of one byte took 40 MiB in the process that had asked for it: each chunk was kept as an object, with the read buffer that it is a part of. Workers are outside the scheduler's control, and an agent may have 32 calls open, each with a response of up to 4 MiB.

Change: parts are copied into one buffer, as those of request bodies; a response that arrives in one part is still passed on without a copy. All response bodies that a client receives at the same time have 8 MiB together (`Options::bodies`).

--- a/crates/godwitstep/src/http/client.rs
+++ b/crates/godwitstep/src/http/client.rs
@@ -5,7 +5,7 @@
 
 use super::body::Body;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -26,6 +26,7 @@
 
 mod check;
 mod error;
+mod response;
 mod streaming;
 mod write_tracker;
 
@@ -49,6 +50,8 @@
     pub idle_timeout: Duration,
     /// Maximum size of a response body. Unit: bytes.
     pub body: usize,
+    /// Maximum size of all response bodies that are being received. Unit: bytes.
+    pub bodies: usize,
 }
 
 impl Default for Options {
@@ -58,6 +61,7 @@
             idle: 16,
             idle_timeout: Duration::from_secs(10),
             body: 4 * 1024 * 1024,
+            bodies: 8 * 1024 * 1024,
         }
     }
 }
@@ -70,6 +74,8 @@
     options: Options,
     open: Semaphore,
     idle: RefCell<Vec<Connection>>,
+    /// Memory of the response bodies that are being received. Unit: bytes.
+    receiving: Cell<usize>,
 }
 
 #[derive(Debug)]
@@ -116,6 +122,7 @@
             options,
             open: Semaphore::new(options.connections),
             idle: RefCell::default(),
+            receiving: Cell::new(0),
         }
     }
 
@@ -367,14 +374,10 @@
         let response = self.send_head(connection, request, progress).await?;
         progress.step.set(Some(Step::Body));
         let (head, body) = response.into_parts();
-        let limit = self.options.body;
-        let body = drive(&mut connection.driver, Limited::new(body, limit).collect())
-            .await
-            .map_err(|error| match error.downcast::<LengthLimitError>() {
-                Ok(_) => (Step::Body, Cause::TooLarge { limit }),
-                Err(error) => (Step::Body, Cause::Other(error)),
-            })?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        let reading = response::read(body, &self.options, &self.receiving);
+        let body = drive(&mut connection.driver, reading).await;
+        let body = body.map_err(|cause| (Step::Body, cause))?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Returns the connection to the pool if the exchange succeeded.
