fix(http): limit the kernel's buffers of all connections

Hosts count bytes that were received and not read as memory of the process, but only callers' connections had small buffers. Clients that send requests and read no responses left 100 KB unread on each of the other ones (agents, registrations, checks, metrics), of which a host of 120 MB allows 640: 64 MB, and as much in responses.

Change: all servers set 16 KiB, as for callers; the listener's sizes hold for connections that have not been accepted, too.

--- a/crates/godwitstep/src/http/budget.rs
+++ b/crates/godwitstep/src/http/budget.rs
@@ -130,11 +130,6 @@
         self.connections
     }
 
-    /// Returns which part of the budget the server uses.
-    pub(super) const fn part(&self) -> Part {
-        self.part
-    }
-
     /// Starts to account for the server's connections.
     pub(super) fn gate(&self) -> Rc<Gate> {
         let inner = &self.budget.inner;
--- a/crates/godwitstep/src/http/server.rs
+++ b/crates/godwitstep/src/http/server.rs
@@ -24,9 +24,11 @@
 /// Maximum number of connections beyond the limit that are answered 503 at a time; further ones
 /// wait in the accept queue.
 const MAX_REFUSED: usize = 64;
-/// Size of the kernel's buffers of a caller's connection, of which the kernel uses twice as much. Bytes that a process
-/// does not read, and responses that a client does not read, take memory of the same machine. Unit: bytes.
-const CALLER_SOCKET_BUFFER: usize = 16 * 1024;
+/// Size of the kernel's buffers of a connection, of which the kernel uses twice as much. Bytes that a process does not
+/// read, and responses that a client does not read, take memory of the same machine. With the kernel's own sizes of
+/// megabytes, requests whose responses are not read also keep a process busy for long before their client is blocked.
+/// Unit: bytes.
+const SOCKET_BUFFER: usize = 16 * 1024;
 
 /// Limits of a server.
 #[derive(Debug, Clone, Copy)]
@@ -116,9 +118,7 @@
 ) where
     H: AsyncFn(Request<RequestBody>) -> Response<Body> + 'static,
 {
-    if server.part() == Part::Callers {
-        limit_socket_buffers(&listener);
-    }
+    limit_socket_buffers(&listener);
     let server = server.at_most(limits.connections);
     let entrance = Entrance {
         gate: server.gate(),
@@ -189,10 +189,10 @@
 
 /// Limits the kernel's buffers of all connections that a listener accepts.
 fn limit_socket_buffers(listener: &TcpListener) {
-    let result = sockopt::set_socket_recv_buffer_size(listener, CALLER_SOCKET_BUFFER)
-        .and_then(|()| sockopt::set_socket_send_buffer_size(listener, CALLER_SOCKET_BUFFER));
+    let result = sockopt::set_socket_recv_buffer_size(listener, SOCKET_BUFFER)
+        .and_then(|()| sockopt::set_socket_send_buffer_size(listener, SOCKET_BUFFER));
     if let Err(error) = result {
-        tracing::warn!(%error, "cannot limit the buffers of callers' connections");
+        tracing::warn!(%error, "cannot limit the buffers of connections");
     }
 }
 
