--- a/crates/godwitstep-cli/tests/proofs/crowds.rs
+++ b/crates/godwitstep-cli/tests/proofs/crowds.rs
@@ -70,8 +70,39 @@
     Err(format!("request {key} is not served: {seen:?}"))
 }
 
-/// Sends a crowd to an entry and checks that it withstands it.
+/// Address of an entry that a crowd meets.
+#[derive(Debug, Clone, Copy)]
+enum Port {
+    Callers,
+    Operators,
+    Links,
+}
+
+/// Returns clients of all kinds whose requests name a path that an address serves, or no path.
+fn clients_of_path(path: &str) -> Vec<Client> {
+    let behaviours = [&Behaviour::ALL[..], &[Behaviour::Flood]].concat();
+    let client = |number: usize| {
+        let behaviour = behaviours[number % behaviours.len()];
+        let method = match behaviour {
+            Behaviour::NonReader | Behaviour::Flood => "GET",
+            _ => "POST",
+        };
+        Client {
+            behaviour,
+            head: format!("{method} {path} HTTP/1.1\r\nhost: entry\r\n"),
+            body_bytes: MAX_BODY_BYTES,
+        }
+    };
+    (0..CLIENTS).map(client).collect()
+}
+
+/// Sends a crowd to an entry's address for callers and checks that it withstands it.
 fn entry_withstands(name: &str, clients: Vec<Client>) {
+    port_withstands(name, Port::Callers, clients);
+}
+
+/// Sends a crowd to an address of an entry and checks that the entry withstands it.
+fn port_withstands(name: &str, port: Port, clients: Vec<Client>) {
     let mut cluster = Cluster::start_serving(ClusterConfig {
         entries: 1,
         agents: 1,
@@ -81,7 +112,12 @@
     });
     let address = cluster.entries[0].caller_address;
     let watch = Watch::start(cluster.entries[0].node.process.id());
-    let crowd = Crowd::start(address, clients).expect("threads can be started");
+    let met = match port {
+        Port::Callers => address,
+        Port::Operators => cluster.entries[0].operator_address,
+        Port::Links => cluster.entries[0].link_address,
+    };
+    let crowd = Crowd::start(met, clients).expect("threads can be started");
     let start = Instant::now();
     while !crowd.has_arrived() && start.elapsed() < ARRIVAL_TIMEOUT {
         std::thread::sleep(Duration::from_millis(50));
@@ -100,6 +136,10 @@
     );
     let limit_kib = LIMITS.memory_mb * 1_024;
     assert!(usage.peak_kib < limit_kib, "{usage:?}, limits {LIMITS:?}");
+    assert!(
+        usage.peak_with_unread_kib < limit_kib,
+        "{usage:?}, limits {LIMITS:?}"
+    );
     assert!(usage.descriptors <= LIMITS.open_files, "{usage:?}");
     assert!(ready, "the entry is not ready in the crowd");
     assert_eq!((in_crowd, after), (Ok(()), Ok(())));
@@ -145,3 +185,15 @@
 fn an_entry_withstands_bodies_of_an_unknown_workspace() {
     entry_withstands("unknown", clients(&Behaviour::BODIES, "nobody"));
 }
+
+/// Guards against an entry that holds requests at its address for operators without a bound.
+#[test]
+fn an_entry_withstands_a_crowd_at_its_operators_address() {
+    port_withstands("operators", Port::Operators, clients_of_path("/v1/jobs"));
+}
+
+/// Guards against an entry that holds connections at its address for links, or what they send, without a bound.
+#[test]
+fn an_entry_withstands_a_crowd_at_its_links_address() {
+    port_withstands("links", Port::Links, clients_of_path("/link"));
+}
