fix(batch): divide the share of unseen jobs among 64 entries at most

Announcements of hosts that were replaced remain in the log, so the share that each entry may accept beyond its view of the log shrank with each replacement, down to a single job at a time.

--- a/crates/godwitstep-batch/src/backlog.rs
+++ b/crates/godwitstep-batch/src/backlog.rs
@@ -43,6 +43,10 @@
 /// Part of the memory that all entries together may accept beyond what their views of the log show, as a divisor.
 const UNSEEN_DIVISOR: usize = 4;
 
+/// Maximum number of entries among which that part is divided. Announcements of entries that are gone remain, and would
+/// otherwise leave each entry that lives with a single job at a time.
+const MAX_SHARING_ENTRIES: usize = 64;
+
 /// Memory that jobs take, by job and workspace.
 ///
 /// Invariant: `total` is the sum of the charges of `jobs`, and so is the sum of `workspaces`, which has no entry of 0.
@@ -135,8 +139,10 @@
         }
     }
 
-    fn of(&self, workspace: &Option<Workspace>) -> usize {
-        self.workspaces.get(workspace).copied().unwrap_or_default()
+    /// Returns the charges of a workspace's jobs.
+    fn of(&self, workspace: Option<&Workspace>) -> usize {
+        let held = self.workspaces.get(&workspace.cloned());
+        held.copied().unwrap_or_default()
     }
 }
 
@@ -162,8 +168,7 @@
             self.memory
         };
         let total = usages.iter().map(|usage| usage.total).sum::<usize>() + bytes;
-        let workspace = workspace.cloned();
-        let held = usages.iter().map(|usage| usage.of(&workspace));
+        let held = usages.iter().map(|usage| usage.of(workspace));
         total + held.sum::<usize>() + bytes <= limit
     }
 
@@ -177,7 +182,7 @@
     /// accepted. It may always accept a single one.
     #[must_use]
     pub fn admits_unseen(&self, unseen: &Usage, entries: usize, bytes: usize) -> bool {
-        let share = self.memory / (UNSEEN_DIVISOR * entries.max(1));
+        let share = self.memory / (UNSEEN_DIVISOR * entries.clamp(1, MAX_SHARING_ENTRIES));
         unseen.is_empty() || unseen.total + bytes <= share
     }
 }
--- a/crates/godwitstep-batch/tests/backlog.rs
+++ b/crates/godwitstep-batch/tests/backlog.rs
@@ -97,7 +97,7 @@
 fn cancellations_of_unknown_jobs_are_bounded() {
     let limit = Limit::new(MEMORY);
     assert!(limit.admits_cancellation(0));
-    let most = (0..).find(|held| !limit.admits_cancellation(*held));
+    let most = (0..MEMORY).find(|held| !limit.admits_cancellation(*held));
     assert!(most.is_some_and(|most| most < MEMORY / 8 / 300));
 }
 
@@ -117,3 +117,12 @@
     // A single job of any size is accepted.
     assert!(limit.admits_unseen(&Usage::default(), entries, MEMORY / 2));
 }
+
+/// Guards against a share that vanishes as hosts are replaced, whose announcements remain.
+#[test]
+fn entries_that_are_gone_leave_room_for_ordinary_jobs() {
+    let limit = Limit::new(MEMORY);
+    let mut unseen = Usage::default();
+    unseen.set(1, None, 10_000);
+    assert!(limit.admits_unseen(&unseen, 100_000, 10_000));
+}
--- a/crates/godwitstep/src/batch/entry/backlog.rs
+++ b/crates/godwitstep/src/batch/entry/backlog.rs
@@ -151,10 +151,11 @@
                     queued.set(job.id, job.workspace, bytes);
                     reservation.jobs.push(job.id);
                 }
-                Record::Cancelled { job } if state.ledger.job(job).is_none() => {
-                    if !limit.admits_cancellation(state.ledger.orphan_count()) {
-                        return None;
-                    }
+                Record::Cancelled { job }
+                    if state.ledger.job(job).is_none()
+                        && !limit.admits_cancellation(state.ledger.orphan_count()) =>
+                {
+                    return None;
                 }
                 _ => {}
             }
--- a/crates/godwitstep/tests/http_client_memory.rs
+++ b/crates/godwitstep/tests/http_client_memory.rs
@@ -45,6 +45,6 @@
     assert_eq!(response.body().len(), BODY_BYTES);
     let growth = peak_kib(pid).expect("the process runs") - before;
     assert!(growth < MAX_GROWTH_KIB, "{growth} KiB");
-    let served = server.join().expect("the server does not panic");
-    served.expect("the response is sent");
+    let sent = server.join().expect("the server does not panic");
+    sent.expect("the response is sent");
 }
