fix(batch): refuse no job that an earlier attempt may still store

A caller was answered 504, then 503 for the same job, and the job ran: the record of the first attempt was still queued for the log, but the second attempt was refused because the log did not answer. A refusal says that the job never runs.

Ruled out: dropping the record of the first attempt when the caller has been answered; then jobs that are stored in time today would be lost to callers who do not repeat them.

--- a/crates/godwitstep/src/batch/entry/backlog.rs
+++ b/crates/godwitstep/src/batch/entry/backlog.rs
@@ -11,7 +11,7 @@
 use godwitstep_batch::backlog::{self, Limit, Usage};
 use godwitstep_batch::id::JobId;
 use godwitstep_batch::job::Job;
-use godwitstep_batch::record::Record;
+use godwitstep_batch::record::{Record, submitted_key};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -109,6 +109,16 @@
         true
     }
 
+    /// Returns whether a record of a job that this entry does not know may be stored yet: this entry has accepted the job in
+    /// an earlier attempt whose outcome is not known, or another caller's.
+    #[must_use]
+    pub fn may_be_stored(&self, id: JobId) -> bool {
+        let state = self.state.borrow();
+        let mut unseen = self.unseen.borrow_mut();
+        unseen.update(self.clock.now(), &state);
+        unseen.accepted_at.contains_key(&id) || self.writer.holds(&submitted_key(id))
+    }
+
     /// Releases the charge of a job that is not stored.
     pub(super) fn release(&self, id: JobId) {
         self.unseen.borrow_mut().remove(id);
--- a/crates/godwitstep/src/batch/entry/submit.rs
+++ b/crates/godwitstep/src/batch/entry/submit.rs
@@ -50,15 +50,23 @@
         if self.status(id).is_some() {
             return Verdict::Stored;
         }
+        let repeated = self.may_be_stored(id);
+        // Only a job of which no attempt may be stored can be refused: a refusal says that it never runs.
+        let refusal = if repeated {
+            Verdict::InDoubt
+        } else {
+            Verdict::Refused
+        };
         if self.log_is_failing() {
             tracing::info!(
                 job = format_args!("{id:016x}"),
-                "submission refused: the log does not answer"
+                repeated,
+                "submission not stored: the log does not answer"
             );
-            return Verdict::Refused;
+            return refusal;
         }
-        if !self.reserve(&job) {
-            return Verdict::Refused;
+        if !repeated && !self.reserve(&job) {
+            return refusal;
         }
         let record = Item::from(&Record::Submitted(job));
         let size = record.record_size();
@@ -68,6 +76,10 @@
             let visible = || self.status(id).is_some();
             self.store(record, time_limit, visible).await
         };
+        let verdict = match verdict {
+            Verdict::Refused => refusal,
+            verdict => verdict,
+        };
         if matches!(verdict, Verdict::Refused | Verdict::TooLarge) {
             self.release(id);
         }
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -62,6 +62,12 @@
         receiver.recv().await.unwrap_or(Err(Error::Unknown))
     }
 
+    /// Returns whether the queue holds a record with a key.
+    pub fn holds(&self, key: &str) -> bool {
+        let queue = self.queue.borrow();
+        queue.iter().any(|(item, _)| item.key == key)
+    }
+
     /// Makes room in the queue for a record, if necessary by removing records whose callers no longer wait, oldest first:
     /// these have been told that it is not known whether their records are stored. Returns false if there is no room.
     fn make_room(&self, item: &Item) -> bool {
