--- a/crates/godwitstep-standin/src/crowd.rs
+++ b/crates/godwitstep-standin/src/crowd.rs
@@ -1,8 +1,8 @@
 //! A crowd of HTTP clients that make a server hold memory and connections.
 //!
 //! Each client stays within the limits of a single request, as far as it has sent it: its body is not longer than the
-//! server allows and its head is not larger. The clients never complete a request and read no further than they need
-//! to notice the end of a connection. Whenever a server closes a connection, its client opens another one, so the
+//! server allows and its head is not larger. The clients complete no request with a body and read no further than they
+//! need to notice the end of a connection. Whenever a server closes a connection, its client opens another one, so the
 //! number of clients is also the maximum number of connections.
 //!
 //! ```
--- a/crates/godwitstep/src/batch/entry/writer.rs
+++ b/crates/godwitstep/src/batch/entry/writer.rs
@@ -17,7 +17,7 @@
 /// Maximum number of records in the queue.
 const MAX_QUEUED_RECORDS: usize = 1_024;
 /// Maximum size of the records in the queue, unless there is only one. While the log stores nothing, callers end their
-/// requests and send others, so the memory of their bodies does not bound the queue. Eight appends empty it. Unit: bytes.
+/// requests and send others, so the memory of their bodies does not bound the queue. Sixteen batches empty it. Unit: bytes.
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 
 /// Why a record was not written.
