fix(batch): decode at most 64 labels of a worker in a report

A single report of 4 MiB at an entry's internal address took 209 MiB: its list of empty labels has a byte for each, and each took fifty in memory. The number of labels was checked in registrations only.

Change: the list is decoded up to 64 labels, the limit that registrations have; a longer one is answered 400.

--- a/crates/godwitstep-batch/src/message.rs
+++ b/crates/godwitstep-batch/src/message.rs
@@ -14,7 +14,7 @@
 use crate::demand::Demand;
 use crate::id::{AgentProcess, Domain, Epoch, Host, Incarnation, Offset, Pool, Run, Task, Token};
 use bytes::Bytes;
-use serde::de::{self, DeserializeOwned, Visitor};
+use serde::de::{self, DeserializeOwned, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::fmt;
 use std::net::SocketAddr;
@@ -88,7 +88,8 @@
     /// Total resources, whether in use or not.
     #[serde(rename = "room")]
     pub capacity: Demand,
-    /// Labels that steps can require.
+    /// Labels that steps can require; at most [`MAX_LABELS`].
+    #[serde(deserialize_with = "deserialize_labels")]
     pub labels: Vec<Arc<str>>,
     /// Rack of the worker; workers without one count as being on different racks.
     pub rack: Option<Arc<str>>,
@@ -96,6 +97,38 @@
     pub draining: bool,
 }
 
+/// Maximum number of labels of a worker. An encoded label takes a byte or more, in memory fifty times as much, so that a
+/// report of millions of labels would take all memory of a small host.
+pub const MAX_LABELS: usize = 64;
+
+/// Deserializes labels up to [`MAX_LABELS`].
+fn deserialize_labels<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Vec<Arc<str>>, D::Error> {
+    struct Labels;
+
+    impl<'de> Visitor<'de> for Labels {
+        type Value = Vec<Arc<str>>;
+
+        fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+            write!(formatter, "a list of at most {MAX_LABELS} labels")
+        }
+
+        fn visit_seq<A: SeqAccess<'de>>(self, mut list: A) -> Result<Self::Value, A::Error> {
+            let mut labels = Vec::new();
+            while let Some(label) = list.next_element()? {
+                if labels.len() >= MAX_LABELS {
+                    return Err(de::Error::invalid_length(labels.len() + 1, &self));
+                }
+                labels.push(label);
+            }
+            Ok(labels)
+        }
+    }
+
+    deserializer.deserialize_seq(Labels)
+}
+
 /// A worker and its runs.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Worker {
