--- a/crates/godwitstep-batch/src/backlog.rs
+++ b/crates/godwitstep-batch/src/backlog.rs
@@ -42,7 +42,6 @@
 const CANCELLATIONS_DIVISOR: usize = 8;
 /// Part of the memory that all entries together may accept beyond what their views of the log show, as a divisor.
 const UNSEEN_DIVISOR: usize = 4;
-
 /// Maximum number of entries among which that part is divided. Announcements of entries that are gone remain, and would
 /// otherwise leave each entry that lives with a single job at a time.
 const MAX_SHARING_ENTRIES: usize = 64;
--- a/crates/godwitstep/src/batch/entry/backlog.rs
+++ b/crates/godwitstep/src/batch/entry/backlog.rs
@@ -109,14 +109,14 @@
         true
     }
 
-    /// Returns whether a record of a job that this entry does not know may be stored yet: this entry has accepted the job in
-    /// an earlier attempt whose outcome is not known, or another caller's.
+    /// Returns whether a record of a job that the ledger does not contain may be stored yet: this entry has accepted the job
+    /// in an earlier attempt whose outcome is not known, or another caller's.
     #[must_use]
     pub fn may_be_stored(&self, id: JobId) -> bool {
-        let state = self.state.borrow();
-        let mut unseen = self.unseen.borrow_mut();
-        unseen.update(self.clock.now(), &state);
-        unseen.accepted_at.contains_key(&id) || self.writer.holds(&submitted_key(id))
+        let now = self.clock.now();
+        let accepted_at = self.unseen.borrow().accepted_at.get(&id).copied();
+        accepted_at.is_some_and(|accepted_at| now < accepted_at + UNSEEN_EXPIRY)
+            || self.writer.holds(&submitted_key(id))
     }
 
     /// Releases the charge of a job that is not stored.
