--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -44,6 +44,7 @@
         Ok(false) => record.line("result: the rule held"),
         Err(reason) => record.line(&format!("result: could not run: {reason}")),
     }
+    record.flush();
     broken
 }
 
@@ -336,6 +337,8 @@
         return Err("a process of the system has ended".to_owned());
     }
     let alone = deployment.runners.alone();
+    let (starts, [median, high, longest]) = deployment.runners.start_times();
+    record.line(&format!("runners answered {starts} starts: median {median} ms, 99th percentile {high} ms, longest {longest} ms"));
     record.line(&format!("the job is {state} 60 s later or before; {alone} runs have ended `alone`"));
     Ok(alone > 0)
 }
--- a/review/standin-3/src/runner.rs
+++ b/review/standin-3/src/runner.rs
@@ -3,7 +3,7 @@
 use crate::http::{self, Request, Response, Server};
 use crate::record::Record;
 use serde_json::{Value, json};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
@@ -55,6 +55,10 @@
     pub task: String,
     pub attempt: u64,
     pub started: u64,
+    /// Job and step.
+    step: (Arc<str>, usize),
+    /// Row of the list of runs.
+    row: String,
     work_ms: f64,
     complete: bool,
     stops_at: Option<u64>,
@@ -103,12 +107,14 @@
     disrupted_at: Instant,
     /// Tasks of which an end `done` has been taken note of.
     done: HashMap<String, Instant>,
+    /// Times that the runners took to answer starts. Unit: milliseconds.
+    start_times: Vec<u64>,
     /// Number of runs that have ended `alone`.
     alone: u64,
     /// Starts after such an end.
     repeated: Vec<String>,
     /// Steps by job and index.
-    steps: HashMap<(String, usize), Step>,
+    steps: HashMap<(Arc<str>, usize), Step>,
     ended: bool,
 }
 
@@ -139,6 +145,7 @@
             runners: runners.collect(),
             disrupted_at: Instant::now(),
             done: HashMap::new(),
+            start_times: Vec::new(),
             alone: 0,
             repeated: Vec::new(),
             steps: HashMap::new(),
@@ -168,6 +175,14 @@
         self.lock().repeated.clone()
     }
 
+    /// Returns the number of starts, and the median, the 99th percentile and the longest of the times to answer them.
+    pub fn start_times(&self) -> (usize, [u64; 3]) {
+        let mut times = self.lock().start_times.clone();
+        times.sort_unstable();
+        let at = |share: usize| times.get(times.len().saturating_sub(1) * share / 100).copied().unwrap_or(0);
+        (times.len(), [at(50), at(99), at(100)])
+    }
+
     /// Returns how many runs have ended `alone`.
     pub fn alone(&self) -> u64 {
         self.lock().alone
@@ -177,7 +192,7 @@
     pub fn know(&self, job: &str, steps: &[Step]) {
         let mut state = self.lock();
         for (index, step) in steps.iter().enumerate() {
-            state.steps.insert((job.to_owned(), index), step.clone());
+            state.steps.insert((job.into(), index), step.clone());
         }
     }
 
@@ -241,7 +256,7 @@
             let runs = runner.life.iter().flat_map(|life| &life.running);
             runs.map(move |run| (index, run.clone()))
         });
-        all.filter(|(_, run)| step_of(&run.task).0 == job).collect()
+        all.filter(|(_, run)| &*run.step.0 == job).collect()
     }
 
     /// Returns the room of each runner that is up, and what is in use there.
@@ -277,6 +292,15 @@
     }
 
     fn serve(&self, index: usize, request: &Request) -> Response {
+        let began = Instant::now();
+        let response = self.answer(index, request);
+        if request.path == "/run-start" {
+            self.lock().start_times.push(began.elapsed().as_millis() as u64);
+        }
+        response
+    }
+
+    fn answer(&self, index: usize, request: &Request) -> Response {
         let Ok(body) = serde_json::from_slice::<Value>(&request.body) else {
             return Response::new(400, "");
         };
@@ -305,7 +329,7 @@
                     return conflict("late");
                 }
                 life.lease_end = life.lease_end.max(deadline.min(clock + MAX_HOLD));
-                if life.running.iter().any(|run| run.task == task && run.attempt == attempt) {
+                if life.running.iter().any(|run| run.attempt == attempt && run.task == task) {
                     return done();
                 }
                 if life.barred.get(&task).is_some_and(|barred| attempt <= *barred) {
@@ -317,8 +341,12 @@
                     self.record.line(&format!("TWICE: {task} starts {ago:.1} s after an end `done` was taken note of"));
                     state.repeated.push(task.clone());
                 }
+                let (job, step) = step_of(&task);
+                let row = format!("[\"{task}\",{attempt},\"\",0,0]");
                 life.running.push(Run {
                     task,
+                    step: (job.into(), step),
+                    row,
                     attempt,
                     started: clock,
                     work_ms: 0.0,
@@ -366,11 +394,18 @@
                 for end in life.finished.iter_mut().take(MAX_ENDS) {
                     end.listed_at.get_or_insert_with(Instant::now);
                 }
-                let running: Vec<Value> = life.running.iter().map(|run| json!([run.task, run.attempt, "", 0, 0])).collect();
-                let finished = life.finished.iter().take(MAX_ENDS);
-                let finished: Vec<Value> = finished.map(|end| json!([end.number, end.task, end.attempt, end.how, ""])).collect();
-                let body = json!({ "clock_ms": life.clock(), "born": life.born, "running": running, "finished": finished });
-                return Response::new(200, body.to_string());
+                let mut body = format!("{{\"clock_ms\":{},\"born\":{},\"running\":[", life.clock(), life.born);
+                for (index, run) in life.running.iter().enumerate() {
+                    body.push_str(if index > 0 { "," } else { "" });
+                    body.push_str(&run.row);
+                }
+                body.push_str("],\"finished\":[");
+                for (index, end) in life.finished.iter().take(MAX_ENDS).enumerate() {
+                    body.push_str(if index > 0 { "," } else { "" });
+                    body.push_str(&format!("[{},\"{}\",{},\"{}\",\"\"]", end.number, end.task, end.attempt, end.how));
+                }
+                body.push_str("]}");
+                return Response::new(200, body);
             }
             state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
@@ -389,12 +424,21 @@
             }
             note_ends(&mut state, &self.record);
             let ends = due_ends(&mut state, elapsed);
+            for (index, runner) in state.runners.iter_mut().enumerate() {
+                let Some(life) = &mut runner.life else {
+                    continue;
+                };
+                let here: HashSet<(&str, u64)> =
+                    ends.iter().filter(|end| end.0 == index).map(|end| (end.1.as_str(), end.2)).collect();
+                if !here.is_empty() {
+                    life.running.retain(|run| !here.contains(&(run.task.as_str(), run.attempt)));
+                }
+            }
             for (index, task, attempt, how) in ends {
                 state.alone += u64::from(how == "alone");
                 let Some(life) = state.runners[index].life.as_mut() else {
                     continue;
                 };
-                life.running.retain(|run| (&run.task, run.attempt) != (&task, attempt));
                 let barred = life.barred.entry(task.clone()).or_default();
                 *barred = attempt.max(*barred);
                 life.ends += 1;
@@ -436,7 +480,7 @@
 fn used(state: &State, runner: &Runner) -> Room {
     let mut used = Room::default();
     for run in runner.life.iter().flat_map(|life| &life.running) {
-        if let Some(step) = state.steps.get(&step_of(&run.task)) {
+        if let Some(step) = state.steps.get(&run.step) {
             used.cpu += step.demand.cpu;
             used.mem_mb += step.demand.mem_mb;
             used.gpus += step.demand.gpus;
@@ -445,29 +489,42 @@
     used
 }
 
+/// Runs of one step under one number.
+#[derive(Default)]
+struct Members {
+    count: usize,
+    /// Runners on which they are.
+    runners: Vec<usize>,
+    done: bool,
+}
+
 /// Advances all runs and returns those that end now.
 fn due_ends(state: &mut State, elapsed: f64) -> Vec<(usize, String, u64, &'static str)> {
-    let mut members: HashMap<((String, usize), u64), Vec<(usize, String)>> = HashMap::new();
-    for (index, runner) in state.runners.iter().enumerate() {
+    let State { runners, steps, .. } = state;
+    let racks: Vec<String> = runners.iter().map(|runner| runner.place.rack.clone()).collect();
+    let mut members: HashMap<((Arc<str>, usize), u64), Members> = HashMap::new();
+    for (index, runner) in runners.iter().enumerate() {
         for run in runner.life.iter().flat_map(|life| &life.running) {
-            let key = (step_of(&run.task), run.attempt);
-            members.entry(key).or_default().push((index, run.task.clone()));
+            let known = members.entry((run.step.clone(), run.attempt)).or_default();
+            known.count += 1;
+            if known.runners.last() != Some(&index) {
+                known.runners.push(index);
+            }
         }
     }
-    let racks: Vec<String> = state.runners.iter().map(|runner| runner.place.rack.clone()).collect();
-    let steps = &state.steps;
     let mut ends = Vec::new();
-    for (index, runner) in state.runners.iter_mut().enumerate() {
+    for (index, runner) in runners.iter_mut().enumerate() {
         let Some(life) = &mut runner.life else {
             continue;
         };
         let clock = life.clock();
         for run in &mut life.running {
-            let key = step_of(&run.task);
-            let step = steps.get(&key);
-            let present = &members[&(key, run.attempt)];
+            let step = steps.get(&run.step);
+            let Some(known) = members.get_mut(&(run.step.clone(), run.attempt)) else {
+                continue;
+            };
             let gang = step.is_some_and(|step| step.gang);
-            let all_present = step.is_none_or(|step| !step.gang || present.len() >= step.tasks);
+            let all_present = step.is_none_or(|step| !step.gang || known.count >= step.tasks);
             run.complete |= all_present;
             let how = if clock > life.lease_end {
                 Some("lapsed")
@@ -481,26 +538,28 @@
                 None
             };
             if all_present && run.stops_at.is_none() {
-                let spread = present.iter().any(|(other, _)| racks[*other] != racks[index]);
+                let spread = known.runners.iter().any(|other| racks[*other] != racks[index]);
                 let slow = spread && step.is_some_and(|step| step.same_rack);
                 run.work_ms += if slow { elapsed / SPREAD_FACTOR } else { elapsed };
             }
-            let done = step.is_some_and(|step| run.work_ms >= step.work_ms);
-            if let Some(how) = how.or(done.then_some("done")) {
+            if let Some(how) = how {
                 ends.push((index, run.task.clone(), run.attempt, how));
+            } else if step.is_some_and(|step| run.work_ms >= step.work_ms) {
+                known.done |= gang;
+                if !gang {
+                    ends.push((index, run.task.clone(), run.attempt, "done"));
+                }
             }
         }
     }
     // The members of a gang end `done` together.
-    let done: Vec<_> = ends.iter().filter(|end| end.3 == "done").map(|end| (step_of(&end.1), end.2)).collect();
-    for (key, attempt) in done {
-        if !steps.get(&key).is_some_and(|step| step.gang) {
-            continue;
-        }
-        for (index, task) in &members[&(key, attempt)] {
-            if !ends.iter().any(|end| end.0 == *index && end.1 == *task && end.2 == attempt) {
-                ends.push((*index, task.clone(), attempt, "done"));
-            }
+    let done: Vec<_> = members.into_iter().filter(|(_, known)| known.done).map(|(key, _)| key).collect();
+    for (step, attempt) in done {
+        ends.retain(|end| end.2 != attempt || step_of(&end.1) != (step.0.to_string(), step.1));
+        for (index, runner) in runners.iter().enumerate() {
+            let runs = runner.life.iter().flat_map(|life| &life.running);
+            let runs = runs.filter(|run| run.step == step && run.attempt == attempt);
+            ends.extend(runs.map(|run| (index, run.task.clone(), attempt, "done")));
         }
     }
     ends
