fix(batch): find the decider beside any number of lost entries

Cause: announcements of entries were never removed, and an agent that had lost its decider asked all of them, 0.9 s each, before it read the claim in the log. After 13.2 s of silence the decider starts an agent's runs again, also those whose ends the worker had listed to the agent.

Change: an agent reads the log after two calls in a row without an answer, at most once a second, and not while the log itself does not answer. The decider probes the announced entries every 5 s and withdraws the announcements of those that are silent for 10 s and three probes, or whose address another host has announced since, by a record under its epoch. An entry that reads its own withdrawal announces itself again.

--- a/crates/godwitstep-batch/src/agent/search.rs
+++ b/crates/godwitstep-batch/src/agent/search.rs
@@ -1,7 +1,9 @@
 //! Discovery of the decider by an agent.
 //!
 //! An agent calls the last known decider first. If none is known, it asks the entries round-robin; each replies
-//! with the decider that it knows. Once all have been asked, the agent has to search the log.
+//! with the decider that it knows. Once all have been asked, the agent has to search the log. It searches the log
+//! earlier if entries do not answer: any number of the announced ones may have been lost, and each of them costs the
+//! timeout of a call.
 //!
 //! ```
 //! use godwitstep_batch::agent::DeciderSearch;
@@ -25,6 +27,13 @@
 /// decider, and asking all of many entries takes longer than a lease.
 const FAILURE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Number of calls in a row without an answer after which the log is searched before further entries are asked. With
+/// the timeout of a call, 900 ms, an agent reads the newest claim well within its lease.
+const MAX_UNANSWERED: u32 = 2;
+/// Minimum time between two searches of the log while there are entries to ask. Hosts may refuse connections at once,
+/// and reads of the log are limited for all hosts together.
+const LOG_SEARCH_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Addresses at which the decider may be found.
 #[derive(Debug)]
 pub struct DeciderSearch {
@@ -36,6 +45,13 @@
     cursor: usize,
     /// Number of entries asked since the decider last answered or the log was last searched.
     asked: usize,
+    /// Number of calls that were not answered since a process last answered or the log was last searched.
+    unanswered: u32,
+    /// When the log was last searched.
+    log_searched_at: Option<Duration>,
+    /// Whether the last search of the log failed. All entries are asked before the next one, which may take longer
+    /// than that.
+    log_failed: bool,
     /// Epoch of the decider that last failed to answer, and when.
     failed_decider: Option<(Epoch, Duration)>,
     /// Address that last failed to answer, and when.
@@ -51,6 +67,9 @@
             entries,
             cursor: 0,
             asked: usize::MAX,
+            unanswered: 0,
+            log_searched_at: None,
+            log_failed: false,
             failed_decider: None,
             failed_address: None,
         }
@@ -66,6 +85,7 @@
     pub fn decider_answered(&mut self, address: SocketAddr, epoch: Epoch, entries: &[SocketAddr]) {
         self.decider = Some((epoch, address));
         self.asked = 0;
+        self.unanswered = 0;
         self.failed_decider = None;
         self.failed_address = None;
         if !entries.is_empty() {
@@ -81,6 +101,7 @@
         address: SocketAddr,
         decider: Option<(Epoch, SocketAddr)>,
     ) -> bool {
+        self.unanswered = 0;
         let newer = decider.filter(|(epoch, other)| {
             let known = self.decider;
             let newer = known.is_none_or(|(own, at)| *epoch > own || at == address);
@@ -105,6 +126,7 @@
             self.failed_decider = Some((epoch, now));
         }
         self.failed_address = Some((address, now));
+        self.unanswered = self.unanswered.saturating_add(1);
         self.forget(address);
     }
 
@@ -121,6 +143,9 @@
         decider: Option<(Epoch, SocketAddr)>,
     ) {
         self.asked = 0;
+        self.unanswered = 0;
+        self.log_searched_at = Some(now);
+        self.log_failed = false;
         if !entries.is_empty() {
             self.entries = entries;
         }
@@ -128,11 +153,21 @@
         self.decider = decider.or(self.decider);
     }
 
+    /// Records that the log could not be searched.
+    pub const fn log_search_failed(&mut self) {
+        self.asked = 0;
+        self.unanswered = 0;
+        self.log_failed = true;
+    }
+
     /// Returns the address to call next; `None` if the log has to be searched.
     pub fn next_address(&mut self, now: Duration) -> Option<SocketAddr> {
         if let Some((_, address)) = self.decider {
             return Some(address);
         }
+        if self.unanswered >= MAX_UNANSWERED && self.may_search_log(now) {
+            return None;
+        }
         while self.asked < self.entries.len() {
             self.asked += 1;
             self.cursor += 1;
@@ -144,6 +179,12 @@
         None
     }
 
+    /// Returns whether the log may be searched before all entries have been asked.
+    fn may_search_log(&self, now: Duration) -> bool {
+        let recent = |at: Duration| now < at + LOG_SEARCH_INTERVAL;
+        !self.log_failed && !self.log_searched_at.is_some_and(recent)
+    }
+
     /// Returns whether the process at an address failed to answer within the last [`FAILURE_BACKOFF`].
     fn address_failed(&self, now: Duration, address: SocketAddr) -> bool {
         self.failed_address
--- a/crates/godwitstep-batch/src/ledger.rs
+++ b/crates/godwitstep-batch/src/ledger.rs
@@ -156,6 +156,12 @@
                     self.entries.insert(host, (offset, announcement));
                 }
             }
+            Record::Withdrawn { host } => {
+                let known = self.entries.get(&host);
+                if known.is_some_and(|(newest, _)| offset >= *newest) {
+                    self.entries.remove(&host);
+                }
+            }
             Record::Expectations(snapshot) => {
                 let known = self.expectations.as_ref();
                 if known.is_none_or(|(newest, _)| offset >= *newest)
@@ -389,7 +395,19 @@
 
     /// Returns the announcements of all entries.
     pub fn entries(&self) -> impl Iterator<Item = &Announcement> {
-        self.entries.values().map(|(_, announcement)| announcement)
+        self.announcements().map(|(_, announcement)| announcement)
+    }
+
+    /// Returns the announcements of all entries with their offsets.
+    pub fn announcements(&self) -> impl Iterator<Item = (Offset, &Announcement)> {
+        let entries = self.entries.values();
+        entries.map(|(offset, announcement)| (*offset, announcement))
+    }
+
+    /// Returns whether an entry is announced on a host.
+    #[must_use]
+    pub fn is_announced(&self, host: &str) -> bool {
+        self.entries.contains_key(host)
     }
 }
 
--- a/crates/godwitstep-batch/src/record.rs
+++ b/crates/godwitstep-batch/src/record.rs
@@ -47,6 +47,12 @@
     Claimed(Claim),
     /// A process serves as an entry.
     Announced(Announcement),
+    /// The decider removed the announcement of an entry that is gone. Fenced by its epoch. Versions without it ignore
+    /// the deletion until they read the newest records again.
+    Withdrawn {
+        /// Host of the entry.
+        host: Host,
+    },
     /// The decider has learned run times. Fenced by its epoch. Entries of versions without it skip the record.
     Expectations(Snapshot),
     /// Part of a record of a job's state that exceeds the log's limit. Fenced by the decider's epoch.
@@ -113,7 +119,9 @@
             Self::Cancelled { job } => cancelled_key(*job),
             Self::Progressed { job, .. } | Self::Dropped { job } => progress_key(*job),
             Self::Claimed(_) => CLAIM_KEY.to_owned(),
-            Self::Announced(announcement) => announcement_key(&announcement.host),
+            Self::Announced(Announcement { host, .. }) | Self::Withdrawn { host } => {
+                announcement_key(host)
+            }
             Self::Expectations(_) => EXPECTATIONS_KEY.to_owned(),
             Self::Fragment(fragment) => fragment.item_key(),
         }
@@ -127,14 +135,14 @@
     #[must_use]
     pub fn encode(&self) -> Bytes {
         let mut bytes = Vec::new();
-        if !matches!(self, Self::Dropped { .. }) {
+        if !matches!(self, Self::Dropped { .. } | Self::Withdrawn { .. }) {
             ciborium::into_writer(self, &mut bytes).expect("CBOR can represent every record");
         }
         bytes.into()
     }
 
-    /// Decodes a record. Returns `None` for the deletion of a key other than that of a job's state, because such
-    /// a deletion has no meaning of its own.
+    /// Decodes a record. Returns `None` for the deletion of a key other than that of a job's state or of an entry,
+    /// because such a deletion has no meaning of its own.
     ///
     /// # Errors
     ///
@@ -142,7 +150,10 @@
     /// records, so everything that the planner relies on is checked here.
     pub fn decode(key: &str, value: &[u8]) -> Result<Option<Self>, Error> {
         if value.is_empty() {
-            return Ok(parse_progress_key(key).map(|job| Self::Dropped { job }));
+            let dropped = || parse_progress_key(key).map(|job| Self::Dropped { job });
+            let withdrawn = |host: &str| Self::Withdrawn { host: host.into() };
+            let host = key.strip_prefix(ANNOUNCEMENT_PREFIX);
+            return Ok(host.map(withdrawn).or_else(dropped));
         }
         let error = |reason: String| Error {
             key: key.to_owned(),
@@ -181,6 +192,7 @@
             }
             Self::Claimed(_)
             | Self::Announced(_)
+            | Self::Withdrawn { .. }
             | Self::Cancelled { .. }
             | Self::Dropped { .. } => Ok(()),
         }
--- a/crates/godwitstep-batch/tests/search.rs
+++ b/crates/godwitstep-batch/tests/search.rs
@@ -1,6 +1,7 @@
 //! Tests of how agents find the decider.
 
 use godwitstep_batch::agent::DeciderSearch;
+use godwitstep_batch::bounds::AGENT_LEASE;
 use godwitstep_batch::id::Epoch;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +11,10 @@
 const EPOCH: Epoch = 1 << 20;
 /// Time for which an entry holds back its reply to an agent that knows the same epoch.
 const REFERRAL_TIME: Duration = Duration::from_millis(500);
+/// Time after which a call that gets no answer fails.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Minimum time between two calls of an agent.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(40);
 
 fn address(number: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, number], 7000))
@@ -109,3 +114,69 @@
     search.log_searched(later, entries, Some((EPOCH, address(0))));
     assert_eq!(search.next_address(later), Some(address(0)));
 }
+
+/// Guards against an agent that asks every entry that was ever announced before it reads the claim in the log, so that
+/// finished tasks of its worker are started again elsewhere (review/11: 36 replaced entries, 23 s without a decider).
+#[test]
+fn the_search_takes_no_longer_with_each_lost_entry() {
+    for lost in [4, 36, 200] {
+        let mut search = search_with_known_decider();
+        // The entries of the log, of which all but the last one are lost.
+        let entries: Vec<SocketAddr> = (0..=lost).map(address).collect();
+        let (successor, mut now) = (address(lost), Duration::from_secs(1));
+        search.decider_answered(address(0), EPOCH, &entries);
+        let began = now;
+        loop {
+            match search.next_address(now) {
+                Some(asked) if asked == successor => break,
+                Some(asked) => {
+                    now += CALL_TIMEOUT;
+                    search.call_failed(now, asked);
+                }
+                None => search.log_searched(now, entries.clone(), Some((EPOCH + 1, successor))),
+            }
+        }
+        let took = now.saturating_sub(began);
+        assert!(
+            took < AGENT_LEASE / 2,
+            "{took:?} beside {lost} lost entries"
+        );
+    }
+}
+
+/// Guards against an agent that reads the log without pause while hosts refuse its connections at once.
+#[test]
+fn refused_calls_do_not_make_the_log_the_first_to_be_asked() {
+    let mut search = search_with_known_decider();
+    let mut now = Duration::from_secs(1);
+    let entries: Vec<SocketAddr> = (0..ENTRIES).map(address).collect();
+    let end = now + Duration::from_secs(10);
+    let mut searches = 0;
+    while now < end {
+        now += MIN_REPORT_INTERVAL;
+        if let Some(asked) = search.next_address(now) {
+            search.call_failed(now, asked);
+        } else {
+            searches += 1;
+            search.log_searched(now, entries.clone(), Some((EPOCH, address(0))));
+        }
+    }
+    assert!((5..=10).contains(&searches), "{searches} searches in 10 s");
+}
+
+/// Guards against an agent that spends its time on a log that does not answer although an entry does.
+#[test]
+fn a_log_that_does_not_answer_is_not_searched_before_all_entries_were_asked() {
+    let mut search = search_with_known_decider();
+    let now = Duration::from_secs(1);
+    for _ in 0..2 {
+        let asked = search.next_address(now).expect("an address to call");
+        search.call_failed(now, asked);
+    }
+    assert_eq!(search.next_address(now), None);
+    search.log_search_failed();
+    for _ in 0..ENTRIES - 1 {
+        let asked = search.next_address(now).expect("an entry to ask");
+        search.call_failed(now, asked);
+    }
+}
--- a/crates/godwitstep/src/batch/agent/decider.rs
+++ b/crates/godwitstep/src/batch/agent/decider.rs
@@ -1,7 +1,7 @@
 //! Discovery of the decider and the exchange of reports with it.
 
 use super::Agent;
-use crate::batch::log::{Log, Newest, Stream};
+use crate::batch::log::{Log, Newest, ReadError, Stream};
 use crate::batch::settings::Settings;
 use crate::batch::worker::Worker;
 use crate::http::{Client, Options};
@@ -23,6 +23,9 @@
 /// Path on which entries accept reports.
 const REPORT_PATH: &str = "/report";
 
+/// Result of a search of the log: the announced entries, and the epoch and address of the newest claim.
+type LogSearch = (Vec<SocketAddr>, Option<(Epoch, SocketAddr)>);
+
 /// Search for the decider, and the clients for the processes that reports are sent to.
 pub(super) struct DeciderConnection {
     search: DeciderSearch,
@@ -130,26 +133,26 @@
         if candidate.is_some() {
             return candidate;
         }
-        let (entries, claimed) = self.search_log().await;
+        let found = self.search_log().await;
         let search = &mut self.decider.borrow_mut().search;
         let now = self.clock.now();
-        search.log_searched(now, entries, claimed);
+        match found {
+            Ok((entries, claimed)) => search.log_searched(now, entries, claimed),
+            Err(error) => {
+                tracing::warn!(%error, "searching the log for the decider failed");
+                search.log_search_failed();
+            }
+        }
         search.next_address(now)
     }
 
     /// Searches the newest records of the log for a claim, and collects the announced entries on the way.
-    async fn search_log(&self) -> (Vec<SocketAddr>, Option<(Epoch, SocketAddr)>) {
+    async fn search_log(&self) -> Result<LogSearch, ReadError> {
         let mut after: Option<String> = None;
         let mut entries = Vec::new();
         let mut claimed = None;
         for _ in 0..CLAIM_PAGES {
-            let page: Newest = match self.log.newest(Stream::Records, after.as_deref()).await {
-                Ok(page) => page,
-                Err(error) => {
-                    tracing::warn!(%error, "searching the log for the decider failed");
-                    break;
-                }
-            };
+            let page: Newest = self.log.newest(Stream::Records, after.as_deref()).await?;
             for (_, item) in &page.items {
                 match Record::decode(&item.key, &item.value) {
                     Ok(Some(Record::Claimed(claim))) => {
@@ -164,6 +167,11 @@
                 break;
             }
         }
-        (entries, claimed)
+        tracing::info!(
+            entries = entries.len(),
+            decider = ?claimed,
+            "searched the log for the decider"
+        );
+        Ok((entries, claimed))
     }
 }
--- a/crates/godwitstep/src/batch/entry.rs
+++ b/crates/godwitstep/src/batch/entry.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod decide;
 mod handover;
+mod membership;
 mod probe;
 mod relay;
 mod report;
@@ -26,9 +27,10 @@
 use godwitstep_batch::bounds::Bounds;
 use godwitstep_batch::claim::FailureDetector;
 use godwitstep_batch::fragment::Assembler;
-use godwitstep_batch::id::{Domain, Epoch, Offset};
+use godwitstep_batch::id::{Domain, Epoch, Host, Offset};
 use godwitstep_batch::job::{Job, Step};
 use godwitstep_batch::ledger::Ledger;
+use godwitstep_batch::membership::Membership;
 use godwitstep_batch::planner::Planner;
 use godwitstep_batch::record::Record;
 use smol::LocalExecutor;
@@ -110,6 +112,9 @@
 /// State of the decider role.
 struct Decider {
     planner: Planner,
+    membership: Membership,
+    /// Hosts of entries whose announcements the next round withdraws.
+    withdrawals: Vec<Host>,
     /// When the newest successful append was sent for the first time. Each append renews the claim.
     renewed_at: Duration,
     /// Whether the log refused an append since the last successful one.
@@ -226,13 +231,16 @@
         };
         let entry = self.clone();
         let deciding = async move { entry.decider_loop().await };
-        let announcing = async move { self.announce().await };
+        let entry = self.clone();
+        let watching = async move { entry.watch_entries().await };
+        let announcing = async move { self.keep_announced().await };
         // A panic in a loop ends the process, which is restarted; it does not go on without the loop.
         let loops = [
             tasks.spawn(records),
             tasks.spawn(operator),
             tasks.spawn(writing),
             tasks.spawn(deciding),
+            tasks.spawn(watching),
             tasks.spawn(announcing),
         ];
         tasks.run(join_all(loops)).await;
@@ -287,6 +295,7 @@
                             Record::Claimed(_)
                                 | Record::Progressed { .. }
                                 | Record::Dropped { .. }
+                                | Record::Withdrawn { .. }
                                 | Record::Expectations(_)
                         );
                         if from_decider {
@@ -367,19 +376,6 @@
         }
     }
 
-    /// Announces this entry in the log, so that the other processes find it.
-    async fn announce(&self) {
-        let entry = godwitstep_batch::record::Announcement {
-            host: self.settings.host.clone(),
-            address: self.settings.agents,
-            job_memory: u64::try_from(self.job_memory).ok(),
-        };
-        let record = Item::from(&Record::Announced(entry));
-        while self.writer.write(&record).await.is_err() {
-            smol::Timer::after(Duration::from_millis(500)).await;
-        }
-    }
-
     /// Returns whether the entry accepts new callers. It does not while its own host cannot reach the log.
     #[must_use]
     pub fn ready(&self) -> bool {
--- a/crates/godwitstep/src/batch/entry/decide.rs
+++ b/crates/godwitstep/src/batch/entry/decide.rs
@@ -11,6 +11,7 @@
 use godwitstep_batch::claim;
 use godwitstep_batch::id::{Epoch, Offset};
 use godwitstep_batch::ledger::Ledger;
+use godwitstep_batch::membership::Membership;
 use godwitstep_batch::planner::{
     Decision, OperatorView, Planner, PreemptionReason, WorkspaceShare,
 };
@@ -181,6 +182,8 @@
             let planner = self.new_planner(epoch, now, &state.ledger);
             state.decider = Some(Decider {
                 planner,
+                membership: Membership::new(self.settings.host.clone()),
+                withdrawals: Vec::new(),
                 renewed_at: sent,
                 last_append_refused: false,
                 sequence: 1,
@@ -268,7 +271,8 @@
             if self.state.borrow().reloads > reloads {
                 return StepDownReason::LogUnavailable;
             }
-            let records = self.plan_round();
+            let mut records = self.plan_round();
+            records.extend(self.take_withdrawals());
             let relayed = self.relay_queue.next_batch();
             if let Err(cause) = self.append_round(epoch, started_at, records, relayed).await {
                 return cause;
--- a/crates/godwitstep/src/batch/entry/probe.rs
+++ b/crates/godwitstep/src/batch/entry/probe.rs
@@ -1,9 +1,9 @@
-//! Health check of the decider: probes whether another entry's process still holds the role.
+//! Health check of another entry: probes whether its process still holds the decider role, or runs at all.
 
-use crate::http::{Cause, Client};
+use crate::http::{Cause, Client, Error};
 use bytes::Bytes;
 use godwitstep_batch::id::Epoch;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,12 +29,20 @@
     None,
 }
 
+/// Returns whether a process at an address answers a probe, whatever it answers.
+pub(super) async fn is_answered(address: SocketAddr) -> bool {
+    request_epoch(address).await.is_ok()
+}
+
+async fn request_epoch(address: SocketAddr) -> Result<Response<Bytes>, Error> {
+    let mut request = Request::new(Bytes::new());
+    *request.uri_mut() = Uri::from_static(PROBE_PATH);
+    Client::new(address).exchange(request, PROBE_TIMEOUT).await
+}
+
 /// Probes whether the process at an address is the decider under an epoch.
 pub(super) async fn send(address: SocketAddr, epoch: Epoch) -> ProbeResult {
-    let Ok(request) = Request::get(PROBE_PATH).body(Bytes::new()) else {
-        return ProbeResult::None;
-    };
-    match Client::new(address).exchange(request, PROBE_TIMEOUT).await {
+    match request_epoch(address).await {
         Ok(response) if response.status() == CANNOT_WRITE_STATUS => ProbeResult::Struggles,
         Ok(response) => match std::str::from_utf8(response.body()).map(str::parse::<Epoch>) {
             Ok(Ok(current)) if current == epoch => ProbeResult::Decides,
--- a/crates/godwitstep/src/batch/entry/relay.rs
+++ b/crates/godwitstep/src/batch/entry/relay.rs
@@ -306,6 +306,7 @@
             }
             Record::Progressed { .. }
             | Record::Dropped { .. }
+            | Record::Withdrawn { .. }
             | Record::Claimed(_)
             | Record::Expectations(_)
             | Record::Fragment(_) => false,
