fix(batch): count what a rack can hold by all lasting conditions of a step

Cause: a gang is kept to one rack if some rack could hold it if empty, and that counted room alone. The search for workers also heeds the limit of tasks on one worker and the label, and found no such rack. Ruled out: a reservation or headroom, as the gang waits in the planner's simulation without any other job; refused starts, as there is no placement.

Change: what a rack could hold counts the limit and the label.

--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -241,6 +241,19 @@
         })
     }
 
+    /// Returns how many tasks of the step a worker could run at a time if it were empty and accepted tasks.
+    pub fn copies_if_empty(&self, node: &Node) -> u64 {
+        let label = self.step.label.as_ref();
+        if &*node.pool != self.pool || label.is_some_and(|label| !node.labels.contains(label)) {
+            return 0;
+        }
+        let copies = self.step.demand.copies_in(&node.capacity);
+        match self.step.per_worker {
+            0 => copies,
+            limit => copies.min(u64::from(limit)),
+        }
+    }
+
     /// Returns whether workers have crashed under the tasks.
     pub fn is_suspect(&self) -> bool {
         self.neighbours != Neighbours::Any
@@ -378,11 +391,8 @@
 fn fits_one_rack(pending: &PendingStep, cluster: &Cluster) -> bool {
     let mut copies: BTreeMap<&Option<Arc<str>>, u64> = BTreeMap::new();
     for node in &cluster.nodes {
-        if &*node.pool == pending.pool {
-            let copies_here = pending.step.demand.copies_in(&node.capacity);
-            let rack_copies = copies.entry(&node.rack).or_default();
-            *rack_copies = rack_copies.saturating_add(copies_here);
-        }
+        let rack_copies = copies.entry(&node.rack).or_default();
+        *rack_copies = rack_copies.saturating_add(pending.copies_if_empty(node));
     }
     copies
         .values()
