fix(batch): end a gang's wait for a rack that does not come

Cause: a gang is kept to one rack if some rack could hold it if empty, and that counted every worker in the reports, also lost, draining and quarantined ones and those out of service. The search takes only workers that accept tasks, and no wait for a rack had an end.

Change: planner/rack.rs. A wait ends after 2 s beside an idle cluster with room for two such gangs, or in which no rack is expected in time. A new decider spreads no gang for 2 s, as not all agents have reported. The same reading elsewhere: others_can_run sent a gang back to the worker that failed it if the others were on several racks, fits_empty_worker counted lost workers, exclude_slow took workers of a gang on several racks for slow, and the wait of tasks that avoid workers counted room by the limit of tasks on one worker.

Ruled out: refused starts (no placement), reservations and headroom (the gang waits in the planner's simulation without any other job).

--- a/crates/godwitstep-batch/src/planner.rs
+++ b/crates/godwitstep-batch/src/planner.rs
@@ -43,6 +43,7 @@
 mod pace;
 mod place;
 mod preempt;
+mod rack;
 mod reclaim;
 mod reclaim_cost;
 mod reclaim_search;
@@ -75,6 +76,7 @@
 use late::LateRuns;
 use order::WithinGuarantee;
 use overdue::StopTimes;
+use rack::{Absences, RackWaits};
 use reports::AgentReports;
 use share::Shares;
 pub use share::WorkspaceShare;
@@ -176,6 +178,8 @@
     ended: HashSet<(Task, Run)>,
     late: LateRuns,
     waits: Waits,
+    absences: Absences,
+    rack_waits: RackWaits,
     failed_searches: FailedSearches,
     /// Workers whose capacity is being freed for a gang, by job.
     earmarks: HashMap<JobId, Earmark>,
@@ -216,6 +220,8 @@
             ended: HashSet::new(),
             late: LateRuns::default(),
             waits: Waits::default(),
+            absences: Absences::default(),
+            rack_waits: RackWaits::default(),
             failed_searches: FailedSearches::default(),
             earmarks: HashMap::new(),
             assignments: BTreeMap::new(),
@@ -268,6 +274,7 @@
                 &draft,
                 view,
             );
+            self.absences.update(now, &mut cluster);
             let within_guarantee = order::within_guarantee(&draft, view.policy);
             let mut round = Round {
                 now,
--- a/crates/godwitstep-batch/src/planner/avoid.rs
+++ b/crates/godwitstep-batch/src/planner/avoid.rs
@@ -7,9 +7,9 @@
 //! succeeds there.
 
 use super::cluster::{Cluster, Node};
-use super::place::{PendingStep, needs_one_rack};
+use super::place::PendingStep;
 use crate::id::{Incarnation, JobId};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 
 /// Workers by whose fault runs failed, by job.
 #[derive(Debug, Default)]
@@ -50,7 +50,7 @@
 }
 
 /// Returns whether the other workers could run a step if they were empty and had all their capacity: all tasks of a
-/// gang, or one independent task.
+/// gang, or one independent task. A gang that should run within one rack rather runs on several than fails again.
 fn others_can_run(
     pending: &PendingStep,
     cluster: &Cluster,
@@ -61,13 +61,8 @@
     } else {
         1
     };
-    let by_rack = needs_one_rack(pending, cluster);
-    let mut copies_by_group = BTreeMap::new();
     let other = |node: &&Node| pending.allows(node) && !failed.contains(&node.incarnation);
-    for node in cluster.nodes.iter().filter(other) {
-        let group = node.rack.as_ref().filter(|_| by_rack);
-        let copies: &mut u64 = copies_by_group.entry(group).or_default();
-        *copies = copies.saturating_add(pending.copies(node, &node.full_capacity));
-    }
-    copies_by_group.values().any(|copies| *copies >= needed)
+    let others = cluster.nodes.iter().filter(other);
+    let copies = others.map(|node| pending.copies(node, &node.full_capacity));
+    copies.fold(0, u64::saturating_add) >= needed
 }
--- a/crates/godwitstep-batch/src/planner/cluster.rs
+++ b/crates/godwitstep-batch/src/planner/cluster.rs
@@ -58,6 +58,9 @@
     pub suspect: bool,
     /// Whether the worker accepts new tasks.
     pub schedulable: bool,
+    /// Time for which the worker has accepted no tasks; [`Duration::MAX`] if it is draining or its failure domain is out
+    /// of service, as it does not come back by itself.
+    pub absent_for: Duration,
     /// Whether a recent report shows the worker; the runs on another one may have ended.
     pub reports_recent: bool,
     pub occupants: Vec<Occupant>,
@@ -180,9 +183,17 @@
 
     /// Returns whether the worker accepts tasks of a pool that need a label.
     pub fn serves(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
-        self.schedulable
-            && &*self.pool == pool
-            && label.is_none_or(|label| self.labels.contains(label))
+        self.schedulable && self.suits(pool, label)
+    }
+
+    /// Returns whether the worker belongs to a pool and has a label.
+    pub fn suits(&self, pool: &str, label: Option<&Arc<str>>) -> bool {
+        &*self.pool == pool && label.is_none_or(|label| self.labels.contains(label))
+    }
+
+    /// Returns whether the worker accepts tasks, or has done so within a time and may again.
+    pub fn may_return(&self, max_absence: Duration) -> bool {
+        self.schedulable || self.absent_for <= max_absence
     }
 }
 
@@ -318,7 +329,8 @@
     fn exclude_slow(&mut self, health: &Health, expectations: &Expectations, draft: &Draft) {
         let is_slow = |occupant: &Occupant| {
             let expectation = || expect::of_task(expectations, draft, occupant.task);
-            health.is_slow(occupant.task, occupant.run, expectation)
+            let slow = health.is_slow(occupant.task, occupant.run, expectation)?;
+            Some(slow && !self.is_spread(draft, occupant.task))
         };
         let mut slow_by_pool: HashMap<Pool, Vec<usize>> = HashMap::new();
         let mut workers_by_pool: HashMap<Pool, usize> = HashMap::new();
@@ -342,6 +354,23 @@
         }
     }
 
+    /// Returns whether a task belongs to a gang that should run within one rack and runs on several, where it is slow on
+    /// any worker.
+    fn is_spread(&self, draft: &Draft, task: Task) -> bool {
+        let job_state = draft.ledger().job(task.job);
+        let steps = job_state.map(|job_state| &job_state.job.steps);
+        let step = steps.and_then(|steps| steps.get(usize::from(task.step)));
+        if !step.is_some_and(|step| step.gang && step.one_rack) {
+            return false;
+        }
+        let of_gang =
+            |occupant: &Occupant| (occupant.task.job, occupant.task.step) == (task.job, task.step);
+        let nodes = self.nodes.iter();
+        let mut members = nodes.filter(|node| node.occupants.iter().any(of_gang));
+        let first = members.next().map(|node| &node.rack);
+        first.is_some_and(|rack| members.any(|node| node.rack != *rack))
+    }
+
     /// Returns the node of a worker, whichever its current incarnation is: it may still carry out a start that was sent to
     /// an earlier one under its name.
     fn node_by_name(&mut self, incarnation: &Incarnation) -> Option<&mut Node> {
@@ -373,10 +402,10 @@
     stall_times: &StallTimes,
     view: &OperatorView,
 ) -> Node {
+    let leaving = worker.info.draining || view.domains_out.contains(&worker.info.domain);
     let schedulable = AgentReports::is_fresh(age)
         && worker.reachability == Reachability::Reachable
-        && !worker.info.draining
-        && !view.domains_out.contains(&worker.info.domain)
+        && !leaving
         && health.accepts_tasks(now, &worker.info.incarnation, stall_times);
     Node {
         incarnation: worker.info.incarnation.clone(),
@@ -393,6 +422,11 @@
         speed_class: 0,
         suspect: health.is_suspect(&worker.info.incarnation),
         schedulable,
+        absent_for: if leaving {
+            Duration::MAX
+        } else {
+            Duration::ZERO
+        },
         reports_recent: AgentReports::is_fresh(age),
         occupants: Vec::new(),
         unplaced: Vec::new(),
--- a/crates/godwitstep-batch/src/planner/directive.rs
+++ b/crates/godwitstep-batch/src/planner/directive.rs
@@ -80,6 +80,7 @@
         self.failures.retain(open);
         self.headroom.retain(open);
         self.waits.retain(open);
+        self.rack_waits.retain(open);
         let reports = &self.reports;
         self.health
             .retain(is_placed, |incarnation| reports.lists_worker(incarnation));
--- a/crates/godwitstep-batch/src/planner/headroom.rs
+++ b/crates/godwitstep-batch/src/planner/headroom.rs
@@ -31,7 +31,7 @@
 const WAITING_SHARE: f64 = 0.6;
 /// Maximum time for which a job without running tasks leaves the headroom empty while less than
 /// [`BUSY_SHARE`] of the pool is in use. Accepted work must not wait longer next to idle workers.
-const MAX_IDLE_WAIT: Duration = Duration::from_secs(2);
+pub(super) const MAX_IDLE_WAIT: Duration = Duration::from_secs(2);
 /// Share of a pool in use from which it does not count as idle.
 pub(super) const BUSY_SHARE: f64 = 0.5;
 
--- a/crates/godwitstep-batch/src/planner/place.rs
+++ b/crates/godwitstep-batch/src/planner/place.rs
@@ -1,8 +1,8 @@
 //! Placement of waiting tasks.
 //!
 //! Jobs are placed in scheduling order. Independent tasks are placed one by one. A gang is placed as a
-//! whole or not at all, and within one rack if it requires that and some rack could hold it. Which of
-//! the workers with capacity is chosen is decided in [`super::choice`].
+//! whole or not at all, and within one rack if it requires that and waiting for a rack pays ([`super::rack`]). Which
+//! of the workers with capacity is chosen is decided in [`super::choice`].
 
 use super::cluster::{Cluster, Node, Occupant};
 use super::crashes::Neighbours;
@@ -15,6 +15,7 @@
 use crate::progress::{self, State};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Maximum number of reservations at a time. Reserved capacity can only be used by shorter tasks, so each has a cost.
 const MAX_RESERVATIONS: usize = 3;
@@ -29,7 +30,7 @@
     pub step_number: u16,
     pub step: &'a Step,
     /// Expected run time of a task on a worker of average speed.
-    pub run_time: std::time::Duration,
+    pub run_time: Duration,
     /// Indices of the waiting tasks.
     pub waiting: Vec<u16>,
     /// Whether the job has little slack.
@@ -40,6 +41,8 @@
     pub neighbours: Neighbours,
     /// Workers that are excluded because the job failed there or because they are left empty.
     pub excluded: BTreeSet<Incarnation>,
+    /// Whether the tasks are placed within one rack or wait.
+    pub one_rack: bool,
 }
 
 impl Planner {
@@ -72,7 +75,8 @@
                     if urgency.worthless && neighbours == Neighbours::Any {
                         continue;
                     }
-                    if blocked.fits_empty_worker(round.cluster) {
+                    let max_absence = self.bounds.agent_timeout();
+                    if blocked.fits_empty_worker(round.cluster, max_absence) {
                         self.shares.note_waiting(&job_state.job);
                     }
                     if urgency.priority == 0 {
@@ -111,6 +115,7 @@
             budget: self.run_budget(round.now, &job_state.job, progress, step),
             neighbours,
             excluded: BTreeSet::new(),
+            one_rack: false,
         };
         let run = next_run(pending.step.gang, state);
         pending.leave_out_active(round.cluster);
@@ -119,7 +124,8 @@
         }
         let crashed_on = crashes::crashed_on(state, &pending.waiting, round.cluster);
         pending.excluded = self.failures.excluded(&pending, round.cluster, crashed_on);
-        let avoided = pending.excluded.clone();
+        let mut avoided = pending.excluded.clone();
+        pending.one_rack = self.may_wait_for_rack(round.now, &pending, round.cluster, &avoided);
         let overdue = self.overdue(round.now, &pending, state, round.cluster);
         let held_back = self.exclude_headroom(round, urgency, job_state, &mut pending);
         self.place_waiting(round, &mut pending, &run);
@@ -131,9 +137,16 @@
             }
             if !pending.waiting.is_empty() {
                 pending.excluded.retain(|other| !avoided.contains(other));
+                avoided.clear();
+                pending.one_rack =
+                    self.may_wait_for_rack(round.now, &pending, round.cluster, &avoided);
                 self.place_waiting(round, &mut pending, &run);
             }
         }
+        if self.gives_up_rack(round, &pending, &avoided) {
+            pending.one_rack = false;
+            self.place_waiting(round, &mut pending, &run);
+        }
         (!pending.waiting.is_empty() && !held_back).then_some(pending)
     }
 
@@ -232,22 +245,17 @@
     }
 
     /// Returns whether some worker, also one that accepts no tasks at present, could run a task if it were empty.
-    fn fits_empty_worker(&self, cluster: &Cluster) -> bool {
-        let label = self.step.label.as_ref();
-        cluster.nodes.iter().any(|node| {
-            &*node.pool == self.pool
-                && label.is_none_or(|label| node.labels.contains(label))
-                && self.step.demand.fits(&node.full_capacity)
-        })
+    fn fits_empty_worker(&self, cluster: &Cluster, max_absence: Duration) -> bool {
+        let mut nodes = cluster.nodes.iter();
+        nodes.any(|node| node.may_return(max_absence) && self.copies_if_empty(node) > 0)
     }
 
     /// Returns how many tasks of the step a worker could run at a time if it were empty and accepted tasks.
     pub fn copies_if_empty(&self, node: &Node) -> u64 {
-        let label = self.step.label.as_ref();
-        if &*node.pool != self.pool || label.is_some_and(|label| !node.labels.contains(label)) {
+        if !node.suits(self.pool, self.step.label.as_ref()) {
             return 0;
         }
-        let copies = self.step.demand.copies_in(&node.capacity);
+        let copies = self.step.demand.copies_in(&node.full_capacity);
         match self.step.per_worker {
             0 => copies,
             limit => copies.min(u64::from(limit)),
@@ -357,15 +365,10 @@
     }
 }
 
-/// Returns whether a step must run within one rack.
-pub(super) fn needs_one_rack(pending: &PendingStep, cluster: &Cluster) -> bool {
-    pending.step.gang && pending.step.one_rack && fits_one_rack(pending, cluster)
-}
-
 /// Returns the groups of nodes, each of which is considered as a whole for all tasks of a step: one
 /// group per rack for a gang that must run within one rack, otherwise a single group of all nodes.
 pub(super) fn candidate_groups(pending: &PendingStep, cluster: &Cluster) -> Vec<Vec<usize>> {
-    if !needs_one_rack(pending, cluster) {
+    if !pending.one_rack {
         return vec![(0..cluster.nodes.len()).collect()];
     }
     let mut racks: BTreeMap<&Option<Arc<str>>, Vec<usize>> = BTreeMap::new();
@@ -386,19 +389,6 @@
     counts
 }
 
-/// Returns whether some rack could hold the whole gang if it were empty. Workers that currently
-/// accept no tasks count too, because waiting for them is better than running slowly across racks.
-fn fits_one_rack(pending: &PendingStep, cluster: &Cluster) -> bool {
-    let mut copies: BTreeMap<&Option<Arc<str>>, u64> = BTreeMap::new();
-    for node in &cluster.nodes {
-        let rack_copies = copies.entry(&node.rack).or_default();
-        *rack_copies = rack_copies.saturating_add(pending.copies_if_empty(node));
-    }
-    copies
-        .values()
-        .any(|copies| *copies >= pending.waiting.len() as u64)
-}
-
 /// Places all tasks within a group of nodes on as few of them as possible, or none.
 pub(super) fn place_within(
     pending: &PendingStep,
--- a/crates/godwitstep-batch/src/planner/reserve.rs
+++ b/crates/godwitstep-batch/src/planner/reserve.rs
@@ -74,7 +74,7 @@
     }
 
     /// Returns the times until a node has capacity for one, two and more tasks of a step.
-    fn wait_times(
+    pub(super) fn wait_times(
         &self,
         now: Duration,
         draft: &Draft,
--- a/crates/godwitstep-batch/src/planner/waits.rs
+++ b/crates/godwitstep-batch/src/planner/waits.rs
@@ -56,8 +56,7 @@
         if !suspect && pending.excluded.is_empty() {
             return BTreeSet::new();
         }
-        let may_end = suspect
-            || (used_share(cluster, pending.pool) < BUSY_SHARE && has_room_twice(pending, cluster));
+        let may_end = suspect || waits_beside_idle_workers(pending, cluster);
         let gang = pending.step.gang;
         let mut overdue = BTreeSet::new();
         for &index in &pending.waiting {
@@ -76,9 +75,10 @@
     }
 }
 
-/// Returns whether there is room for twice the waiting tasks of a gang, or two independent tasks, on all workers that may
-/// run them, also those that they avoid.
-fn has_room_twice(pending: &PendingStep, cluster: &Cluster) -> bool {
+/// Returns whether a step waits although much of its pool is idle: less than [`BUSY_SHARE`] is in use, and there is room
+/// for twice the waiting tasks of a gang, or two independent tasks, on all workers that may run them. Workers that the step
+/// avoids count too, and its limit of tasks on one worker does not.
+pub(super) fn waits_beside_idle_workers(pending: &PendingStep, cluster: &Cluster) -> bool {
     let needed = if pending.step.gang {
         pending.waiting.len() as u64
     } else {
@@ -86,6 +86,7 @@
     };
     let nodes = cluster.nodes.iter();
     let nodes = nodes.filter(|node| pending.serves(node));
-    let copies = nodes.map(|node| pending.copies(node, &pending.free(node)));
-    copies.fold(0, u64::saturating_add) >= 2 * needed
+    let copies = nodes.map(|node| pending.step.demand.copies_in(&pending.free(node)));
+    let room = copies.fold(0, u64::saturating_add);
+    room >= 2 * needed && used_share(cluster, pending.pool) < BUSY_SHARE
 }
