--- a/crates/godwitstep-batch/src/lib.rs
+++ b/crates/godwitstep-batch/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! * [`ledger`] holds the authoritative state, derived from the log's [`record`]s, of which a long one is stored in
 //!   [`fragment`]s.
-//! * [`claim`] elects the decider; [`membership`] finds the entries that are gone; [`access`] authorizes callers; [`backlog`] limits the memory of accepted jobs.
+//! * [`claim`] elects the decider; [`membership`] finds the entries that are gone.
+//! * [`access`] authorizes callers; [`backlog`] limits the memory of accepted jobs.
 //! * [`planner`] decides where tasks run; [`expectation`] learns how long they take.
 //! * [`agent`] renews one worker's lease and executes orders.
 //! * [`address`] checks the addresses that other processes name.
--- a/crates/godwitstep-batch/src/planner/rack.rs
+++ b/crates/godwitstep-batch/src/planner/rack.rs
@@ -12,14 +12,15 @@
 //! | is out of reach, suspended, quarantined, slow or crashed | while it has been so for less time than several racks cost |
 //! | is left empty for urgent jobs, reserved, kept apart for another job, or busy | yes |
 //!
-//! A gang that no rack can hold by this runs on several at once. One that some rack can hold waits for it, but not where
-//! waiting does not pay, for more than [`MAX_IDLE_WAIT`]: while much of the pool is idle, or while no rack is expected to
-//! become free within the time that several racks cost. The latter two bound the waits for what the table does not know:
-//! runs that never end, and workers that are kept for others again and again.
+//! A gang that no rack can hold by this runs on several at once. One that some rack can hold waits for it, but for no more
+//! than [`MAX_IDLE_WAIT`] while that does not pay: while much of the pool is idle, or no rack is expected to become free
+//! within the time that several racks cost. This ends the waits for what the table does not know: runs that never end, and
+//! workers that are kept for others again and again.
 //!
 //! [`Bounds::rack_slowdown`]: crate::bounds::Bounds::rack_slowdown
 
 use super::cluster::{Cluster, Node};
+use super::failed_search::StepKey;
 use super::headroom::MAX_IDLE_WAIT;
 use super::place::PendingStep;
 use super::waits::waits_beside_idle_workers;
@@ -39,7 +40,7 @@
 }
 
 impl Absences {
-    /// Updates the absences from the workers of a round, and their times in it.
+    /// Updates the absences from the workers of a round, and sets the time of each absence there.
     pub fn update(&mut self, now: Duration, cluster: &mut Cluster) {
         let mut absent = HashSet::new();
         for node in cluster.nodes.iter_mut().filter(|node| !node.schedulable) {
@@ -55,12 +56,12 @@
 /// Since when it has not paid for gangs to wait for a rack.
 #[derive(Debug, Default)]
 pub(super) struct RackWaits {
-    since: HashMap<(JobId, u16), Duration>,
+    since: HashMap<StepKey, Duration>,
 }
 
 impl RackWaits {
     /// Returns whether waiting has not paid for [`MAX_IDLE_WAIT`] without interruption.
-    fn is_over(&mut self, now: Duration, step: (JobId, u16), pays: bool) -> bool {
+    fn is_over(&mut self, now: Duration, step: StepKey, pays: bool) -> bool {
         if pays {
             self.since.remove(&step);
             return false;
@@ -69,7 +70,7 @@
     }
 
     /// Ends the wait of a gang that is placed.
-    fn end(&mut self, step: (JobId, u16)) {
+    fn end(&mut self, step: StepKey) {
         self.since.remove(&step);
     }
 
